--- /dev/null
+++ b/thistleshore/__init__.py
@@ -0,0 +1,1 @@
+"""thistleshore: a job dispatcher on sockets, around the decisions of oxbowarch."""
--- /dev/null
+++ b/thistleshore/beanstalkd/__init__.py
@@ -0,0 +1,1 @@
+"""The beanstalkd protocol: one more front before and behind the core."""
--- /dev/null
+++ b/thistleshore/core/__init__.py
@@ -0,0 +1,1 @@
+"""Streams, upstream requests and final answers; nothing here knows a wire."""
--- /dev/null
+++ b/thistleshore/core/broker.py
@@ -0,0 +1,228 @@
+"""The one task that owns the decision module; everything reaches it by one memory channel."""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from heapq import heappop, heappush
+from itertools import count
+
+import trio
+
+from oxbowarch.brain import Brain
+from oxbowarch.interface import Action, Cancel, CloseIdle, Fail, Log, ListKind, Outcome, Refuse, Request
+from oxbowarch.interface import Send, State, Status, Timer, Watch
+from thistleshore.core import model
+from thistleshore.invariants import invariant
+
+log = logging.getLogger("thistleshore")
+
+QUEUE = 2048  # events that may wait for the broker; a front that is ahead of it waits
+ANSWER_LEAD = 0.01  # s before a deadline at which an upstream request times out, so that the answer is in time
+FIGURES_EVERY = 10.0  # s between two lines of figures in the log
+FIGURES = 0  # the token of that timer: the module's tokens are those of streams, numbered from 1
+
+
+class Broker:
+    """Hands events to the module in order and carries out its actions in order."""
+
+    def __init__(self, brain: Brain, upstream: model.UpstreamFront) -> None:
+        self.brain = brain
+        self.upstream = upstream
+        self.inbox, self._events = trio.open_memory_channel[model.Event](QUEUE)
+        self.hosts: dict[bytes, model.UpstreamHost] = {}
+        self.listed = trio.Event()  # a list of upstream hosts is in the module
+        self.figures: Counter[str] = Counter()
+        self._streams: dict[int, model.Stream] = {}
+        self._out: dict[int, list[model.UpstreamRequest]] = {}  # every upstream request of a stream, by number
+        self._left: Counter[int] = Counter()  # upstream requests of a stream that have not ended
+        self._states: dict[bytes, tuple[State, int]] = {}
+        self._timers: list[tuple[float, int]] = []
+        self._numbers = count(1)
+
+    @property
+    def open_streams(self) -> int:
+        return len(self._streams)
+
+    async def run(self) -> None:
+        heappush(self._timers, (trio.current_time() + FIGURES_EVERY, FIGURES))
+        async with trio.open_nursery() as self._attempts:
+            while True:
+                event = await self._next()
+                now = trio.current_time()
+                try:
+                    self._carry_out(self._fire(now) if event is None else self._tell(event, now), now)
+                except Exception:
+                    # A fault met at one event must not lose every other stream that was taken.
+                    log.exception("fault in the broker at %s", type(event).__name__)
+                    invariant(False, "an event is told without a fault")
+
+    async def _next(self) -> model.Event | None:
+        """The next event, or None when a timer is due."""
+        if self._timers[0][0] <= trio.current_time():
+            await trio.lowlevel.checkpoint()  # a run of due timers must not starve the sockets
+            return None
+        with trio.move_on_at(self._timers[0][0]):
+            return await self._events.receive()
+        return None
+
+    def _fire(self, now: float) -> list[Action]:
+        _, token = heappop(self._timers)
+        if token == FIGURES:
+            heappush(self._timers, (now + FIGURES_EVERY, FIGURES))
+            log.info("figures: open=%d %s", len(self._streams), " ".join(f"{k}={n}" for k, n in self.figures.items()))
+            return []
+        return self.brain.on_timer(token, now)
+
+    def _tell(self, event: model.Event, now: float) -> list[Action]:
+        if isinstance(event, model.UpstreamEnded):
+            return self._ended(event, now)
+        if isinstance(event, model.StreamOpened):
+            return self._opened(event.stream, now)
+        if isinstance(event, model.UpstreamStarted):
+            return self.brain.on_started(event.request.stream.id, event.request.number, now)
+        if isinstance(event, model.StreamWithdrawn):
+            return self._withdrawn(event.stream, now)
+        return self._told(event, now)
+
+    def _opened(self, stream: model.Stream, now: float) -> list[Action]:
+        stream.id = next(self._numbers)
+        self._streams[stream.id] = stream
+        self._out[stream.id] = []
+        self.figures["taken"] += 1
+        ask = Request(stream.id, stream.job_class, stream.deadline - now, stream.tenant, stream.key,
+                      repeat=stream.repeat)  # fmt: skip
+        return self.brain.on_request(ask, now)
+
+    def _withdrawn(self, stream: model.Stream, now: float) -> list[Action]:
+        if stream.over:
+            return []  # the answer crossed with the downstream's going away
+        stream.withdrawn = True
+        self.figures["withdrawn"] += 1
+        actions = self.brain.on_withdrawn(stream.id, now)
+        self._forget(stream)
+        return actions
+
+    def _ended(self, event: model.UpstreamEnded, now: float) -> list[Action]:
+        request, outcome = event.request, event.outcome
+        stream = request.stream
+        self._left[stream.id] -= 1
+        self.figures[outcome.status.value] += 1
+        if outcome.status is Status.OK and not stream.over and outcome.result is not None:
+            self._finish(stream, model.Served(outcome.result))
+        told = Outcome(stream.id, request.number, request.host.id, outcome.status, event.took, stream.over,
+                       outcome.report)  # fmt: skip
+        actions = self.brain.on_outcome(told, now)
+        self._forget(stream)
+        return actions
+
+    def _told(self, event: model.HostsTold, now: float) -> list[Action]:
+        named = {line.entry.worker for line in event.lines}
+        if event.kind is not ListKind.CHANGES:
+            for host in self.hosts.values():
+                if host.id not in named:  # what a whole list leaves out is gone
+                    host.entry = host.entry._replace(state=State.GONE)
+        for line in event.lines:
+            known = self.hosts.get(line.entry.worker)
+            if known is None:
+                self.hosts[line.entry.worker] = model.UpstreamHost(line.entry.worker, line.dial, line.entry)
+                continue
+            if known.dial != line.dial or known.entry.started_at != line.entry.started_at:
+                known.life += 1
+                known.dial = line.dial
+            known.entry = line.entry
+        for host in self.hosts.values():
+            if not host.ready:
+                self.upstream.close_idle(host)
+        states = {host.id: (host.entry.state, host.life) for host in self.hosts.values()}
+        if states != self._states:  # weights change every second, and would bury what matters
+            ready = sum(host.ready for host in self.hosts.values())
+            log.info("hosts told: %s list, %d hosts, %d ready", event.kind.value, len(states), ready)
+        self._states = states
+        actions = self.brain.on_list(event.kind, tuple(line.entry for line in event.lines), now)
+        # Hosts that are gone are forgotten, or a year of deploys would fill the memory; the module keeps its own.
+        self.hosts = {name: host for name, host in self.hosts.items() if host.entry.state is not State.GONE}
+        self.listed.set()
+        return actions
+
+    def _carry_out(self, actions: list[Action], now: float) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                self._send(action, now)
+            elif isinstance(action, Timer):
+                heappush(self._timers, (action.at, action.token))
+            elif isinstance(action, Refuse):
+                self._answer(action.id, model.LocalReply(action.retry_after))
+            elif isinstance(action, Fail):
+                self._answer(action.id, model.Failed("no upstream host served it"))
+            elif isinstance(action, Cancel):
+                self._cancel(action)
+            elif isinstance(action, CloseIdle):
+                if (host := self.hosts.get(action.worker)) is not None:
+                    self.upstream.close_idle(host)
+            elif isinstance(action, Log):
+                log.info("module: %s", self._named(action.text))
+            else:  # discovery watches by itself; config.py forbids probes, which the protocol lacks
+                invariant(isinstance(action, Watch), "no probe is asked for")
+
+    def _named(self, text: str) -> str:
+        """The module names hosts by their bytes; who reads the log wants the list's name."""
+        for host in self.hosts.values():
+            text = text.replace(host.id.hex(), host.id.decode(errors="replace"))
+        return text
+
+    def _send(self, action: Send, now: float) -> None:
+        stream = self._streams.get(action.id)
+        if stream is None or not invariant(not stream.over, "nothing is sent for a stream that is over"):
+            return
+        host = self.hosts.get(action.worker)
+        if host is None:  # forgotten as gone: the module knows it still, so it hears that nothing was sent
+            host = model.UpstreamHost(action.worker, None, self.brain.workers[action.worker].entry)
+        deadline = stream.deadline - ANSWER_LEAD
+        if action.timeout:
+            deadline = min(deadline, now + action.timeout)
+        request = model.UpstreamRequest(stream, len(self._out[stream.id]), host, deadline)
+        self._out[stream.id].append(request)
+        self._left[stream.id] += 1
+        self._attempts.start_soon(self._attempt, request)
+
+    async def _attempt(self, request: model.UpstreamRequest) -> None:
+        begun = trio.current_time()
+        # Out of time before it began: no news of the host, and nothing was sent.
+        outcome = model.UpstreamOutcome(Status.MOOT) if request.deadline <= begun else None
+        with request.scope:
+            request.scope.deadline = request.deadline
+            try:
+                outcome = outcome or await self.upstream.carry(request, self.inbox)
+            except Exception:
+                # A fault in one upstream request must not end the others; may it have run, that is said.
+                log.exception("fault in an upstream request to %s", request.host.id.decode(errors="replace"))
+                outcome = model.UpstreamOutcome(Status.RESET if request.sent else Status.CONNECT_FAILED)
+        if outcome is None and request.cancelled:
+            outcome = model.UpstreamOutcome(Status.CANCELLED)
+        elif outcome is None:
+            outcome = model.UpstreamOutcome(Status.TIMEOUT if request.sent else Status.CONNECT_FAILED)
+        await self.inbox.send(model.UpstreamEnded(request, outcome, trio.current_time() - begun))
+
+    def _cancel(self, action: Cancel) -> None:
+        for request in self._out.get(action.id, [])[action.attempt : action.attempt + 1]:
+            request.cancelled = True
+            request.scope.cancel()
+
+    def _answer(self, number: int, answer: model.FinalAnswer) -> None:
+        stream = self._streams.get(number)
+        if stream is not None and not stream.over:
+            self._finish(stream, answer)
+            self._forget(stream)
+
+    def _finish(self, stream: model.Stream, answer: model.FinalAnswer) -> None:
+        if invariant(not stream.over, "a stream has one final answer"):
+            stream.answer = answer
+            stream.answered.set()
+            self.figures[type(answer).__name__] += 1
+
+    def _forget(self, stream: model.Stream) -> None:
+        """Drop the books of a stream that is over and has nothing out."""
+        if stream.over and not self._left[stream.id]:
+            for book in (self._streams, self._out, self._left):
+                book.pop(stream.id, None)
--- /dev/null
+++ b/thistleshore/core/model.py
@@ -0,0 +1,124 @@
+"""The records that the fronts and the broker share.  No wire is known here."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import NamedTuple, Protocol
+
+import trio
+
+from oxbowarch.interface import Entry, ListKind, Report, State, Status
+
+
+class Served(NamedTuple):
+    result: bytes  # what an upstream host made for this stream
+
+
+class LocalReply(NamedTuple):
+    """A refusal: trying again is harmless."""
+
+    retry_after: float  # seconds; 0: no advice
+
+
+class Failed(NamedTuple):
+    reason: str
+
+
+FinalAnswer = Served | LocalReply | Failed
+
+
+@dataclass(slots=True, eq=False)
+class Stream:
+    """One request of a downstream, from its last byte to its one final answer."""
+
+    name: str  # what the downstream calls it
+    job_class: int
+    deadline: float  # trio's clock; the downstream waits until then
+    payload: object = None  # for the front that carries it, opaque to the core
+    tenant: int = 0
+    key: int = 0
+    repeat: bool = False
+    id: int = -1  # the broker's number for it
+    answer: FinalAnswer | None = None
+    answered: trio.Event = field(default_factory=trio.Event)
+    withdrawn: bool = False
+
+    @property
+    def over(self) -> bool:
+        return self.withdrawn or self.answer is not None
+
+
+@dataclass(slots=True, eq=False)
+class UpstreamHost:
+    """A ticket worker as the list has it; kept by the broker, read by the fronts."""
+
+    id: bytes
+    dial: object  # how a front reaches it: an address, or a name
+    entry: Entry
+    life: int = 0  # counts its restarts and moves: connections of an earlier life are stale
+
+    @property
+    def ready(self) -> bool:
+        return self.entry.state is State.READY
+
+
+class HostLine(NamedTuple):
+    """One line of a list of upstream hosts."""
+
+    entry: Entry
+    dial: object
+
+
+@dataclass(slots=True, eq=False)
+class UpstreamRequest:
+    """One attempt to have a stream served by an upstream host."""
+
+    stream: Stream
+    number: int
+    host: UpstreamHost
+    deadline: float
+    sent: bool = False  # set by the front once the last byte of the request is written
+    cancelled: bool = False
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+
+
+class UpstreamOutcome(NamedTuple):
+    status: Status
+    result: bytes | None = None
+    report: Report | None = None
+
+
+class StreamOpened(NamedTuple):
+    stream: Stream
+
+
+class StreamWithdrawn(NamedTuple):
+    stream: Stream
+
+
+class UpstreamStarted(NamedTuple):
+    request: UpstreamRequest
+
+
+class UpstreamEnded(NamedTuple):
+    request: UpstreamRequest
+    outcome: UpstreamOutcome
+    took: float
+
+
+class HostsTold(NamedTuple):
+    kind: ListKind
+    lines: tuple[HostLine, ...]
+
+
+Event = StreamOpened | StreamWithdrawn | UpstreamStarted | UpstreamEnded | HostsTold
+
+
+class UpstreamFront(Protocol):
+    """Carries upstream requests over one wire."""
+
+    async def carry(self, request: UpstreamRequest, started: trio.MemorySendChannel[Event]) -> UpstreamOutcome:
+        """Run one upstream request to its end; cancelled when it is called off or out of time."""
+        ...
+
+    def close_idle(self, host: UpstreamHost) -> None: ...
--- /dev/null
+++ b/thistleshore/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's protocol: HTTP/1.1 on h11, before and behind the core."""
--- /dev/null
+++ b/thistleshore/platform/discovery.py
@@ -0,0 +1,78 @@
+"""The watch on discovery: each answer is told to the broker, and the next call follows at once."""
+
+from __future__ import annotations
+
+import logging
+
+import h11
+import trio
+
+from thistleshore.core.model import Event, HostsTold
+from thistleshore.platform.messages import ListNames, Malformed, Peer, read_hosts
+
+log = logging.getLogger("thistleshore")
+
+WAIT = 5.0  # s that discovery may hold a call; short, so that a call lost in an outage is soon made again
+SILENCE = 0.5  # s beyond that after which the call counts as lost
+AGAIN = 0.1  # s before a call that failed is made again; a watch goes on only within 0.2 s
+CONNECT_WITHIN = 1.0
+LIST_MOST = 8 * 1024 * 1024  # bytes of a list; more would endanger the memory
+
+
+class Discovery:
+    def __init__(self, address: tuple[str, int], names: ListNames, epoch: float, seq: int) -> None:
+        self.address, self.names, self.epoch, self.seq = address, names, epoch, seq
+        self._peer: Peer | None = None
+        self._lost = False
+
+    async def run(self, events: trio.MemorySendChannel[Event]) -> None:
+        try:
+            while True:
+                try:
+                    told = await self._call()
+                except (OSError, trio.TooSlowError, trio.BrokenResourceError, trio.ClosedResourceError,
+                        h11.ProtocolError, Malformed) as problem:  # fmt: skip
+                    # Discovery may be down for long: the list in hand serves on, and the log says so once.
+                    if not self._lost:
+                        log.warning("discovery lost: %s: %s", type(problem).__name__, problem)
+                    self._lost = True
+                    self._hang_up()
+                    await trio.sleep(AGAIN)
+                    continue
+                if self._lost:
+                    log.info("discovery regained at version %d", self.seq)
+                self._lost = False
+                await events.send(told)
+        finally:
+            self._hang_up()
+
+    def _hang_up(self) -> None:
+        if self._peer is not None:
+            self._peer.close()
+        self._peer = None
+
+    async def _call(self) -> HostsTold:
+        if self._peer is None:
+            with trio.fail_after(CONNECT_WITHIN):
+                self._peer = Peer(await trio.open_tcp_stream(*self.address), h11.CLIENT)
+        peer = self._peer
+        with trio.fail_after(WAIT + SILENCE):
+            target = f"/api/targets?after={self.seq}&wait_ms={int(WAIT * 1000)}"
+            call = h11.Request(method="GET", target=target, headers=[("host", "discovery")])
+            await peer.send(call, h11.EndOfMessage())
+            response = await peer.event()
+            body = bytearray()
+            while isinstance(event := await peer.event(), h11.Data):
+                body += event.data
+                if len(body) > LIST_MOST:
+                    raise Malformed("the list is too long")
+        if not isinstance(response, h11.Response) or response.status_code != 200:
+            raise Malformed("the answer is no list")
+        self.seq, kind, lines = read_hosts(bytes(body), self.names, self.epoch)
+        if peer.reusable:
+            peer.http.start_next_cycle()
+        else:
+            self._hang_up()
+        return HostsTold(kind, lines)
+
+
--- /dev/null
+++ b/thistleshore/platform/downstream.py
@@ -0,0 +1,233 @@
+"""The downstream side: clients' connections, their streams and the one answer to each."""
+
+from __future__ import annotations
+
+import errno
+import logging
+from collections.abc import Mapping, Sequence
+from typing import NamedTuple
+
+import h11
+import trio
+
+from thistleshore.core.model import Event, Failed, FinalAnswer, LocalReply, Served, Stream, StreamOpened
+from thistleshore.core.model import StreamWithdrawn
+from thistleshore.invariants import invariant
+from thistleshore.platform.messages import BODY_MOST, PASSED, RECEIVE, Ask, Peer, Rejected, header, read_terms
+
+log = logging.getLogger("thistleshore")
+
+READ_WITHIN = 10.0  # s from a request's first byte to its last
+WRITE_WITHIN = 5.0  # s for a downstream to take an answer
+ACCEPT_FOR = 0.55  # s after SIGTERM in which connections still come, and idle ones stay open
+BACKLOG = 512
+NO_SOCKET_PAUSE = 0.05  # s before accepting is tried again
+NO_SOCKET = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError)
+
+
+class Words(NamedTuple):
+    """The settings' names of classes and tenants, and how long each class's clients wait."""
+
+    classes: Mapping[str, int]
+    tenants: Mapping[str, int]
+    give_up: Sequence[float]
+
+
+class Downstream:
+    def __init__(self, words: Words, listed: trio.Event, inbox: trio.MemorySendChannel[Event], most: int) -> None:
+        self.words, self.listed, self.inbox, self.most = words, listed, inbox, most
+        self.draining = trio.Event()
+        self.listening = False
+        self.names: set[str] = set()  # streams that are open
+        self._connections = 0
+        self._closing = False
+        self._idle: dict[trio.CancelScope, None] = {}  # waits for a request, the longest first
+        self._room = trio.Event()
+
+    @property
+    def ready(self) -> bool:
+        return self.listening and self.listed.is_set() and not self.draining.is_set()
+
+    async def run(self, address: tuple[str, int],
+                  task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:  # fmt: skip
+        """Serve until drained: after SIGTERM what was taken is finished."""
+        host, port = address
+        (listener,) = await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
+        self.listening = True
+        log.info("listening on %s:%d", host, port)
+        task_status.started()
+        async with trio.open_nursery() as nursery, listener:
+            with trio.CancelScope() as accepting:
+                nursery.start_soon(self._drain, accepting)
+                await self._accept(listener, nursery)
+            self.listening = False
+
+    async def _drain(self, accepting: trio.CancelScope) -> None:
+        await self.draining.wait()
+        await trio.sleep(ACCEPT_FOR)  # the front goes on dealing connections out for a while
+        self._closing = True
+        accepting.cancel()
+        for idle in list(self._idle):
+            idle.cancel()
+
+    async def _accept(self, listener: trio.SocketListener, nursery: trio.Nursery) -> None:
+        while True:
+            while self._connections >= self.most:
+                # Over the limit on sockets nothing could be sent on: an idle connection makes room.
+                self._room = trio.Event()
+                if self._idle:
+                    next(iter(self._idle)).cancel()
+                with trio.move_on_after(1.0):
+                    await self._room.wait()
+            try:
+                socket = await listener.accept()
+            except OSError as problem:
+                if problem.errno not in NO_SOCKET:
+                    raise
+                # Out of descriptors: a crash here would lose every stream that was taken.
+                log.warning("cannot accept: %s", problem)
+                await trio.sleep(NO_SOCKET_PAUSE)
+                continue
+            self._connections += 1
+            nursery.start_soon(self._connection, socket)
+
+    async def _connection(self, socket: trio.SocketStream) -> None:
+        peer = Peer(socket, h11.SERVER)
+        try:
+            while await self._turn(peer):
+                peer.http.start_next_cycle()
+        except BROKEN:
+            pass
+        except Exception:
+            # A fault in one connection must not end the program.
+            log.exception("fault in a downstream connection")
+        finally:
+            self._connections -= 1
+            self._room.set()
+            peer.close()
+
+    async def _turn(self, peer: Peer) -> bool:
+        """One request and its answer; False when the connection is to end."""
+        if not await self._first_bytes(peer):
+            return False
+        try:
+            with trio.fail_after(READ_WITHIN):
+                request, body = await self._read(peer)
+        except Rejected as problem:
+            return await self._reply(peer, problem.status, problem.reason.encode(), close=True)
+        except h11.RemoteProtocolError as problem:
+            return await self._reply(peer, problem.error_status_hint, b"bad request", close=True)
+        except trio.TooSlowError:
+            # A downstream that never ends its request would hold a socket for good.
+            return await self._reply(peer, 408, b"the request took too long", close=True)
+        if request is None:
+            return False
+        if request.method == b"GET" and request.target in (b"/-/ready", b"/-/healthy"):
+            fine = self.ready or request.target == b"/-/healthy"
+            return await self._reply(peer, 200 if fine else 503, b"ready" if fine else b"not ready")
+        try:
+            terms = read_terms(request, self.words.classes, self.words.tenants, self.words.give_up)
+            if terms.name in self.names:
+                raise Rejected(409, "a request of this id is open")  # one id, one stream: two answers could cross
+        except Rejected as problem:
+            return await self._reply(peer, problem.status, problem.reason.encode())
+        passed = tuple((name, value) for name, value in request.headers if name in PASSED)
+        stream = Stream(terms.name, terms.job_class, trio.current_time() + terms.remaining,
+                        Ask(request.target, passed, body), terms.tenant, terms.key, terms.repeat)  # fmt: skip
+        self.names.add(stream.name)
+        try:
+            answer = await self._await_answer(peer, stream)
+        finally:
+            self.names.discard(stream.name)
+        return answer is not None and await self._answer(peer, answer)
+
+    async def _first_bytes(self, peer: Peer) -> bool:
+        """Wait for a request to begin; False at the end of the connection."""
+        if peer.http.trailing_data[0]:
+            return True
+        data = b""
+        with trio.CancelScope() as idle:
+            if self._closing:  # accepted at the last moment: nobody would cancel its wait any more
+                idle.cancel()
+            self._idle[idle] = None
+            try:
+                data = await peer.socket.receive_some(RECEIVE)
+            finally:
+                del self._idle[idle]
+        # A close that crosses a request would cost the downstream a connection: what has come is served.
+        if idle.cancelled_caught and peer.socket.socket.is_readable():
+            data = await peer.socket.receive_some(RECEIVE)
+        if data:
+            peer.http.receive_data(data)
+        return bool(data)
+
+    async def _read(self, peer: Peer) -> tuple[h11.Request | None, bytes]:
+        """A whole request; None where the downstream went away in its midst."""
+        request = await peer.event()
+        if not isinstance(request, h11.Request):
+            return None, b""
+        length = header(request.headers, b"content-length")
+        if length is not None and int(length) > BODY_MOST:
+            raise Rejected(413, "a body holds 64 KiB at most")
+        if peer.http.they_are_waiting_for_100_continue:
+            await peer.send(h11.InformationalResponse(status_code=100, headers=[]))
+        body = bytearray()
+        while isinstance(event := await peer.event(), h11.Data):
+            body += event.data
+            if len(body) > BODY_MOST:  # a body in chunks says its length nowhere
+                raise Rejected(413, "a body holds 64 KiB at most")
+        return request, bytes(body)
+
+    async def _await_answer(self, peer: Peer, stream: Stream) -> FinalAnswer | None:
+        """Hand the stream over and wait for its answer; None when the downstream has gone away."""
+        await self.inbox.send(StreamOpened(stream))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch, peer, stream, nursery.cancel_scope)
+            await stream.answered.wait()
+            nursery.cancel_scope.cancel()
+        return stream.answer
+
+    async def _watch(self, peer: Peer, stream: Stream, waiting: trio.CancelScope) -> None:
+        """Notice a downstream that goes away while its stream is open."""
+        try:
+            data = await peer.socket.receive_some(RECEIVE)
+        except BROKEN:
+            data = b""
+        if data:
+            # The next request, sent ahead: kept for its turn.  Nothing more is read, to bound what is kept.
+            peer.http.receive_data(data)
+            return
+        await self.inbox.send(StreamWithdrawn(stream))
+        waiting.cancel()
+
+    async def _answer(self, peer: Peer, answer: FinalAnswer) -> bool:
+        if isinstance(answer, Served):
+            return await self._reply(peer, 200, answer.result)
+        if isinstance(answer, LocalReply):
+            advice = [("retry-after", f"{answer.retry_after:.3f}")] if answer.retry_after > 0 else []
+            return await self._reply(peer, 503, b"refused", advice)
+        invariant(isinstance(answer, Failed), "a final answer is served, refused or failed")
+        return await self._reply(peer, 502, answer.reason.encode())
+
+    async def _reply(self, peer: Peer, status: int, body: bytes, more: Sequence[tuple[str, str]] = (),
+                     close: bool = False) -> bool:  # fmt: skip
+        """Write one whole answer; True where the connection goes on."""
+        if not peer.answerable:
+            return False
+        close = close or self.draining.is_set()
+        head = [("content-length", str(len(body))), *more, *([("connection", "close")] if close else [])]
+        response = h11.Response(status_code=status, headers=head)
+        # A downstream that does not read would hold its socket for good.
+        with trio.move_on_after(WRITE_WITHIN) as writing:
+            await peer.send(response, h11.Data(data=body), h11.EndOfMessage())
+        if close and not writing.cancelled_caught:
+            await self._linger(peer)
+        return peer.reusable and not (close or writing.cancelled_caught)
+
+    async def _linger(self, peer: Peer) -> None:
+        """End our side first: closing over unread input would reset the connection and lose the answer."""
+        with trio.move_on_after(0.5):
+            await peer.socket.send_eof()
+            while await peer.socket.receive_some(RECEIVE):
+                pass
--- /dev/null
+++ b/thistleshore/platform/messages.py
@@ -0,0 +1,235 @@
+"""What the platform's HTTP messages say: pure functions from headers and lines to the core's terms."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from math import isfinite
+from typing import Any, NamedTuple
+
+import h11
+import trio
+
+from oxbowarch.interface import Entry, ListKind, Report, State, Status
+from thistleshore.core.model import HostLine
+
+BODY_MOST = 64 * 1024  # bytes of any body
+LINE_MOST = 6 * BODY_MOST + 1024  # a result of that size, every byte of it escaped, in its JSON object
+HEAD_MOST = 16 * 1024
+RECEIVE = 64 * 1024
+STATES = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
+FREE, QUEUED, HELD = ("x0",), ("q", "queue"), ("rif", "inflight")  # names of a load report's values
+
+
+class Rejected(Exception):
+    """A downstream's message that is answered with a 4xx."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status, self.reason = status, reason
+
+
+class Malformed(Exception):
+    """An upstream host or discovery sent what the protocol does not know."""
+
+
+class Peer:
+    """One HTTP connection: h11's state and the socket under it."""
+
+    def __init__(self, socket: trio.SocketStream, role: type[h11.CLIENT] | type[h11.SERVER]) -> None:
+        self.socket = socket
+        # A head without end would fill the memory: h11 gives up on it at this size.
+        self.http = h11.Connection(role, max_incomplete_event_size=HEAD_MOST)
+
+    async def event(self) -> Any:
+        """h11's next event; at the end of input ConnectionClosed or h11.RemoteProtocolError."""
+        while (event := self.http.next_event()) is h11.NEED_DATA:
+            self.http.receive_data(await self.socket.receive_some(RECEIVE))
+        return event
+
+    async def send(self, *events: h11.Event) -> None:
+        await self.socket.send_all(b"".join(self.http.send(event) or b"" for event in events))
+
+    @property
+    def answerable(self) -> bool:
+        return self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE)
+
+    @property
+    def reusable(self) -> bool:
+        """Both sides have said all of one message, and neither has asked for an end."""
+        return self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
+
+    def close(self) -> None:
+        """Close at once, without a wait: the other side may be silent."""
+        self.socket.socket.close()
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """A stream's payload: what passes on unchanged."""
+
+    target: bytes
+    passed: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+
+
+class Terms(NamedTuple):
+    """A stream as its headers word it."""
+
+    name: str
+    job_class: int
+    tenant: int
+    key: int
+    remaining: float
+    repeat: bool
+
+
+def header(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> str | None:
+    return next((value.decode("latin-1") for key, value in headers if key == name), None)
+
+
+def key_number(cookie: str) -> int:
+    """The cookie `k` as the module's number for a key; 0: none."""
+    for part in cookie.split(";"):
+        name, _, value = part.strip().partition("=")
+        if name == "k" and value:
+            try:
+                return int(value, 16) % 2**64
+            except ValueError:
+                return int.from_bytes(value.encode("latin-1", "replace")[:8], "big")
+    return 0
+
+
+def read_terms(request: h11.Request, classes: Mapping[str, int], tenants: Mapping[str, int],
+               give_up: Sequence[float]) -> Terms:  # fmt: skip
+    """What the headers ask for, or Rejected."""
+    headers = list(request.headers)
+    path = request.target.split(b"?")[0].decode("latin-1")
+    lane = header(headers, b"x-lane") or path.split("/")[1 if path.startswith("/") else 0]
+    if request.method == b"GET" and lane not in classes:
+        raise Rejected(404, "no such page")
+    if request.method != b"POST":
+        raise Rejected(405, "every job comes by POST")
+    if lane not in classes:
+        raise Rejected(404, "no such class")
+    name = header(headers, b"x-txn")
+    if not name or len(name) > 128:
+        raise Rejected(400, "X-Txn is missing or too long")
+    left = header(headers, b"x-remaining-ms")
+    try:
+        remaining = give_up[classes[lane]] if left is None else int(left) / 1000
+    except ValueError:
+        raise Rejected(400, "X-Remaining-Ms is not a whole number") from None
+    if not 0 < remaining <= 3600:
+        raise Rejected(400, "X-Remaining-Ms is out of range")
+    # A tenant that the settings do not name has no limit: the module takes a number past its list so.
+    tenant = tenants.get(header(headers, b"x-org") or "", len(tenants))
+    key = key_number(header(headers, b"cookie") or "")
+    return Terms(name, classes[lane], tenant, key, remaining, header(headers, b"x-resent") == "1")
+
+
+PASSED = frozenset((b"x-txn", b"idempotency-key", b"x-lane", b"x-org", b"cookie", b"content-type", b"x-labels"))
+
+
+def read_report(values: Mapping[str, Any]) -> Report | None:
+    """A load report's values, None for each that is absent or out of all reason."""
+
+    def value(names: tuple[str, ...]) -> float | None:
+        found = next((values[name] for name in names if name in values), None)
+        sound = isinstance(found, int | float) and not isinstance(found, bool) and isfinite(found)
+        return float(found) if sound and 0 <= found <= 1e9 else None  # type: ignore[arg-type, operator]
+
+    report = Report(value(FREE), value(QUEUED), value(HELD))
+    return None if report == Report() else report
+
+
+def read_pressure(text: str | None) -> Report | None:
+    """The load report of a header: `TEXT inflight=7, queue=2, util=0.61`."""
+    values: dict[str, float] = {}
+    for part in (text or "").removeprefix("TEXT ").split(","):
+        name, _, value = part.strip().partition("=")
+        try:
+            values[name] = float(value)
+        except ValueError:
+            continue
+    return read_report(values)
+
+
+class Line(NamedTuple):
+    """One line of a ticket worker's answer; `status` None: the job goes on."""
+
+    status: Status | None
+    started: bool = False
+    result: bytes | None = None
+    report: Report | None = None
+
+
+ENDS = {"done": Status.OK, "failed": Status.ERROR, "returned": Status.FULL, "lost": Status.RESET}
+
+
+def read_line(text: bytes, name: str) -> Line:
+    """One JSON object about the stream of that name, or Malformed."""
+    try:
+        found = json.loads(text)
+    except (ValueError, RecursionError):
+        raise Malformed("a line is not JSON") from None
+    if not isinstance(found, dict) or not isinstance(found.get("state"), str):
+        raise Malformed("a line has no state")
+    if found.get("id") != name:
+        # An answer that belongs to another stream must never be served for this one.
+        raise Malformed("a line is about another stream")
+    state, load = found["state"], found.get("load")
+    report = read_report(load) if isinstance(load, dict) else None
+    if state not in ENDS:
+        return Line(None, state == "started", report=report)
+    if ENDS[state] is not Status.OK:
+        return Line(ENDS[state], report=report)
+    result = found.get("result")
+    if not isinstance(result, str) or len(body := result.encode("utf-8", "surrogatepass")) > BODY_MOST:
+        raise Malformed("a result is missing, no text or too large")
+    return Line(Status.OK, result=body, report=report)
+
+
+class ListNames(NamedTuple):
+    """The settings' names, by which a list names places and kinds."""
+
+    zones: Mapping[str, int]
+    kinds: Mapping[str, int]
+
+
+def read_hosts(body: bytes | Mapping[str, Any], names: ListNames,
+               epoch: float) -> tuple[int, ListKind, tuple[HostLine, ...]]:  # fmt: skip
+    """Discovery's list: its version, whether it is whole, and its lines; or Malformed.
+
+    `epoch` is what the caller's clock showed at Unix time 0.
+    """
+    try:
+        found = json.loads(body) if isinstance(body, bytes) else body
+        lines = tuple(_read_host(host, names, epoch) for host in found["hosts"])
+        return int(found["seq"]), ListKind.FULL if found["whole"] else ListKind.CHANGES, lines
+    except (ValueError, KeyError, TypeError, AttributeError, OverflowError, RecursionError) as problem:
+        raise Malformed(f"list of hosts: {type(problem).__name__}: {problem}") from None
+
+
+def _read_host(host: Mapping[str, Any], names: ListNames, epoch: float) -> HostLine:
+    born, weight = float(host.get("born_ms", 0)), float(host.get("share", 1.0))
+    if not (isfinite(born) and isfinite(weight)):
+        raise ValueError("born_ms and share are finite")
+    entry = Entry(
+        worker=host["host"].encode(),
+        state=STATES[host["health"]],
+        zone=names.zones.get(host.get("site", ""), 0),
+        kind=names.kinds.get(host.get("class", ""), 0),
+        cell=int(host.get("block", 0)),
+        started_at=born / 1000 + epoch if born else 0.0,
+        weight=weight,
+    )
+    return HostLine(entry, read_address(host["dial"]))
+
+
+def read_address(text: str) -> tuple[str, int]:
+    host, colon, port = text.rpartition(":")
+    if not (colon and host and port.isascii() and port.isdigit() and 0 < int(port) < 65536):
+        raise ValueError(f"{text!r} is no address of the form HOST:PORT")
+    return host.strip("[]"), int(port)
--- /dev/null
+++ b/thistleshore/platform/upstream.py
@@ -0,0 +1,223 @@
+"""Upstream requests to ticket workers over HTTP/1.1, and the connections kept to them."""
+
+from __future__ import annotations
+
+import errno
+import logging
+from collections import deque
+from typing import NamedTuple
+
+import h11
+import trio
+
+from oxbowarch.interface import Status
+from thistleshore.core.model import Event, UpstreamHost, UpstreamOutcome, UpstreamRequest, UpstreamStarted
+from thistleshore.invariants import invariant
+from thistleshore.platform.messages import LINE_MOST, Ask, Malformed, Peer, header, read_line, read_pressure
+
+log = logging.getLogger("thistleshore")
+
+SETTLE_WITHIN = 1.0  # s for the end of an answer whose last line has come
+NO_SOCKET = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
+
+
+class Ways(NamedTuple):
+    """Limits on connections; seconds."""
+
+    connect_within: float
+    idle_most: float
+    sockets_most: int
+
+
+class Kept(NamedTuple):
+    peer: Peer
+    life: int
+    since: float
+
+
+class NoSocket(Exception):
+    """This process has no socket left: no fault of the host."""
+
+
+class Upstreams:
+    """The connections to all upstream hosts; one request at a time on each."""
+
+    def __init__(self, ways: Ways) -> None:
+        self.ways = ways
+        self.open = 0
+        self._idle: dict[bytes, deque[Kept]] = {}
+        self._settling = trio.open_memory_channel[tuple[UpstreamHost, int, Peer]](256)
+
+    async def run(self) -> None:
+        """Retire idle connections in time, and settle those whose answer is still ending."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._retire)
+            async for host, life, peer in self._settling[1]:
+                nursery.start_soon(self._settle, host, life, peer)
+
+    async def _retire(self) -> None:
+        while True:
+            await trio.sleep(self.ways.idle_most / 10)
+            # The host closes an idle connection: a request written just then would end as a reset.
+            before = trio.current_time() - self.ways.idle_most
+            for name, kept in list(self._idle.items()):
+                while kept and kept[0].since < before:
+                    self._close(kept.popleft().peer)
+                if not kept:
+                    del self._idle[name]
+
+    def _close(self, peer: Peer) -> None:
+        self.open -= 1
+        peer.close()
+
+    def close_idle(self, host: UpstreamHost) -> None:
+        for kept in self._idle.pop(host.id, ()):
+            self._close(kept.peer)
+
+    def _take(self, host: UpstreamHost) -> Peer | None:
+        """An idle connection that still holds, the latest used first."""
+        idle = self._idle.get(host.id)
+        while idle:
+            kept = idle.pop()
+            # Readable while idle: the host has closed it, or said what nobody asked; a request would be a reset.
+            fresh = kept.life == host.life and kept.since > trio.current_time() - self.ways.idle_most
+            if fresh and not kept.peer.socket.socket.is_readable():
+                return kept.peer
+            self._close(kept.peer)
+        return None
+
+    async def _connect(self, host: UpstreamHost) -> Peer:
+        """A new connection; OSError or trio.TooSlowError where it never comes up."""
+        if self.open >= self.ways.sockets_most:
+            self._make_room()
+        self.open += 1
+        try:
+            with trio.fail_after(self.ways.connect_within):
+                return Peer(await _dial(host.dial), h11.CLIENT)
+        except OSError as problem:
+            self.open -= 1
+            if problem.errno in NO_SOCKET:
+                raise NoSocket(str(problem)) from None
+            raise
+        except BaseException:
+            self.open -= 1
+            raise
+
+    def _make_room(self) -> None:
+        """Give up the connection that is idle longest; without one, the sockets are all in use."""
+        oldest = min((kept for kept in self._idle.values() if kept), key=lambda kept: kept[0].since, default=None)
+        if oldest is None:
+            raise NoSocket("all sockets for upstream hosts are in use")
+        self._close(oldest.popleft().peer)
+
+    async def carry(self, request: UpstreamRequest, events: trio.MemorySendChannel[Event]) -> UpstreamOutcome:
+        """One upstream request, sent once; PROTOCOL's table of what comes back."""
+        host, life = request.host, request.host.life
+        try:
+            peer = self._take(host) or await self._connect(host)
+        except NoSocket as problem:
+            log.warning("no socket for an upstream request: %s", problem)
+            return UpstreamOutcome(Status.MOOT)
+        except (OSError, trio.TooSlowError):
+            return UpstreamOutcome(Status.CONNECT_FAILED)
+        done = False
+        try:
+            # Connecting took time, and the list may have changed: a host that drains gets nothing new.
+            if not host.ready or host.life != life:
+                return UpstreamOutcome(Status.MOOT)
+            try:
+                await peer.send(*_request(request))
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                return UpstreamOutcome(Status.CONNECT_FAILED)  # broken before its last byte was written
+            request.sent = True
+            outcome, done = await self._answer(peer, request, events)
+            return outcome
+        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError):
+            return UpstreamOutcome(Status.RESET)
+        except Malformed as problem:
+            log.warning("bad answer from %s: %s", host.id.decode(errors="replace"), problem)
+            return UpstreamOutcome(Status.ERROR)
+        finally:
+            if done:
+                self._keep_soon(host, life, peer)
+            else:  # also when called off: closing is how the protocol gives up an attempt
+                self._close(peer)
+
+    async def _answer(self, peer: Peer, request: UpstreamRequest,
+                      events: trio.MemorySendChannel[Event]) -> tuple[UpstreamOutcome, bool]:  # fmt: skip
+        """The outcome, and whether the connection may serve again."""
+        response = await peer.event()
+        while isinstance(response, h11.InformationalResponse):
+            response = await peer.event()
+        if not isinstance(response, h11.Response):
+            return UpstreamOutcome(Status.RESET), False
+        if response.status_code != 200:
+            report = read_pressure(header(response.headers, b"x-pressure"))
+            turned = response.status_code in (503, 504) and header(response.headers, b"x-turned-away") == "1"
+            return UpstreamOutcome(Status.FULL if turned else Status.ERROR, report=report), True
+        rest = b""
+        while isinstance(event := await peer.event(), h11.Data):
+            *lines, rest = (rest + event.data).split(b"\n")
+            for text in lines:
+                line = read_line(text, request.stream.name) if text.strip() else None
+                if line is None:
+                    continue
+                if line.started:
+                    await events.send(UpstreamStarted(request))
+                if line.status is not None:
+                    report = line.report or read_pressure(header(response.headers, b"x-pressure"))
+                    return UpstreamOutcome(line.status, line.result, report), True
+            if len(rest) > LINE_MOST:
+                raise Malformed("a line has no end")  # it would fill the memory
+        return UpstreamOutcome(Status.RESET), False  # it ended before the last line
+
+    def _keep_soon(self, host: UpstreamHost, life: int, peer: Peer) -> None:
+        try:
+            self._settling[0].send_nowait((host, life, peer))
+        except trio.WouldBlock:
+            self._close(peer)  # a pile of half-ended answers must not grow without bound
+
+    async def _settle(self, host: UpstreamHost, life: int, peer: Peer) -> None:
+        """Read an answer to its end, then keep the connection."""
+        whole = False
+        try:
+            with trio.move_on_after(SETTLE_WITHIN):
+                while isinstance(await peer.event(), h11.Data):
+                    pass
+                if peer.reusable:
+                    peer.http.start_next_cycle()
+                    whole = not peer.http.trailing_data[0] and host.ready and host.life == life
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError):
+            whole = False
+        finally:
+            if whole:
+                self._idle.setdefault(host.id, deque()).append(Kept(peer, life, trio.current_time()))
+            else:
+                self._close(peer)
+            invariant(self.open >= 0, "open upstream connections are counted")
+
+
+async def _dial(address: object) -> trio.SocketStream:
+    if not isinstance(address, tuple):
+        raise ConnectionError("no address is known")
+    family = trio.socket.AF_INET6 if ":" in address[0] else trio.socket.AF_INET
+    sock = trio.socket.socket(family, trio.socket.SOCK_STREAM)
+    try:
+        await sock.connect(address)
+        return trio.SocketStream(sock)
+    except BaseException:
+        sock.close()
+        raise
+
+
+def _request(request: UpstreamRequest) -> tuple[h11.Event, ...]:
+    ask = request.stream.payload
+    if not isinstance(ask, Ask):
+        raise TypeError("the stream did not come by HTTP")
+    left = max(1, int((request.deadline - trio.current_time()) * 1000))
+    host = request.host.dial
+    authority = f"{host[0]}:{host[1]}" if isinstance(host, tuple) else "service.internal"
+    head = [(b"host", authority.encode()), *ask.passed, (b"x-remaining-ms", b"%d" % left)]
+    head.append((b"content-length", b"%d" % len(ask.body)))
+    body = (h11.Data(data=ask.body),) if ask.body else ()
+    return h11.Request(method=b"POST", target=ask.target, headers=head), *body, h11.EndOfMessage()
