Add the beanstalkd front, contracts and the operator's file; both fronts share one gate

The core now picks a carrier by a host's dial, so that HTTP and beanstalkd-speaking hosts go through one broker and one module. A tube is tied to a contract; answers wait in reply.N. Module: a class may bound its attempts (JobClass.max_attempts, off by default); interface.py and one line of brain.py.

--- a/oxbowarch/brain.py
+++ b/oxbowarch/brain.py
@@ -225,7 +225,8 @@
 
     def _may_try(self, job: Job, now: float) -> bool:
         """May one more attempt go out?  Never doubles an effect."""
-        over = now >= job.deadline - self.margin or len(job.attempts) >= self.set.max_attempts
+        most = min(self.set.max_attempts, job.rule.max_attempts)
+        over = now >= job.deadline - self.margin or len(job.attempts) >= most
         if over or job.out and not self.set.second_copies:
             return False
         ran, rule = job.ran_first(), job.rule
--- a/oxbowarch/interface.py
+++ b/oxbowarch/interface.py
@@ -86,6 +86,7 @@
     late_share: float = 0.0
     worth: float = 1.0
     stream: bool = False
+    max_attempts: int = 1_000_000  # of one request; the settings' own limit holds besides
     kinds: tuple[int, ...] | None = None
     zones: tuple[int, ...] | None = None
 
--- /dev/null
+++ b/thistleshore/beanstalkd/downstream.py
@@ -0,0 +1,437 @@
+"""beanstalkd's server side: connections, their commands, and the reply tubes.
+
+A tube of a contract takes jobs by `put`; the final answer of job N waits in the tube `reply.N`.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from itertools import count
+from math import inf
+from typing import NamedTuple
+
+import trio
+
+from oxbowarch.interface import Status
+from thistleshore.beanstalkd import codec
+from thistleshore.beanstalkd.codec import Command, Decoder, Fault, line, with_body
+from thistleshore.beanstalkd.upstream import HOST_PREFIX, Hosts, Reservation, Slot, TubeJob
+from thistleshore.core.model import Event, FinalAnswer, LocalReply, Served, Stream, StreamOpened
+from thistleshore.core.model import StreamWithdrawn
+from thistleshore.gate import BROKEN, Gate
+
+log = logging.getLogger("thistleshore")
+
+BODY_MOST = 64 * 1024
+RECEIVE = 64 * 1024
+REPLY_PREFIX = "reply."
+REPLY_KEPT = 60.0  # s that a final answer waits for its client
+REPLY_LEFT = 1.0  # s that it waits at most once the dispatcher has drained
+REPLIES_MOST = 512  # kept at a time; more would endanger the memory
+WATCHED_MOST = 1024  # tubes that one connection may watch
+WRITE_WITHIN = 5.0  # s for a connection to take a reply
+SOON = 1.0  # s before a reservation lapses in which its holder is told DEADLINE_SOON
+NOT_FOUND, DELETED = b"NOT_FOUND\r\n", b"DELETED\r\n"
+
+
+class TubeTerms(NamedTuple):
+    """The contract to which a tube is tied."""
+
+    job_class: int
+    deadline: float
+
+
+@dataclass(slots=True, eq=False)
+class Reply:
+    """A final answer that waits in its reply tube."""
+
+    id: int
+    tube: str
+    body: bytes
+    holder: Connection | None = None
+    gone: trio.Event = field(default_factory=trio.Event)
+
+
+def reply_body(answer: FinalAnswer) -> bytes:
+    """A line that says what became of the job, then the result where it was served."""
+    if isinstance(answer, Served):
+        return b"served\n" + answer.result
+    if isinstance(answer, LocalReply):
+        return b"refused %.3f\n" % answer.retry_after
+    return b"failed " + answer.reason.encode() + b"\n"
+
+
+class Tubes:
+    """The beanstalkd front of one dispatcher."""
+
+    def __init__(self, terms: Mapping[str, TubeTerms], hosts: Hosts, inbox: trio.MemorySendChannel[Event],
+                 streams_most: int, connections_most: int) -> None:  # fmt: skip
+        self.terms, self.hosts, self.inbox, self.streams_most = terms, hosts, inbox, streams_most
+        self.gate = Gate(connections_most)
+        self.numbers = count(1)
+        self.open: dict[int, tuple[Stream, TubeJob]] = {}  # jobs without a final answer
+        self.replies: dict[int, Reply] = {}
+        self.waiting: list[Wait] = []
+        self.connections: set[Connection] = set()
+        self._keepers: trio.Nursery | None = None
+
+    @property
+    def draining(self) -> bool:
+        return self.gate.draining.is_set()
+
+    async def run(self, address: tuple[str, int],
+                  task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:  # fmt: skip
+        """Serve until drained: what was taken is finished, and its answers are offered a while longer."""
+        async with trio.open_nursery() as self._keepers:
+            async with trio.open_nursery() as nursery:
+                await self.gate.run(address, nursery, self._connection, task_status)
+                while self.open:  # every stream has a deadline, so that this ends
+                    await trio.sleep(0.01)
+                with trio.move_on_after(REPLY_LEFT):
+                    while self.replies:
+                        await trio.sleep(0.01)
+                nursery.cancel_scope.cancel()
+            self._keepers.cancel_scope.cancel()
+
+    async def _connection(self, socket: trio.SocketStream) -> None:
+        connection = Connection(self, socket)
+        self.connections.add(connection)
+        try:
+            await connection.run()
+        finally:
+            self.connections.discard(connection)
+            # Its jobs must end as lost even while the program stops.
+            with trio.CancelScope(shield=True), trio.move_on_after(1.0):
+                await connection.lost()
+
+    async def take(self, tube: str, ttr: int, body: bytes) -> int:
+        """A complete put is a stream."""
+        terms = self.terms[tube]
+        job = TubeJob(next(self.numbers), tube, body, float(max(1, ttr)))
+        stream = Stream(str(job.id), terms.job_class, trio.current_time() + terms.deadline, job, terms.job_class)
+        self.open[job.id] = stream, job
+        assert self._keepers is not None
+        self._keepers.start_soon(self._keep, stream, job)
+        await self.inbox.send(StreamOpened(stream))
+        return job.id
+
+    async def _keep(self, stream: Stream, job: TubeJob) -> None:
+        """Wait for a stream's final answer, and offer it until its client has it or its time is over."""
+        await stream.answered.wait()
+        del self.open[job.id]
+        if stream.answer is None or stream.withdrawn:
+            return
+        while len(self.replies) >= REPLIES_MOST:  # clients that never fetch answers must not fill the memory
+            self.drop(next(iter(self.replies.values())))
+        reply = Reply(next(self.numbers), f"{REPLY_PREFIX}{job.id}", reply_body(stream.answer))
+        self.replies[reply.id] = reply
+        self.offer(reply)
+        with trio.move_on_after(REPLY_KEPT):
+            await reply.gone.wait()
+        self.drop(reply)
+
+    def offer(self, reply: Reply) -> None:
+        for wait in self.waiting:
+            if reply.tube in wait.connection.watched and wait.reply is None and not wait.slot.taken:
+                wait.reply, reply.holder = reply, wait.connection
+                wait.slot.woken.set()
+                return
+
+    def drop(self, reply: Reply) -> None:
+        self.replies.pop(reply.id, None)
+        reply.gone.set()
+
+    def reserved(self, number: int) -> Reservation | None:
+        found = (connection.reservations.get(number) for connection in self.connections)
+        return next((reservation for reservation in found if reservation is not None), None)
+
+
+@dataclass(slots=True, eq=False)
+class Wait:
+    """A reserve that waits, for a reply or (as a host's slot) for a job."""
+
+    connection: Connection
+    slot: Slot
+    reply: Reply | None = None
+
+
+class Connection:
+    """One client or host: its used and watched tubes, what it holds, and its commands one by one."""
+
+    def __init__(self, tubes: Tubes, socket: trio.SocketStream) -> None:
+        self.tubes, self.socket = tubes, socket
+        self.used = "default"
+        self.watched = {"default": None}
+        self.reservations: dict[int, Reservation] = {}
+        self.decoder = Decoder(BODY_MOST)
+        self.over = False
+        self.was_host = False
+
+    @property
+    def hosts(self) -> list[str]:
+        """The hosts as which it takes jobs."""
+        return [tube.removeprefix(HOST_PREFIX) for tube in self.watched if tube.startswith(HOST_PREFIX)]
+
+    async def run(self) -> None:
+        while not self.over:
+            command = self.decoder.next()
+            if command is None:
+                await self._receive()
+            elif isinstance(command, Fault):
+                await self.send(command.reply + b"\r\n")
+            else:
+                reply = await self._do(command)
+                if reply:
+                    await self.send(reply)
+
+    async def _receive(self) -> None:
+        data = await self.socket.receive_some(RECEIVE)
+        self.over = not data
+        self.decoder.feed(data)
+
+    async def send(self, data: bytes) -> None:
+        with trio.move_on_after(WRITE_WITHIN) as writing:
+            await self.socket.send_all(data)
+        if writing.cancelled_caught:
+            self.abort()  # it does not read: what is half written cannot be mended
+            raise trio.BrokenResourceError("the connection does not read")
+
+    def abort(self) -> None:
+        self.over = True
+        self.socket.socket.close()
+
+    async def lost(self) -> None:
+        """The connection is gone: its jobs may have run, and replies in its hands go back."""
+        for reservation in list(self.reservations.values()):
+            reservation.end(Status.RESET)
+        for reply in list(self.tubes.replies.values()):
+            if reply.holder is self:
+                reply.holder = None
+                self.tubes.offer(reply)
+        for name in self.hosts:
+            await self.tubes.hosts.leave(name, self, lost=True)
+
+    # -- commands -----------------------------------------------------------------------------
+
+    async def _do(self, command: Command) -> bytes:
+        match command:
+            case Command("put", (_, delay, ttr, _), _, body):
+                return await self._put(delay, ttr, body)
+            case Command("use", _, tube):
+                self.used = tube
+                return line(b"USING", tube)
+            case Command("watch" | "ignore", _, tube):
+                return await self._watch(tube) if command.word == "watch" else await self._ignore(tube)
+            case Command("reserve"):
+                return await self._reserve(inf)
+            case Command("reserve-with-timeout", (seconds,)):
+                return await self._reserve(float(seconds))
+            case Command("delete" | "release" | "bury" | "touch", numbers):
+                return await self._end(command.word, numbers[0])
+            case Command("quit"):
+                self.over = True
+                return b""
+            case _:
+                return self._look(command)
+
+    async def _put(self, delay: int, ttr: int, body: bytes) -> bytes:
+        if self.used.startswith(REPLY_PREFIX):
+            return self._result(body)
+        if self.used not in self.tubes.terms or delay:
+            return b"BAD_FORMAT\r\n"  # neither a tube without a contract nor a delay is carried out
+        if self.tubes.draining:
+            return b"DRAINING\r\n"
+        if len(self.tubes.open) >= self.tubes.streams_most:
+            return b"OUT_OF_MEMORY\r\n"  # jobs without bound would fill the memory
+        return line(b"INSERTED", await self.tubes.take(self.used, ttr, body))
+
+    def _result(self, body: bytes) -> bytes:
+        """A host's result for a job in its hands; one that comes late is discarded."""
+        number = self.used.removeprefix(REPLY_PREFIX)
+        reservation = self.reservations.get(int(number)) if number.isascii() and number.isdigit() else None
+        if reservation is not None:
+            reservation.result = body
+        else:
+            log.info("late result for %s discarded", self.used)
+        return line(b"INSERTED", next(self.tubes.numbers))
+
+    async def _watch(self, tube: str) -> bytes:
+        name = tube.removeprefix(HOST_PREFIX)
+        if tube.startswith(HOST_PREFIX) and name not in self.tubes.hosts.crews:
+            log.warning("a host calls itself %s, which the operator's file does not name", name)
+            return b"BAD_FORMAT\r\n"  # without its bay nobody could say where its jobs may be repeated
+        if tube not in self.watched:
+            if len(self.watched) >= WATCHED_MOST:
+                return b"OUT_OF_MEMORY\r\n"
+            self.watched[tube] = None
+            if tube.startswith(HOST_PREFIX):
+                self.was_host = True
+                await self.tubes.hosts.join(name, self)
+        return line(b"WATCHING", len(self.watched))
+
+    async def _ignore(self, tube: str) -> bytes:
+        if tube in self.watched and len(self.watched) == 1:
+            return b"NOT_IGNORED\r\n"
+        if tube in self.watched:
+            del self.watched[tube]
+            if tube.startswith(HOST_PREFIX):
+                await self.tubes.hosts.leave(tube.removeprefix(HOST_PREFIX), self, lost=False)
+        return line(b"WATCHING", len(self.watched))
+
+    async def _reserve(self, seconds: float) -> bytes:
+        for reply in self.tubes.replies.values():
+            if reply.holder is None and reply.tube in self.watched:
+                reply.holder = self
+                return with_body(reply.body, b"RESERVED", reply.id)
+        # Told in time, the holder of a reservation can still touch it.
+        lapses = min((held.lapse.deadline for held in self.reservations.values()), default=inf) - SOON
+        now = trio.current_time()
+        wait = Wait(self, Slot(self))
+        if lapses > now and seconds > 0:
+            await self._wait(wait, min(lapses, now + seconds))
+        if wait.slot.taken:
+            await wait.slot.written.wait()
+            return b""  # the job was written by its upstream request
+        if wait.reply is not None:
+            return with_body(wait.reply.body, b"RESERVED", wait.reply.id)
+        if self.over:
+            return b""
+        return b"DEADLINE_SOON\r\n" if lapses <= trio.current_time() else b"TIMED_OUT\r\n"
+
+    async def _wait(self, wait: Wait, until: float) -> None:
+        self.tubes.waiting.append(wait)
+        try:
+            with trio.move_on_at(until):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._watch_socket, nursery.cancel_scope)
+                    for name in self.hosts:
+                        await self.tubes.hosts.offer(name, wait.slot)
+                    await wait.slot.woken.wait()
+                    nursery.cancel_scope.cancel()
+        finally:
+            self.tubes.waiting.remove(wait)
+            for name in self.hosts:
+                self.tubes.hosts.withdraw(name, wait.slot)
+
+    async def _watch_socket(self, waiting: trio.CancelScope) -> None:
+        """Notice a connection that goes away while it waits; commands sent ahead are kept for their turn."""
+        try:
+            await self._receive()
+        except BROKEN:
+            self.over = True
+        if self.over:
+            waiting.cancel()
+
+    async def _end(self, word: str, number: int) -> bytes:
+        held, reply = self.reservations.get(number), self.tubes.replies.get(number)
+        if held is not None:
+            if word == "touch":
+                await held.touch()
+                return b"TOUCHED\r\n"
+            # `release` does not prove that the job never ran: it counts as killed.
+            held.end({"delete": Status.OK, "bury": Status.ERROR, "release": Status.RESET}[word])
+            del self.reservations[number]
+            return {"delete": DELETED, "bury": b"BURIED\r\n", "release": b"RELEASED\r\n"}[word]
+        if reply is not None and reply.holder in (self, None):
+            return self._end_reply(word, reply)
+        stream, _ = self.tubes.open.get(number, (None, None))
+        # A host's late `delete`, its reservation lapsed, must not withdraw the stream.
+        free = stream is not None and self.tubes.reserved(number) is None and not self.was_host
+        if word == "delete" and free and stream is not None:
+            await self.tubes.inbox.send(StreamWithdrawn(stream))  # its client wants it no more
+            return DELETED
+        return NOT_FOUND
+
+    def _end_reply(self, word: str, reply: Reply) -> bytes:
+        if word == "delete":
+            self.tubes.drop(reply)
+            return DELETED
+        if word == "release" and reply.holder is self:
+            reply.holder = None
+            self.tubes.offer(reply)
+            return b"RELEASED\r\n"
+        return b"TOUCHED\r\n" if word == "touch" and reply.holder is self else NOT_FOUND
+
+    # -- looking only -------------------------------------------------------------------------
+
+    def _look(self, command: Command) -> bytes:
+        tubes = self.tubes
+        match command:
+            case Command("reserve-job", (number,)):
+                reply = tubes.replies.get(number)
+                if reply is None or reply.holder is not None:
+                    return NOT_FOUND  # a job's host is the module's choice
+                reply.holder = self
+                return with_body(reply.body, b"RESERVED", reply.id)
+            case Command("peek", (number,)):
+                return self._found(number)
+            case Command("peek-ready"):
+                ready = [r.id for r in tubes.replies.values() if r.tube == self.used and r.holder is None]
+                ready += [n for n, (_, job) in tubes.open.items() if job.tube == self.used and not tubes.reserved(n)]
+                return self._found(ready[0]) if ready else NOT_FOUND
+            case Command("kick"):
+                return b"KICKED 0\r\n"  # a buried job has had its final answer: none is left to kick
+            case Command("stats-job", (number,)):
+                return self._stats_job(number)
+            case Command("stats-tube", _, tube):
+                known = tube in self._tubes()
+                return with_body(codec.yaml_map(self._stats_tube(tube)), b"OK") if known else NOT_FOUND
+            case Command("stats"):
+                return with_body(codec.yaml_map(self._stats()), b"OK")
+            case Command("list-tubes"):
+                return with_body(codec.yaml_list(self._tubes()), b"OK")
+            case Command("list-tube-used"):
+                return line(b"USING", self.used)
+            case Command("list-tubes-watched"):
+                return with_body(codec.yaml_list(list(self.watched)), b"OK")
+            case _:  # peek-delayed, peek-buried, kick-job, pause-tube: there are no such jobs, nor pauses
+                return NOT_FOUND
+
+    def _found(self, number: int) -> bytes:
+        reply, (_, job) = self.tubes.replies.get(number), self.tubes.open.get(number, (None, None))
+        body = reply.body if reply is not None else job.body if job is not None else None
+        return NOT_FOUND if body is None else with_body(body, b"FOUND", number)
+
+    def _tubes(self) -> list[str]:
+        used = {self.used: None, **self.watched, **{r.tube: None for r in self.tubes.replies.values()}}
+        return list({"default": None, **dict.fromkeys(self.tubes.terms), **used})
+
+    def _stats_job(self, number: int) -> bytes:
+        reply, (_, job) = self.tubes.replies.get(number), self.tubes.open.get(number, (None, None))
+        held = self.tubes.reserved(number)
+        if reply is None and job is None:
+            return NOT_FOUND
+        taken = held is not None or reply is not None and reply.holder is not None
+        left = max(0, int(held.lapse.deadline - trio.current_time())) if held is not None else 0
+        tube, ttr = (job.tube, int(job.ttr)) if job is not None else (reply.tube if reply else "", int(REPLY_KEPT))
+        return with_body(codec.yaml_map({
+            "id": number, "tube": tube, "state": "reserved" if taken else "ready", "pri": 0, "age": 0, "delay": 0,
+            "ttr": ttr, "time-left": left, "file": 0, "reserves": int(taken), "timeouts": 0, "releases": 0,
+            "buries": 0, "kicks": 0,
+        }), b"OK")  # fmt: skip
+
+    def _stats_tube(self, tube: str) -> dict[str, object]:
+        tubes = self.tubes
+        jobs = [n for n, (_, job) in tubes.open.items() if job.tube == tube]
+        replies = [r for r in tubes.replies.values() if r.tube == tube]
+        held = sum(tubes.reserved(n) is not None for n in jobs) + sum(r.holder is not None for r in replies)
+        return {
+            "name": tube, "current-jobs-urgent": 0, "current-jobs-ready": len(jobs) + len(replies) - held,
+            "current-jobs-reserved": held, "current-jobs-delayed": 0, "current-jobs-buried": 0,
+            "current-using": sum(c.used == tube for c in tubes.connections),
+            "current-watching": sum(tube in c.watched for c in tubes.connections),
+            "current-waiting": sum(tube in wait.connection.watched for wait in tubes.waiting),
+            "pause": 0, "pause-time-left": 0,
+        }  # fmt: skip
+
+    def _stats(self) -> dict[str, object]:
+        tubes = self.tubes
+        held = sum(len(connection.reservations) for connection in tubes.connections)
+        return {
+            "current-jobs-ready": len(tubes.open) + len(tubes.replies) - held, "current-jobs-reserved": held,
+            "current-jobs-delayed": 0, "current-jobs-buried": 0, "current-tubes": len(self._tubes()),
+            "current-connections": len(tubes.connections), "current-waiting": len(tubes.waiting),
+            "max-job-size": BODY_MOST, "draining": str(tubes.draining).lower(),
+        }  # fmt: skip
--- a/thistleshore/core/broker.py
+++ b/thistleshore/core/broker.py
@@ -26,9 +26,9 @@
 class Broker:
     """Hands events to the module in order and carries out its actions in order."""
 
-    def __init__(self, brain: Brain, upstream: model.UpstreamFront) -> None:
+    def __init__(self, brain: Brain) -> None:
         self.brain = brain
-        self.upstream = upstream
+        self.carriers: dict[type, model.UpstreamFront] = {}  # by what a host's `dial` is
         self.inbox, self._events = trio.open_memory_channel[model.Event](QUEUE)
         self.hosts: dict[bytes, model.UpstreamHost] = {}
         self.listed = trio.Event()  # a list of upstream hosts is in the module
@@ -83,6 +83,8 @@
             return self.brain.on_started(event.request.stream.id, event.request.number, now)
         if isinstance(event, model.StreamWithdrawn):
             return self._withdrawn(event.stream, now)
+        if isinstance(event, model.HostReported):
+            return self.brain.on_probed(event.host, Status.OK, event.report, now)
         return self._told(event, now)
 
     def _opened(self, stream: model.Stream, now: float) -> list[Action]:
@@ -98,6 +100,7 @@
         if stream.over:
             return []  # the answer crossed with the downstream's going away
         stream.withdrawn = True
+        stream.answered.set()
         self.figures["withdrawn"] += 1
         actions = self.brain.on_withdrawn(stream.id, now)
         self._forget(stream)
@@ -133,7 +136,7 @@
             known.entry = line.entry
         for host in self.hosts.values():
             if not host.ready:
-                self.upstream.close_idle(host)
+                self._close_idle(host)
         states = {host.id: (host.entry.state, host.life) for host in self.hosts.values()}
         if states != self._states:  # weights change every second, and would bury what matters
             ready = sum(host.ready for host in self.hosts.values())
@@ -159,7 +162,7 @@
                 self._cancel(action)
             elif isinstance(action, CloseIdle):
                 if (host := self.hosts.get(action.worker)) is not None:
-                    self.upstream.close_idle(host)
+                    self._close_idle(host)
             elif isinstance(action, Log):
                 log.info("module: %s", self._named(action.text))
             else:  # discovery watches by itself; config.py forbids probes, which the protocol lacks
@@ -188,12 +191,13 @@
 
     async def _attempt(self, request: model.UpstreamRequest) -> None:
         begun = trio.current_time()
-        # Out of time before it began: no news of the host, and nothing was sent.
-        outcome = model.UpstreamOutcome(Status.MOOT) if request.deadline <= begun else None
+        # Out of time before it began, or for a host that is forgotten: nothing was sent, and that is no news of it.
+        late = request.deadline <= begun or request.host.dial is None
+        outcome = model.UpstreamOutcome(Status.MOOT) if late else None
         with request.scope:
             request.scope.deadline = request.deadline
             try:
-                outcome = outcome or await self.upstream.carry(request, self.inbox)
+                outcome = outcome or await self._carrier(request.host).carry(request, self.inbox)
             except Exception:
                 # A fault in one upstream request must not end the others; may it have run, that is said.
                 log.exception("fault in an upstream request to %s", request.host.id.decode(errors="replace"))
@@ -204,6 +208,13 @@
             outcome = model.UpstreamOutcome(Status.TIMEOUT if request.sent else Status.CONNECT_FAILED)
         await self.inbox.send(model.UpstreamEnded(request, outcome, trio.current_time() - begun))
 
+    def _carrier(self, host: model.UpstreamHost) -> model.UpstreamFront:
+        return self.carriers[type(host.dial)]
+
+    def _close_idle(self, host: model.UpstreamHost) -> None:
+        if type(host.dial) in self.carriers:
+            self._carrier(host).close_idle(host)
+
     def _cancel(self, action: Cancel) -> None:
         for request in self._out.get(action.id, [])[action.attempt : action.attempt + 1]:
             request.cancelled = True
--- a/thistleshore/core/model.py
+++ b/thistleshore/core/model.py
@@ -40,6 +40,7 @@
     repeat: bool = False
     id: int = -1  # the broker's number for it
     answer: FinalAnswer | None = None
+    # Set once it is over: `answer` is there, or the downstream has withdrawn it.
     answered: trio.Event = field(default_factory=trio.Event)
     withdrawn: bool = False
 
@@ -111,7 +112,14 @@
     lines: tuple[HostLine, ...]
 
 
-Event = StreamOpened | StreamWithdrawn | UpstreamStarted | UpstreamEnded | HostsTold
+class HostReported(NamedTuple):
+    """A host tells of its room outside any upstream request."""
+
+    host: bytes
+    report: Report
+
+
+Event = StreamOpened | StreamWithdrawn | UpstreamStarted | UpstreamEnded | HostsTold | HostReported
 
 
 class UpstreamFront(Protocol):
--- a/thistleshore/platform/downstream.py
+++ b/thistleshore/platform/downstream.py
@@ -2,110 +2,40 @@
 
 from __future__ import annotations
 
-import errno
-import logging
-from collections.abc import Mapping, Sequence
-from typing import NamedTuple
+from collections.abc import Sequence
 
 import h11
 import trio
 
 from thistleshore.core.model import Event, Failed, FinalAnswer, LocalReply, Served, Stream, StreamOpened
 from thistleshore.core.model import StreamWithdrawn
+from thistleshore.gate import BROKEN, Gate
 from thistleshore.invariants import invariant
-from thistleshore.platform.messages import BODY_MOST, PASSED, RECEIVE, Ask, Peer, Rejected, header, read_terms
-
-log = logging.getLogger("thistleshore")
+from thistleshore.platform.messages import BODY_MOST, PASSED, RECEIVE, Ask, Peer, Rejected, Routes, header, read_terms
 
 READ_WITHIN = 10.0  # s from a request's first byte to its last
 WRITE_WITHIN = 5.0  # s for a downstream to take an answer
-ACCEPT_FOR = 0.55  # s after SIGTERM in which connections still come, and idle ones stay open
-BACKLOG = 512
-NO_SOCKET_PAUSE = 0.05  # s before accepting is tried again
-NO_SOCKET = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
-BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError)
-
-
-class Words(NamedTuple):
-    """The settings' names of classes and tenants, and how long each class's clients wait."""
-
-    classes: Mapping[str, int]
-    tenants: Mapping[str, int]
-    give_up: Sequence[float]
 
 
 class Downstream:
-    def __init__(self, words: Words, listed: trio.Event, inbox: trio.MemorySendChannel[Event], most: int) -> None:
-        self.words, self.listed, self.inbox, self.most = words, listed, inbox, most
-        self.draining = trio.Event()
-        self.listening = False
+    def __init__(self, routes: Routes, listed: trio.Event, inbox: trio.MemorySendChannel[Event], most: int) -> None:
+        self.routes, self.listed, self.inbox, self.gate = routes, listed, inbox, Gate(most)
         self.names: set[str] = set()  # streams that are open
-        self._connections = 0
-        self._closing = False
-        self._idle: dict[trio.CancelScope, None] = {}  # waits for a request, the longest first
-        self._room = trio.Event()
 
     @property
     def ready(self) -> bool:
-        return self.listening and self.listed.is_set() and not self.draining.is_set()
+        return self.gate.listening and self.listed.is_set() and not self.gate.draining.is_set()
 
     async def run(self, address: tuple[str, int],
                   task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:  # fmt: skip
         """Serve until drained: after SIGTERM what was taken is finished."""
-        host, port = address
-        (listener,) = await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
-        self.listening = True
-        log.info("listening on %s:%d", host, port)
-        task_status.started()
-        async with trio.open_nursery() as nursery, listener:
-            with trio.CancelScope() as accepting:
-                nursery.start_soon(self._drain, accepting)
-                await self._accept(listener, nursery)
-            self.listening = False
-
-    async def _drain(self, accepting: trio.CancelScope) -> None:
-        await self.draining.wait()
-        await trio.sleep(ACCEPT_FOR)  # the front goes on dealing connections out for a while
-        self._closing = True
-        accepting.cancel()
-        for idle in list(self._idle):
-            idle.cancel()
-
-    async def _accept(self, listener: trio.SocketListener, nursery: trio.Nursery) -> None:
-        while True:
-            while self._connections >= self.most:
-                # Over the limit on sockets nothing could be sent on: an idle connection makes room.
-                self._room = trio.Event()
-                if self._idle:
-                    next(iter(self._idle)).cancel()
-                with trio.move_on_after(1.0):
-                    await self._room.wait()
-            try:
-                socket = await listener.accept()
-            except OSError as problem:
-                if problem.errno not in NO_SOCKET:
-                    raise
-                # Out of descriptors: a crash here would lose every stream that was taken.
-                log.warning("cannot accept: %s", problem)
-                await trio.sleep(NO_SOCKET_PAUSE)
-                continue
-            self._connections += 1
-            nursery.start_soon(self._connection, socket)
+        async with trio.open_nursery() as nursery:
+            await self.gate.run(address, nursery, self._connection, task_status)
 
     async def _connection(self, socket: trio.SocketStream) -> None:
         peer = Peer(socket, h11.SERVER)
-        try:
-            while await self._turn(peer):
-                peer.http.start_next_cycle()
-        except BROKEN:
-            pass
-        except Exception:
-            # A fault in one connection must not end the program.
-            log.exception("fault in a downstream connection")
-        finally:
-            self._connections -= 1
-            self._room.set()
-            peer.close()
+        while await self._turn(peer):
+            peer.http.start_next_cycle()
 
     async def _turn(self, peer: Peer) -> bool:
         """One request and its answer; False when the connection is to end."""
@@ -127,7 +57,7 @@
             fine = self.ready or request.target == b"/-/healthy"
             return await self._reply(peer, 200 if fine else 503, b"ready" if fine else b"not ready")
         try:
-            terms = read_terms(request, self.words.classes, self.words.tenants, self.words.give_up)
+            terms = read_terms(request, self.routes)
             if terms.name in self.names:
                 raise Rejected(409, "a request of this id is open")  # one id, one stream: two answers could cross
         except Rejected as problem:
@@ -147,14 +77,8 @@
         if peer.http.trailing_data[0]:
             return True
         data = b""
-        with trio.CancelScope() as idle:
-            if self._closing:  # accepted at the last moment: nobody would cancel its wait any more
-                idle.cancel()
-            self._idle[idle] = None
-            try:
-                data = await peer.socket.receive_some(RECEIVE)
-            finally:
-                del self._idle[idle]
+        with self.gate.idle() as idle:
+            data = await peer.socket.receive_some(RECEIVE)
         # A close that crosses a request would cost the downstream a connection: what has come is served.
         if idle.cancelled_caught and peer.socket.socket.is_readable():
             data = await peer.socket.receive_some(RECEIVE)
@@ -183,12 +107,12 @@
         """Hand the stream over and wait for its answer; None when the downstream has gone away."""
         await self.inbox.send(StreamOpened(stream))
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watch, peer, stream, nursery.cancel_scope)
+            nursery.start_soon(self._watch, peer, stream)
             await stream.answered.wait()
             nursery.cancel_scope.cancel()
         return stream.answer
 
-    async def _watch(self, peer: Peer, stream: Stream, waiting: trio.CancelScope) -> None:
+    async def _watch(self, peer: Peer, stream: Stream) -> None:
         """Notice a downstream that goes away while its stream is open."""
         try:
             data = await peer.socket.receive_some(RECEIVE)
@@ -199,7 +123,6 @@
             peer.http.receive_data(data)
             return
         await self.inbox.send(StreamWithdrawn(stream))
-        waiting.cancel()
 
     async def _answer(self, peer: Peer, answer: FinalAnswer) -> bool:
         if isinstance(answer, Served):
@@ -215,7 +138,7 @@
         """Write one whole answer; True where the connection goes on."""
         if not peer.answerable:
             return False
-        close = close or self.draining.is_set()
+        close = close or self.gate.draining.is_set()
         head = [("content-length", str(len(body))), *more, *([("connection", "close")] if close else [])]
         response = h11.Response(status_code=status, headers=head)
         # A downstream that does not read would hold its socket for good.
--- a/thistleshore/platform/messages.py
+++ b/thistleshore/platform/messages.py
@@ -101,32 +101,47 @@
     return 0
 
 
-def read_terms(request: h11.Request, classes: Mapping[str, int], tenants: Mapping[str, int],
-               give_up: Sequence[float]) -> Terms:  # fmt: skip
+class Routes(NamedTuple):
+    """What the settings call classes and tenants, and how long each class's clients wait."""
+
+    classes: Mapping[str, int]
+    give_up: Sequence[float]
+    tenants: Mapping[str, int] | None = None  # None: a contract is class and tenant in one
+    paths: tuple[tuple[str, int], ...] = ()  # prefixes of paths, for what names no class
+
+    def find(self, lane: str, path: str) -> int | None:
+        if lane in self.classes:
+            return self.classes[lane]
+        fits = [(len(prefix), number) for prefix, number in self.paths if path.startswith(prefix)]
+        return max(fits)[1] if fits else None
+
+
+def read_terms(request: h11.Request, routes: Routes) -> Terms:
     """What the headers ask for, or Rejected."""
     headers = list(request.headers)
     path = request.target.split(b"?")[0].decode("latin-1")
     lane = header(headers, b"x-lane") or path.split("/")[1 if path.startswith("/") else 0]
-    if request.method == b"GET" and lane not in classes:
-        raise Rejected(404, "no such page")
+    job_class = routes.find(lane, path)
+    if job_class is None:
+        raise Rejected(404, "no such class")
     if request.method != b"POST":
         raise Rejected(405, "every job comes by POST")
-    if lane not in classes:
-        raise Rejected(404, "no such class")
     name = header(headers, b"x-txn")
     if not name or len(name) > 128:
         raise Rejected(400, "X-Txn is missing or too long")
     left = header(headers, b"x-remaining-ms")
     try:
-        remaining = give_up[classes[lane]] if left is None else int(left) / 1000
+        remaining = routes.give_up[job_class] if left is None else int(left) / 1000
     except ValueError:
         raise Rejected(400, "X-Remaining-Ms is not a whole number") from None
     if not 0 < remaining <= 3600:
         raise Rejected(400, "X-Remaining-Ms is out of range")
-    # A tenant that the settings do not name has no limit: the module takes a number past its list so.
-    tenant = tenants.get(header(headers, b"x-org") or "", len(tenants))
+    tenant = job_class
+    if routes.tenants is not None:
+        # A tenant that the settings do not name has no limit: the module takes a number past its list so.
+        tenant = routes.tenants.get(header(headers, b"x-org") or "", len(routes.tenants))
     key = key_number(header(headers, b"cookie") or "")
-    return Terms(name, classes[lane], tenant, key, remaining, header(headers, b"x-resent") == "1")
+    return Terms(name, job_class, tenant, key, remaining, header(headers, b"x-resent") == "1")
 
 
 PASSED = frozenset((b"x-txn", b"idempotency-key", b"x-lane", b"x-org", b"cookie", b"content-type", b"x-labels"))
