--- /dev/null
+++ b/tests/support.py
@@ -0,0 +1,119 @@
+"""What the tests of sockets and parsers share: cut input, mock time, and stand-ins on loopback."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Awaitable, Callable, Iterator
+from typing import Any
+
+import trio
+import trio.testing
+from hypothesis import HealthCheck, settings, strategies as st
+
+GARBAGE = st.binary(max_size=400)
+CUTS = st.lists(st.integers(0, 2000), max_size=6)
+steady = settings(derandomize=True, max_examples=50, deadline=None, database=None,
+                  suppress_health_check=list(HealthCheck))  # fmt: skip
+
+
+def pieces(data: bytes, cuts: list[int]) -> list[bytes]:
+    """The same bytes, cut at the given places."""
+    edges = [0, *sorted(min(cut, len(data)) for cut in cuts), len(data)]
+    return [data[a:b] for a, b in zip(edges, edges[1:], strict=False)]
+
+
+def play(scenario: Callable[..., Awaitable[Any]], *args: Any) -> Any:
+    """Run it on mock time, which jumps on once nothing has moved on loopback for a moment."""
+    return trio.run(scenario, *args, clock=trio.testing.MockClock(autojump_threshold=0.02))
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def socket_pair() -> tuple[trio.SocketStream, trio.SocketStream]:
+    ends = socket.socketpair()
+    ours, theirs = (trio.SocketStream(trio.socket.from_stdlib_socket(end)) for end in ends)
+    return ours, theirs
+
+
+async def read_all(stream: trio.SocketStream) -> bytes:
+    parts = []
+    try:
+        while part := await stream.receive_some(65536):
+            parts.append(part)
+    except trio.BrokenResourceError:
+        pass
+    return b"".join(parts)
+
+
+async def talk(handler: Callable[[trio.SocketStream], Awaitable[None]], parts: list[bytes]) -> bytes:
+    """Send the parts one by one to a connection's handler, then end; returns all that it said."""
+    ours, theirs = socket_pair()
+    async with trio.open_nursery() as nursery:
+
+        async def handle() -> None:
+            try:
+                await handler(theirs)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                pass  # what the gate does about a broken connection
+            finally:
+                theirs.socket.close()
+
+        async def say() -> None:
+            try:
+                for part in parts:
+                    await ours.send_all(part)
+                    await trio.sleep(0)
+                await trio.sleep(1)
+                await ours.send_eof()
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                pass
+
+        nursery.start_soon(handle)
+        nursery.start_soon(say)
+        said = await read_all(ours)
+    ours.socket.close()
+    return said
+
+
+class Lines:
+    """A connection that is read by lines and by counts, as a stand-in reads it."""
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self.stream, self.held = stream, b""
+
+    async def line(self) -> bytes:
+        while b"\r\n" not in self.held:
+            await self._more()
+        found, _, self.held = self.held.partition(b"\r\n")
+        return found
+
+    async def exactly(self, size: int) -> bytes:
+        while len(self.held) < size:
+            await self._more()
+        found, self.held = self.held[:size], self.held[size:]
+        return found
+
+    async def _more(self) -> None:
+        data = await self.stream.receive_some(65536)
+        if not data:
+            raise EOFError
+        self.held += data
+
+    async def head(self) -> tuple[bytes, dict[bytes, bytes]]:
+        first, headers = await self.line(), {}
+        while text := await self.line():
+            name, _, value = text.partition(b":")
+            headers[name.lower()] = value.strip()
+        return first, headers
+
+
+def commands(parts: list[bytes], decoder: Any) -> Iterator[Any]:
+    """All that a codec makes of the parts."""
+    for part in parts:
+        decoder.feed(part)
+        while (found := decoder.next()) is not None:
+            yield found
--- a/thistleshore/beanstalkd/codec.py
+++ b/thistleshore/beanstalkd/codec.py
@@ -71,6 +71,7 @@
         self._held = bytearray()
         self._put: Command | None = None  # a put whose body has not all come
         self._skipping = 0  # bytes of a body that is too big, and its line end
+        self._lost: Fault | None = None  # what to say once the next line end has come
 
     def feed(self, data: bytes) -> None:
         self._held += data
@@ -85,14 +86,12 @@
             return None if self._skipping else JOB_TOO_BIG
         if self._put is not None:
             return self._body(self._put)
+        if self._lost is not None:
+            return self._resume(self._lost)
         end = self._held.find(b"\r\n", 0, LINE_MOST)
         if end < 0:
-            if len(self._held) < LINE_MOST:
-                return None
             # A line without an end would fill the memory: what is too long is dropped up to the next end.
-            cut = self._held.find(b"\r\n")
-            del self._held[: cut + 2 if cut >= 0 else len(self._held) - 1]
-            return BAD_FORMAT
+            return None if len(self._held) < LINE_MOST else self._resume(BAD_FORMAT)
         line = bytes(self._held[:end])
         del self._held[: end + 2]
         command = read_command(line)
@@ -112,12 +111,18 @@
         self._put = None
         if end != b"\r\n":
             # The body's size was wrong: what follows up to a line end is no command.
-            cut = self._held.find(b"\r\n", size)
-            del self._held[: cut + 2 if cut >= 0 else len(self._held)]
-            return EXPECTED_CRLF
+            del self._held[:size]
+            return self._resume(EXPECTED_CRLF)
         del self._held[: size + 2]
         return put._replace(body=body)
 
+    def _resume(self, fault: Fault) -> Fault | None:
+        """Pass over what comes up to a line end, then answer with the fault."""
+        end = self._held.find(b"\r\n")
+        self._lost = fault if end < 0 else None
+        del self._held[: end + 2 if end >= 0 else max(0, len(self._held) - 1)]
+        return None if end < 0 else fault
+
 
 def line(*parts: object) -> bytes:
     """One reply line."""
