--- a/thistleshore/config.py
+++ b/thistleshore/config.py
@@ -135,6 +135,7 @@
 
 def platform_plan(conf: Mapping[str, Any], environ: Mapping[str, str], epoch: float) -> Plan:
     raw = dict(table(conf, "settings", "settings"))
+    _check_figures(raw)
     try:
         # The platform's protocol has no probe: a module that asked for one would wait in vain.
         settings = replace(wire.settings(raw), can_probe=False)
@@ -176,6 +177,21 @@
     )
 
 
+def _check_figures(raw: Mapping[str, Any]) -> None:
+    """Name a figure that is none by its key: the adapter, which takes the settings over, does not."""
+    wanted = {"lanes": ("aim", "giveUp", "lateShare", "worth", "repeatWindow", "aimStretch"), "tenants": ("quotaPerS",)}
+    for key, figures in wanted.items():
+        named(raw.get(key, []), f"settings.{key}")
+        for n, item in enumerate(raw.get(key, [])):
+            for figure in figures:
+                number(item, figure, f"settings.{key}[{n}]", 0.0)
+    for key, figures in (("rules", ("askWithin", "coldFrom", "warmUp")), ("limits", ("maxAttempts", "maxRetryAfter"))):
+        for figure in figures:
+            number(table(raw, key, f"settings.{key}"), figure, f"settings.{key}", 0.0)
+    for figure in ("balancers", "quantum", "locality"):
+        number(raw, figure, "settings", 0.0)
+
+
 def seed(found: Any) -> int:
     try:
         return found if isinstance(found, int) else int(found, 16)
--- a/thistleshore/core/broker.py
+++ b/thistleshore/core/broker.py
@@ -55,6 +55,7 @@
                 except Exception:
                     # A fault met at one event must not lose every other stream that was taken.
                     log.exception("fault in the broker at %s", type(event).__name__)
+                    self._rescue(event)
                     invariant(False, "an event is told without a fault")
 
     async def _next(self) -> model.Event | None:
@@ -74,6 +75,15 @@
             return []
         return self.brain.on_timer(token, now)
 
+    def _rescue(self, event: model.Event | None) -> None:
+        """A stream whose event met a fault may never be named again: its downstream must not wait for that."""
+        if isinstance(event, model.StreamOpened | model.UpstreamEnded):
+            stream = event.stream if isinstance(event, model.StreamOpened) else event.request.stream
+            if not stream.over:
+                self._finish(stream, model.Failed("fault in the dispatcher"))
+                for request in self._out.get(stream.id, ()):
+                    request.scope.cancel()
+
     def _tell(self, event: model.Event, now: float) -> list[Action]:
         if isinstance(event, model.UpstreamEnded):
             return self._ended(event, now)
@@ -131,6 +141,7 @@
                 self.hosts[line.entry.worker] = model.UpstreamHost(line.entry.worker, line.dial, line.entry)
                 continue
             if known.dial != line.dial or known.entry.started_at != line.entry.started_at:
+                self._close_idle(known)  # connections to what it was before are of no use
                 known.life += 1
                 known.dial = line.dial
             known.entry = line.entry
--- a/thistleshore/platform/messages.py
+++ b/thistleshore/platform/messages.py
@@ -17,7 +17,7 @@
 BODY_MOST = 64 * 1024  # bytes of any body
 LINE_MOST = 6 * BODY_MOST + 1024  # a result of that size, every byte of it escaped, in its JSON object
 HEAD_MOST = 16 * 1024
-RECEIVE = 64 * 1024
+RECEIVE = 16 * 1024  # bytes read at a time: many connections must fit the memory
 STATES = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
 FREE, QUEUED, HELD = ("x0",), ("q", "queue"), ("rif", "inflight")  # names of a load report's values
 
