Let a worker's weight fall with how much longer than usual jobs run there

A probe printed hold, queue, run time and free slots of each served job. Faulty line: brain.py, end of _weight: free slots alone say nothing of speed, so a slow worker is drawn like any other. Now the weight is divided by a power of the mean logged ratio of run times there to the class's usual one; jobs that still run count once over the usual.

--- a/oxbowarch/brain.py
+++ b/oxbowarch/brain.py
@@ -36,6 +36,7 @@
 WATCH_BACKOFF = 0.5  # s, first wait after a failed call; doubled up to ask_within
 ZONE_SLACK, LOAD_MOST = 0.1, 3.0  # load, in slots' worth, by which the own zone may exceed others; cap of it
 HOLD_STEP, LAST_QUEUE = 0.05, 1.0  # s between two looks for a held job; places of a queue at the end of it
+SLOW_FADE, SLOW_STEEP = 1 / 3.0, 3.0  # 1/s; power of a worker's slowness by which its weight falls
 KEEP_CONNECTION = 5.0  # s; an idle connection is kept if another send is expected within this
 ANYWHERE: Places = (None, None)  # the places of a class that is bound to none
 DEADLINE, HOLD, PROBED, LIST = range(4)  # what a timer is for: the low bits of its token
@@ -67,6 +68,7 @@
         self.taken, self.further = Window(span - settings.tick), Window(span + settings.tick)
         self.late, self.full = Smoothed(now, PRESSURE_FADE), Smoothed(now, PRESSURE_FADE)  # shares of answers
         self.usual = MeanTable(now, PRESSURE_FADE)  # free slots that a kind of machine reports
+        self.runs = MeanTable(now, DECAY)  # logged run time of a class, where workers tell starts
         self.most = 1.0  # most free slots seen on a worker
         self.pressed, self.watching, self.watch_wait = False, False, WATCH_BACKOFF
         self.probe_credit, self.probe_turn = 0.0, 0
@@ -198,7 +200,7 @@
         job.answers = None
         if job.attempts:
             self.further.add(now)
-        job.attempts.append(Attempt(worker, now, self.set.tells_start))
+        job.attempts.append(Attempt(worker, job.ask.job_class, now, self.set.tells_start))
         job.out += 1
         worker.count_out(1, REPORT_FADE, now)
         worker.credit -= 1.0
@@ -286,6 +288,16 @@
             return 1.0
         return rules.cold_from + (1.0 - rules.cold_from) * max(0.0, age) / rules.warm_up
 
+    def _slowness(self, worker: Worker, now: float) -> float:
+        """How much longer than usual jobs lately ran there, logged; those that still run count once they are
+        over the usual.  A slow worker has slots free like any other, and makes whatever it gets late."""
+        total, seen = worker.pace.read(SLOW_FADE, now), 1.0 + worker.paces.read(SLOW_FADE, now)
+        for attempt in worker.running:
+            over = log(max(1e-3, now - attempt.started)) - self.runs[attempt.job_class].mean()
+            if over > 0.0:
+                total, seen = total + over, seen + 1.0
+        return max(0.0, total / seen)
+
     def _weight(self, job: Job, worker: Worker, now: float, queue: float = 0.0) -> float:
         """Reported free slots plus one, less own sends, strikes and shut doors; 0 is never drawn."""
         # An own attempt that waits to start tells at once of a queue or a hang, and reports tell it late.
@@ -305,6 +317,7 @@
         shut = worker.strikes + sum(worker.turned.read(door, DECAY, now) for door in job.doors)
         # Without news of room it counts as its kind does; a thin dispatcher must not double up there.
         usual = self.usual[worker.entry.kind].mean()
+        shut += SLOW_STEEP / log(2) * self._slowness(worker, now)
         return float((1.0 + free if free and free > 0.0 else (1.0 + usual) / (1.0 + worker.out)) * 0.5**shut)
 
     def _draw(self, job: Job, now: float, queue: float) -> Worker | None:
@@ -469,6 +482,10 @@
             for door in job.doors:
                 worker.turned.halve(door)
             if attempt.started:
+                usual, run = self.runs[job.ask.job_class], log(max(1e-3, now - attempt.started))
+                worker.pace.add(run - usual.mean(), SLOW_FADE, now)
+                worker.paces.add(1.0, SLOW_FADE, now)
+                usual.see(run, now)
                 aim = job.rule.aim + job.rule.stretch * (now - attempt.started)
                 self.late.see(float(now - job.since > aim), now)
             if (job.ask.key, job.rule.places) in self.keys:
--- a/oxbowarch/records.py
+++ b/oxbowarch/records.py
@@ -93,7 +93,8 @@
     """What this dispatcher knows of one worker."""
 
     __slots__ = ("id", "entry", "room", "size", "report_until", "no_room_until", "waiting", "turned", "lag_out",
-                 "lag_at", "out", "strikes", "shunned_until", "probed_at", "credit", "credit_at", "asking")  # fmt: skip
+                 "lag_at", "out", "running", "pace", "paces", "strikes", "shunned_until", "probed_at", "credit",
+                 "credit_at", "asking")  # fmt: skip
 
     def __init__(self, entry: Entry, credit: float, now: float) -> None:
         self.id = entry.worker
@@ -106,6 +107,8 @@
         self.size = 0.0  # slots, as far as seen
         self.report_until = -inf  # until then the report is good
         self.out = 0  # own attempts out
+        self.running: list[Attempt] = []  # own attempts that have started, where workers tell that
+        self.pace, self.paces = Decayed(now), Decayed(now)  # sum and number of its logged run times over the usual
         self.waiting = 0  # own attempts there that have not started, where workers tell that
         self.no_room_until = -inf  # until then a report of no room shuts it out
         self.turned = RateTable(DOORS_KEPT)  # N and T of 'full', for each class and tenant
@@ -153,10 +156,11 @@
 class Attempt:
     """One send of a job to a worker."""
 
-    __slots__ = ("worker", "entry", "at", "out", "may_have_run", "started", "waits")
+    __slots__ = ("worker", "job_class", "entry", "at", "out", "may_have_run", "started", "waits")
 
-    def __init__(self, worker: Worker, now: float, tells_start: bool) -> None:
+    def __init__(self, worker: Worker, job_class: int, now: float, tells_start: bool) -> None:
         self.worker = worker
+        self.job_class = job_class
         self.entry = worker.entry  # where it was sent, whatever the list says of that worker later
         self.at = now
         self.out = self.may_have_run = True
@@ -170,11 +174,15 @@
             self.worker.waiting = max(0, self.worker.waiting - 1)  # 0 after a restart of the worker
 
     def start(self, now: float) -> None:
-        self.started = now
+        if self.out and not self.started:
+            self.worker.running.append(self)
+        self.started = self.started or now
         self._no_longer_waits()
 
     def end(self, may_have_run: bool) -> None:
         self.out, self.may_have_run = False, may_have_run
+        if self in self.worker.running:  # not after a restart of the worker
+            self.worker.running.remove(self)
         self._no_longer_waits()
 
 
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -644,3 +644,34 @@
     assert not sent(brain.on_request(Request(3, 0, 5.0), 0.0))
     assert sent(brain.on_timer(2 * 4 + module.HOLD, 1.01))  # its aim has passed: it queues behind the first
     assert [type(a) for a in brain.on_timer(3 * 4 + module.HOLD, 1.02)] == [Refuse]
+
+
+def run_jobs(brain: Brain, times: dict[bytes, float], rounds: int = 40) -> None:
+    """Jobs one after another, each as long as its worker takes."""
+    for n in range(rounds):
+        (send,) = sent(brain.on_request(Request(n, 0, 50.0), float(n)))
+        brain.on_started(n, 0, float(n))
+        brain.on_outcome(ended(send, Status.OK), n + times[send.worker])
+
+
+def test_a_worker_that_runs_jobs_longer_than_usual_gets_fewer() -> None:
+    brain, seen = make(count=4, tells_start=True), Counter()
+    run_jobs(brain, {name(0): 0.9, name(1): 0.15, name(2): 0.15, name(3): 0.15})
+    for n in range(200):
+        (send,) = sent(brain.on_request(Request(1000 + n, 0, 5.0), 40.0))
+        seen[send.worker] += 1
+        brain.on_started(send.id, 0, 40.0)
+        brain.on_withdrawn(send.id, 40.0)
+        brain.on_outcome(ended(send, Status.CANCELLED), 40.0)
+    assert 3 * seen[name(0)] < min(seen[name(n)] for n in (1, 2, 3))
+
+
+def test_a_job_that_still_runs_tells_of_a_slow_worker() -> None:
+    brain = make(count=1, tells_start=True)
+    run_jobs(brain, {name(0): 0.2})
+    brain.on_request(Request(1000, 0, 50.0), 40.0)
+    brain.on_started(1000, 0, 40.0)
+    worker = brain.workers[name(0)]
+    assert brain._slowness(worker, 40.1) < 0.1 < 0.4 < brain._slowness(worker, 42.0)
+    brain.on_list(ListKind.FULL, (Entry(name(0), State.READY, started_at=42.0),), 42.0)
+    assert brain._slowness(worker, 50.0) == 0.0  # a new process
