Under overload let the class that earns least by a slot give way, and held ones wait

Faulty lines: brain.py, _refused refused all classes alike once slots were short, and on_outcome gave room to the job held longest whatever it earned. The order among tenants is untouched: within a tenant's limit all give way alike.

--- a/oxbowarch/brain.py
+++ b/oxbowarch/brain.py
@@ -21,6 +21,7 @@
 PRESSURE = (0.65, 0.85)  # share of slots busy at which refusal beyond the limits begins, and is full
 LATE_SHARE, DOMINANT = 0.1, 1.5  # share of late answers that presses fully; times its part that is a flood
 OVERLOAD = (0.9, 1.0)  # share of slots busy at which jobs within the limits are refused too
+SHED_EARLY = 0.1  # by how much sooner than the best class one that earns nothing gives way
 PRESSURE_FADE = 1 / 2.0  # 1/s; smooths the busy share, so that late reports don't flip refusal on and off
 REPORT_FADE = 1 / 0.5  # 1/s; how fast own attempts come to show in a worker's reports
 REPORT_AGE, FULL_AGE = 1.5, 0.2  # s for which a report counts, and for which an answer of 'full' does
@@ -151,10 +152,18 @@
         if self.pressed != (pressure > (0.0 if self.pressed else 0.5)):
             self.pressed = not self.pressed
             self.do.append(Log("pressure on: refusing beyond the limits" if self.pressed else "pressure off"))
-        # Where even what lies within the limits is too much, all give way alike: a queue makes everyone late.
-        passed = (1.0 - pressure * excess) * (1.0 - self._between(places, OVERLOAD))
+        # Where even what lies within the limits is too much, all tenants give way alike, and the class that earns
+        # least by a slot first: a queue makes everyone late.
+        best = max(map(self._yield, range(len(self.set.classes))))
+        early = SHED_EARLY * (1.0 - self._yield(ask.job_class) / best) if best else 0.0
+        overload = self._between(places, (OVERLOAD[0] - early, OVERLOAD[1] - early))
+        passed = (1.0 - pressure * excess) * (1.0 - overload)
         return self.random.random() >= passed and self._refuse(ask, excess)
 
+    def _yield(self, job_class: int) -> float:
+        """Worth earned by a second of a worker's slot, as far as workers tell when jobs start."""
+        return self.set.classes[job_class].worth / exp(self.runs[job_class].mean())
+
     def _refuse(self, ask: Request, excess: float = 0.0) -> bool:
         """Tell the client when to come back: once overload can have faded, and its tenant's estimate."""
         busy = self.busy[self.set.classes[ask.job_class].places].mean()
@@ -460,10 +469,10 @@
             self._end(job)
         elif job.out == 0:
             self._seek(job, now) if self._may_try(job, now) else self._answer(job)
-        # Room may have come up: the job held longest goes first.
-        waiting = next((held for held in self.held.values() if held.answers is None), None)
-        if waiting is not None:
-            self._place(waiting, now)
+        # Room may have come up: the class that earns most by it goes first, and of that the job held longest.
+        waiting = [held for held in self.held.values() if held.answers is None]
+        if waiting:
+            self._place(max(waiting, key=lambda held: self._yield(held.ask.job_class)), now)
         return self.do
 
     def _judge(self, job: Job, attempt: Attempt, event: Outcome, now: float) -> None:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -675,3 +675,16 @@
     assert brain._slowness(worker, 40.1) < 0.1 < 0.4 < brain._slowness(worker, 42.0)
     brain.on_list(ListKind.FULL, (Entry(name(0), State.READY, started_at=42.0),), 42.0)
     assert brain._slowness(worker, 50.0) == 0.0  # a new process
+
+
+def test_the_class_that_earns_most_by_a_slot_takes_room_first_and_gives_way_last() -> None:
+    cheap, dear = JobClass(Effect.SAFE, aim=9.0, worth=1.0), JobClass(Effect.SAFE, aim=9.0, worth=9.0)
+    brain = make(count=1, classes=(cheap, dear), tells_start=True)
+    (first,) = sent(brain.on_request(Request(1, 0, 50.0), 0.0))
+    assert not sent(brain.on_request(Request(2, 0, 50.0), 0.0)) + sent(brain.on_request(Request(3, 1, 50.0), 0.0))
+    assert [s.id for s in sent(brain.on_outcome(ended(first, Status.OK), 0.5))] == [3]
+    press(brain, 0.5, (module.OVERLOAD[0] + module.OVERLOAD[1]) / 2 - module.SHED_EARLY / 4)
+    refused = Counter()
+    for n in range(400):
+        refused[n % 2] += any(isinstance(a, Refuse) for a in brain.on_request(Request(10 + n, n % 2, 5.0), 0.5))
+    assert refused[0] > 1.5 * refused[1] > 0
