--- a/oxbowarch/brain.py
+++ b/oxbowarch/brain.py
@@ -152,8 +152,8 @@
         if self.pressed != (pressure > (0.0 if self.pressed else 0.5)):
             self.pressed = not self.pressed
             self.do.append(Log("pressure on: refusing beyond the limits" if self.pressed else "pressure off"))
-        # Where even what lies within the limits is too much, all tenants give way alike, and the class that earns
-        # least by a slot first: a queue makes everyone late.
+        # Where even what lies within the limits is too much, all tenants give way alike, the class that
+        # earns least by a slot first: a queue makes everyone late.
         best = max(map(self._yield, range(len(self.set.classes))))
         early = SHED_EARLY * (1.0 - self._yield(ask.job_class) / best) if best else 0.0
         overload = self._between(places, (OVERLOAD[0] - early, OVERLOAD[1] - early))
