--- /dev/null
+++ b/tests/test_edges.py
@@ -0,0 +1,305 @@
+"""Small tests of guards: the pool, discovery, the gate, the broker and the program itself."""
+
+from __future__ import annotations
+
+import errno
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import h11
+import pytest
+import trio
+
+from oxbowarch.brain import Brain
+from oxbowarch.interface import Effect, Entry, JobClass, ListKind, Settings, State, Status
+from tests.standins import Http, Told
+from tests.support import Lines, free_port, play, read_all
+from tests.test_config import PLATFORM
+from thistleshore import invariants
+from thistleshore.core import model
+from thistleshore.core.broker import Broker
+from thistleshore.gate import Gate
+from thistleshore.platform import discovery, upstream
+from thistleshore.platform.messages import Ask, ListNames, Peer
+
+ROOT = Path(__file__).parent.parent
+ANSWER = b'{"id":"t","state":"done","result":"ok"}\n'
+
+
+def host_at(port: int, state: State = State.READY) -> model.UpstreamHost:
+    return model.UpstreamHost(b"h", ("127.0.0.1", port), Entry(b"h", state))
+
+
+def request_to(host: model.UpstreamHost) -> model.UpstreamRequest:
+    stream = model.Stream("t", 0, trio.current_time() + 9, Ask(b"/x", (), b"body"))
+    return model.UpstreamRequest(stream, 0, host, stream.deadline)
+
+
+async def carried(pool: upstream.Upstreams, request: model.UpstreamRequest) -> model.UpstreamOutcome:
+    inbox, _keep = trio.open_memory_channel[model.Event](9)
+    return await pool.carry(request, inbox)
+
+
+async def listening(nursery: trio.Nursery, handle: Any) -> int:
+    (listener,) = await nursery.start(partial(trio.serve_tcp, handle, 0, host="127.0.0.1"))
+    return int(listener.socket.getsockname()[1])
+
+
+async def with_host(scenario: Any, answers: list[bytes], hang_up: bool = False) -> tuple[Any, list[bytes]]:
+    """Run the scenario against one host that gives these answers; returns what it was sent, too."""
+    seen: list[bytes] = []
+
+    async def handle(stream: trio.SocketStream) -> None:
+        lines = Lines(stream)
+        try:
+            while True:
+                _, headers = await lines.head()
+                seen.append(await lines.exactly(int(headers[b"content-length"])))
+                await stream.send_all(answers[min(len(seen), len(answers)) - 1])
+                if hang_up:
+                    return
+        except (EOFError, trio.BrokenResourceError):
+            pass
+
+    pool = upstream.Upstreams(upstream.Ways(0.2, 5.0, 4))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(pool.run)
+        found = await scenario(pool, host_at(await listening(nursery, handle)))
+        nursery.cancel_scope.cancel()
+    return found, seen
+
+
+FULL = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(ANSWER), ANSWER)
+
+
+def test_a_connection_that_its_host_closed_is_not_used_again() -> None:
+    async def scenario(pool: upstream.Upstreams, host: model.UpstreamHost) -> list[Status]:
+        found = []
+        for _ in range(3):
+            found.append((await carried(pool, request_to(host))).status)
+            await trio.sleep(0.5)
+        assert pool.open <= 1
+        return found
+
+    found, seen = play(with_host, scenario, [FULL], True)
+    assert found == [Status.OK] * 3 and len(seen) == 3
+
+
+def test_an_idle_connection_is_used_again_then_retired() -> None:
+    async def scenario(pool: upstream.Upstreams, host: model.UpstreamHost) -> list[int]:
+        opened = []
+        for wait in (0.5, 4.0, 6.0):
+            await carried(pool, request_to(host))
+            await trio.sleep(wait)
+            opened.append(pool.open)
+        return opened
+
+    found, _ = play(with_host, scenario, [FULL])
+    assert found == [1, 1, 0]
+
+
+def test_a_host_that_drains_while_it_is_connected_to_gets_no_byte(monkeypatch: pytest.MonkeyPatch) -> None:
+    dial = upstream._dial
+
+    async def scenario(pool: upstream.Upstreams, host: model.UpstreamHost) -> Status:
+        async def slow(address: object) -> trio.SocketStream:
+            host.entry = host.entry._replace(state=State.DRAINING)
+            return await dial(address)
+
+        monkeypatch.setattr(upstream, "_dial", slow)
+        return (await carried(pool, request_to(host))).status
+
+    found, seen = play(with_host, scenario, [FULL])
+    assert found is Status.MOOT and not seen
+
+
+@pytest.mark.parametrize(
+    ("problem", "status"), [(errno.EMFILE, Status.MOOT), (errno.ECONNREFUSED, Status.CONNECT_FAILED)]
+)
+def test_no_socket_left_is_no_fault_of_the_host(monkeypatch: pytest.MonkeyPatch, problem: int, status: Status) -> None:
+    async def fail(address: object) -> trio.SocketStream:
+        raise OSError(problem, "no")
+
+    async def scenario() -> None:
+        pool = upstream.Upstreams(upstream.Ways(0.2, 5.0, 4))
+        monkeypatch.setattr(upstream, "_dial", fail)
+        assert (await carried(pool, request_to(host_at(1)))).status is status and pool.open == 0
+
+    play(scenario)
+
+
+def test_a_connection_that_never_comes_up_is_given_up_at_its_limit(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def silent(address: object) -> trio.SocketStream:
+        await trio.sleep_forever()
+        raise AssertionError
+
+    async def scenario() -> float:
+        monkeypatch.setattr(upstream, "_dial", silent)
+        begun = trio.current_time()
+        request = request_to(host_at(1))
+        found = await carried(upstream.Upstreams(upstream.Ways(0.2, 5.0, 4)), request)
+        assert found.status is Status.CONNECT_FAILED and not request.sent
+        return trio.current_time() - begun
+
+    assert play(scenario) == pytest.approx(0.2, abs=0.01)
+
+
+def test_the_pool_is_bounded() -> None:
+    async def scenario(pool: upstream.Upstreams, host: model.UpstreamHost) -> list[Status]:
+        pool.open = pool.ways.sockets_most  # all in use
+        return [(await carried(pool, request_to(host))).status]
+
+    assert play(with_host, scenario, [FULL])[0] == [Status.MOOT]
+
+
+def test_discovery_is_asked_again_at_once_and_its_silence_is_survived() -> None:
+    calls: list[tuple[float, bytes]] = []
+
+    async def handle(stream: trio.SocketStream) -> None:
+        lines = Lines(stream)
+        try:
+            while True:
+                calls.append((trio.current_time(), (await lines.head())[0]))
+                if len(calls) == 3:
+                    await trio.sleep_forever()
+                await trio.sleep(1.0)
+                text = json.dumps({"seq": 40 + len(calls), "whole": False, "hosts": []}).encode()
+                await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(text), text))
+        except EOFError:
+            pass
+
+    async def scenario() -> None:
+        inbox, _keep = trio.open_memory_channel[model.Event](99)
+        async with trio.open_nursery() as nursery:
+            port = await listening(nursery, handle)
+            watch = discovery.Discovery(("127.0.0.1", port), ListNames({}, {}), 0.0, 7)
+            nursery.start_soon(watch.run, inbox)
+            await trio.sleep(12)
+            nursery.cancel_scope.cancel()
+
+    play(scenario)
+    assert [b"after=%d&" % seq in call for seq, (_, call) in zip((7, 41, 42, 42), calls, strict=False)] == [True] * 4
+    gaps = [b - a for (a, _), (b, _) in zip(calls, calls[1:], strict=False)]
+    assert gaps[0] - 1.0 < 0.15 and gaps[1] - 1.0 < 0.15  # at once
+    assert gaps[2] == pytest.approx(discovery.WAIT + discovery.SILENCE + discovery.AGAIN, abs=0.1)
+
+
+def test_the_gate_survives_a_lack_of_descriptors_and_bounds_its_connections() -> None:
+    class Listener:
+        def __init__(self) -> None:
+            self.left = 2
+
+        async def accept(self) -> trio.SocketStream:
+            self.left -= 1
+            if self.left >= 0:
+                raise OSError(errno.EMFILE, "too many")
+            await trio.sleep_forever()
+            raise AssertionError
+
+    async def scenario() -> None:
+        gate, listener = Gate(1), Listener()
+        with trio.move_on_after(1.0):
+            async with trio.open_nursery() as nursery:
+                await gate._accept(listener, nursery, lambda stream: trio.sleep(0))  # type: ignore[arg-type]
+        assert listener.left == -1
+        gate.connections = 1
+        with trio.move_on_after(1.0), gate.idle() as idle:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(gate._accept, listener, nursery, trio.sleep)
+                await trio.sleep_forever()
+        assert idle.cancel_called  # the longest idle made room
+
+    play(scenario)
+
+
+def test_a_fault_in_the_module_answers_its_stream_and_the_broker_goes_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        broker = Broker(Brain(Settings(balancers=1, zone=0, classes=(JobClass(Effect.SAFE),)), 1, 0.0))
+        monkeypatch.setattr("thistleshore.core.broker.invariant", lambda holds, name: holds)  # as a release build
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(broker.run)
+            await broker.inbox.send(model.HostsTold(ListKind.CACHED, ()))
+            streams = [model.Stream(str(n), n, trio.current_time() + 2) for n in range(2)]
+            with monkeypatch.context() as broken:
+                broken.setattr(broker.brain, "on_request", lambda ask, now: 1 / 0)
+                await broker.inbox.send(model.StreamOpened(streams[0]))
+                await streams[0].answered.wait()
+            streams[1].job_class = 0
+            await broker.inbox.send(model.StreamOpened(streams[1]))
+            await streams[1].answered.wait()
+            nursery.cancel_scope.cancel()
+        assert isinstance(streams[0].answer, model.Failed) and isinstance(streams[1].answer, model.LocalReply)
+
+    play(scenario)
+
+
+def test_invariants_are_asserted_in_debug_and_counted_in_release() -> None:
+    with pytest.raises(AssertionError, match="it holds"):
+        invariants.invariant(False, "it holds")
+    program = "from thistleshore.invariants import *; print(invariant(False, 'x'), invariant(True, 'x'), broken['x'])"
+    ran = subprocess.run([sys.executable, "-O", "-c", program], capture_output=True, text=True, cwd=ROOT, check=True)
+    assert ran.stdout.split() == ["False", "True", "1"] and "invariant broken: x" in ran.stderr
+
+
+def test_the_program_gets_ready_and_ends_with_0_on_sigterm(tmp_path: Path) -> None:
+    port = free_port()
+    conf = {**PLATFORM, "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{free_port()}"}
+    (tmp_path / "config.json").write_text(json.dumps(conf))
+    environ = {**os.environ, "PROXY_CONFIG": str(tmp_path / "config.json")}
+    command = [sys.executable, "-O", "-m", "thistleshore"]
+    program = subprocess.Popen(command, env=environ, cwd=ROOT, stderr=subprocess.PIPE)
+
+    async def ready() -> bytes:
+        stream = await trio.open_tcp_stream("127.0.0.1", port)
+        async with stream:
+            await Peer(stream, h11.CLIENT).send(
+                h11.Request(method="GET", target="/-/ready", headers=[("host", "s"), ("connection", "close")]),
+                h11.EndOfMessage())  # fmt: skip
+            return await read_all(stream)
+
+    try:
+        said = b""
+        for _ in range(100):
+            try:
+                said = trio.run(ready)
+                break
+            except OSError:
+                time.sleep(0.1)
+        assert said.startswith(b"HTTP/1.1 200")
+        program.send_signal(signal.SIGTERM)
+        assert program.wait(10) == 0
+        assert program.stderr is not None and b"drained" in program.stderr.read()
+    finally:
+        program.kill()
+
+
+def test_a_faulty_configuration_ends_the_program_with_a_message() -> None:
+    command = [sys.executable, "-m", "thistleshore"]
+    ran = subprocess.run(command, env={}, cwd=ROOT, capture_output=True, text=True, check=False)
+    assert ran.returncode == 2 and "PROXY_CONFIG" in ran.stderr
+
+
+def test_an_id_that_is_open_is_not_taken_twice() -> None:
+    async def scenario(at: Http) -> list[Told]:
+        found: list[Told] = []
+
+        async def ask() -> None:
+            found.append(await at.submit("seat-search", b"job"))
+
+        at.numbers = iter([5, 5])
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await trio.sleep(0.05)
+            nursery.start_soon(ask)
+        return found
+
+    at = Http()
+    assert [told.kind for told in play(at.run, scenario)] == ["failed", "served"]
+    assert len(at.runs[b"job"]) == 1
