A waiting reserve no longer clears a failing host's strikes

Seen by reading, then by a test on both fronts: a beanstalkd host that buries each job at once got 10 of 40 streams, one that answers failed over HTTP 6 at most. Ruled out: the strike itself, which both fronts cause alike. Faulty line: broker.py handed a waiting reserve to on_probed, which takes any report for a sign of life and forgives all strikes. The module now has on_report for a load told unasked: it reads the load, and offers room to a held job, but forgives nothing.

--- a/oxbowarch/brain.py
+++ b/oxbowarch/brain.py
@@ -429,6 +429,9 @@
     def _heard(self, worker: Worker, report: Report | None, now: float) -> None:
         """A sign of life, and what the worker says of its load."""
         worker.strikes, worker.shunned_until = 0, min(worker.shunned_until, now)
+        self._read_load(worker, report, now)
+
+    def _read_load(self, worker: Worker, report: Report | None, now: float) -> None:
         if report is None or report.free is None:
             return
         # A late report shows own attempts as they were a moment ago: the emptiest would be crowded.
@@ -447,6 +450,20 @@
         load = min(LOAD_MOST, 1.0 + (queued - report.free) / worker.size)
         (self.near if worker.entry.zone == self.set.zone else self.away).see(load, now)
 
+    def on_report(self, at: WorkerId, report: Report, now: float) -> list[Action]:
+        """A worker tells of its load unasked: room for a held job, but no proof that it serves any."""
+        self.do = []
+        if at in self.workers:
+            self._read_load(self.workers[at], report, now)
+            self._use_room(now)
+        return self.do
+
+    def _use_room(self, now: float) -> None:
+        """Room may have come up: first the class that earns most by it, of that the job held longest."""
+        waiting = [held for held in self.held.values() if held.answers is None]
+        if waiting:
+            self._place(max(waiting, key=lambda held: self._yield(held.ask.job_class)), now)
+
     def _strike(self, worker: Worker, now: float) -> None:
         """A fast failer must not attract work; a silent one must lose weight and be retried gently."""
         worker.strikes = min(STRIKES_MOST, worker.strikes + 1)
@@ -469,10 +486,7 @@
             self._end(job)
         elif job.out == 0:
             self._seek(job, now) if self._may_try(job, now) else self._answer(job)
-        # Room may have come up: the class that earns most by it goes first, and of that the job held longest.
-        waiting = [held for held in self.held.values() if held.answers is None]
-        if waiting:
-            self._place(max(waiting, key=lambda held: self._yield(held.ask.job_class)), now)
+        self._use_room(now)
         return self.do
 
     def _judge(self, job: Job, attempt: Attempt, event: Outcome, now: float) -> None:
--- a/oxbowarch/interface.py
+++ b/oxbowarch/interface.py
@@ -4,7 +4,8 @@
 `on_request` is the module's until it returns Refuse or Fail, or an outcome arrives with `closed`
 set, or `on_withdrawn` names it.  Order: events go in as they arrive; the actions returned are to be
 carried out in the order given, before the next event.  Restart: make a new Brain and hand it the
-last list first; it remembers nothing.  Where workers tell that a job starts, hand it to `on_started`.
+last list first; it remembers nothing.  Where workers tell that a job starts, hand it to `on_started`; a load
+report that comes outside any outcome goes to `on_report`.
 Late, repeated or unknown ids are ignored.
 """
 
--- a/tests/test_both_fronts.py
+++ b/tests/test_both_fronts.py
@@ -167,3 +167,17 @@
     at._host = host  # type: ignore[method-assign]
     assert {told.kind for told in play(at.run, scenario)} == {"served"}
     assert all(len(runs) == 1 for runs in at.runs.values())
+
+
+@FRONTS
+def test_a_fast_failer_does_not_attract_work(world: type[World]) -> None:
+    async def scenario(at: World) -> None:
+        for n in range(40):
+            assert (await at.submit("seat-search", b"%d" % n)).kind == "served"
+
+    at = world()
+    step = at.step
+    at.step = lambda host, job: "fail" if step(host, job) and host == "h1" else "serve"  # type: ignore[method-assign]
+    play(at.run, scenario)
+    failed = sum(host == "h1" for runs in at.runs.values() for host, _ in runs)
+    assert 0 < failed <= 6  # in some 5 s, shunned for a doubling time after each
--- a/thistleshore/core/broker.py
+++ b/thistleshore/core/broker.py
@@ -94,7 +94,7 @@
         if isinstance(event, model.StreamWithdrawn):
             return self._withdrawn(event.stream, now)
         if isinstance(event, model.HostReported):
-            return self.brain.on_probed(event.host, Status.OK, event.report, now)
+            return self.brain.on_report(event.host, event.report, now)
         return self._told(event, now)
 
     def _opened(self, stream: model.Stream, now: float) -> list[Action]:
