--- a/thistleshore/beanstalkd/downstream.py
+++ b/thistleshore/beanstalkd/downstream.py
@@ -75,7 +75,6 @@
         self.replies: dict[int, Reply] = {}
         self.waiting: list[Wait] = []
         self.connections: set[Connection] = set()
-        self._keepers: trio.Nursery | None = None
 
     @property
     def draining(self) -> bool:
@@ -112,7 +111,6 @@
         job = TubeJob(next(self.numbers), tube, body, float(max(1, ttr)))
         stream = Stream(str(job.id), terms.job_class, trio.current_time() + terms.deadline, job, terms.job_class)
         self.open[job.id] = stream, job
-        assert self._keepers is not None
         self._keepers.start_soon(self._keep, stream, job)
         await self.inbox.send(StreamOpened(stream))
         return job.id
