--- a/thistleshore/__main__.py
+++ b/thistleshore/__main__.py
@@ -8,6 +8,8 @@
 import signal
 import sys
 import time
+from collections.abc import AsyncIterator
+from math import inf
 from typing import Protocol
 
 import trio
@@ -35,13 +37,14 @@
     async def run(self, address: tuple[str, int], task_status: trio.TaskStatus[None]) -> None: ...
 
 
-async def serve(plan: config.Plan, drain: trio.Event | None = None,
-                task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:  # fmt: skip
-    """Run until drained: by SIGTERM, or by the event that a test sets."""
+async def serve(plan: config.Plan, drain: trio.Event, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+                rereads: trio.MemoryReceiveChannel[config.Plan] | None = None) -> None:  # fmt: skip
+    """Run until the event is set and all that was taken is finished; follow what the file says when read again."""
     broker = Broker(Brain(plan.settings, plan.seed, trio.current_time()))
     upstreams = Upstreams(Ways(plan.connect_within, plan.idle_most, plan.upstream_most))
     broker.carriers[tuple] = upstreams
     fronts: list[tuple[Front, tuple[str, int]]] = []
+    watch: Discovery | None = None
     async with trio.open_nursery() as nursery:
         nursery.start_soon(broker.run)
         nursery.start_soon(upstreams.run)
@@ -57,7 +60,9 @@
             broker.carriers[str] = hosts
             tubes = Tubes(plan.beanstalkd.terms, hosts, broker.inbox, plan.streams_most, plan.downstream_most)
             fronts.append((tubes, plan.beanstalkd.listen))
-        await nursery.start(_watch_for_term, [front.gate.draining for front, _ in fronts], drain)
+        nursery.start_soon(_drain, drain, [front.gate.draining for front, _ in fronts])
+        if rereads is not None:
+            nursery.start_soon(_follow, rereads, plan, watch)
         async with trio.open_nursery() as serving:
             for front, address in fronts:
                 await serving.start(front.run, address)
@@ -66,26 +71,57 @@
         nursery.cancel_scope.cancel()
 
 
-async def _watch_for_term(draining: list[trio.Event], drain: trio.Event | None,
-                          task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:  # fmt: skip
-    if drain is not None:
-        task_status.started()
-        await drain.wait()
-    else:
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            task_status.started()
-            await anext(signals)
+async def _drain(drain: trio.Event, draining: list[trio.Event]) -> None:
+    await drain.wait()
     log.info("draining: not ready; finishing what was taken")
     for event in draining:
         event.set()
-    await trio.sleep_forever()  # a second signal changes nothing: SIGKILL is what ends a drain early
+
+
+async def _follow(rereads: trio.MemoryReceiveChannel[config.Plan], plan: config.Plan, watch: Discovery | None) -> None:
+    """Move to the address of discovery that the file names now; the rest of it needs a restart."""
+    async for found in rereads:
+        if changed := plan.changed(found):
+            log.warning("configuration reread: a restart is needed for %s", ", ".join(changed))
+        address = found.http.discovery if found.http is not None else None
+        if watch is None or address is None or address == watch.address:
+            log.info("configuration reread: discovery stays where it was")
+        else:
+            log.info("configuration reread: discovery moves to %s:%d", *address)
+            watch.move(address)
+
+
+async def _obey(signals: AsyncIterator[int], drain: trio.Event, rereads: trio.MemorySendChannel[config.Plan]) -> None:
+    """SIGHUP reads the file again, also in a drain; a second SIGTERM changes nothing: SIGKILL is what ends it early."""
+    async for number in signals:
+        if number != signal.SIGHUP:
+            drain.set()
+            continue
+        try:
+            rereads.send_nowait(_load(again=True))
+        except Exception as problem:
+            # A file that is faulty, or half written, must not end a dispatcher that serves.
+            log.error("configuration not reread, the old one holds: %s", problem)
+
+
+def _load(again: bool = False) -> config.Plan:
+    return config.load(os.environ, trio.current_time() - time.time(), again)
 
 
 def main() -> int:
+    # Until the program listens to it, and while it ends, SIGHUP would end it as it ends any program.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
 
     async def start() -> None:
-        await serve(config.load(os.environ, trio.current_time() - time.time()))
+        drain = trio.Event()
+        rereads = trio.open_memory_channel[config.Plan](inf)
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            plan = _load()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_obey, signals, drain, rereads[0])
+                await serve(plan, drain, rereads=rereads[1])
+                nursery.cancel_scope.cancel()
 
     try:
         # What start-up made stays: a collection that walked it would stall every stream for as long.
--- a/thistleshore/config.py
+++ b/thistleshore/config.py
@@ -10,7 +10,7 @@
 import os
 import tomllib
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from math import isfinite
 from pathlib import Path
 from typing import Any
@@ -28,6 +28,7 @@
 KEPT_TUBES = (REPLY_PREFIX, HOST_PREFIX)  # tubes of these names mean something else
 SOCKETS = 1024  # where the platform names no limit
 SOCKETS_SPARE = 64  # for the listener, discovery, the log and the interpreter's own files
+MOVES = ("discovery", "known", "seed")  # keys that may differ in a file read again: followed, or of use at a start only
 IDLE_SHARE = 0.6  # of the time after which hosts close an idle connection: ours are retired well before
 
 
@@ -66,6 +67,12 @@
     idle_most: float
     sockets: int
     streams_most: int = 512
+    told: Mapping[str, Any] = field(default_factory=dict, repr=False)  # as the file words it
+
+    def changed(self, other: Plan) -> list[str]:
+        """The keys in which another reading of the file differs and which hold until a restart."""
+        keys = sorted(self.told.keys() | other.told.keys())
+        return [key for key in keys if key not in MOVES and self.told.get(key) != other.told.get(key)]
 
     @property
     def downstream_most(self) -> int:
@@ -112,8 +119,11 @@
     return numbers
 
 
-def load(environ: Mapping[str, str], epoch: float) -> Plan:
-    """The plan that the environment names; `epoch` is what the program's clock showed at Unix time 0."""
+def load(environ: Mapping[str, str], epoch: float, again: bool = False) -> Plan:
+    """The plan that the environment names; `epoch` is what the program's clock showed at Unix time 0.
+
+    Read `again`, the file's address of discovery goes before the environment's, which is that of the start.
+    """
     own, path = environ.get("PROXY_OPERATOR"), environ.get("PROXY_CONFIG")
     if own:
         try:
@@ -130,6 +140,8 @@
         raise ConfigError(f"PROXY_CONFIG: {problem}") from None
     if not isinstance(conf, Mapping):
         raise ConfigError("PROXY_CONFIG: a JSON object is wanted")
+    if again and conf.get("discovery"):
+        environ = {**environ, "PROXY_DISCOVERY": ""}
     return platform_plan(conf, environ, epoch)
 
 
@@ -152,6 +164,7 @@
         except Malformed as problem:
             raise ConfigError(f"known: {problem}") from None
     discovery = environ.get("PROXY_DISCOVERY") or conf.get("discovery")
+    where = "PROXY_DISCOVERY" if environ.get("PROXY_DISCOVERY") else "discovery"
     routes = Routes(
         classes=named(raw.get("lanes", []), "settings.lanes"),
         give_up=[rule.give_up for rule in settings.classes],
@@ -165,7 +178,7 @@
             address(environ.get("PROXY_LISTEN") or conf.get("listen"), "PROXY_LISTEN"),
             routes,
             names,
-            address(discovery, "PROXY_DISCOVERY") if discovery else None,
+            address(discovery, where) if discovery else None,
             seq,
         ),
         beanstalkd=None,
@@ -174,6 +187,7 @@
         connect_within=number(limits, "connectTimeout", "settings.limits", 0.2, 0.001),
         idle_most=IDLE_SHARE * number(limits, "connIdle", "settings.limits", 15.0, 0.1),
         sockets=sockets,
+        told=conf,
     )
 
 
@@ -313,8 +327,8 @@
     contracts = tuple(_contract(part, services) for part in sections(conf, "contract"))
     if not contracts:
         raise ConfigError("contract: at least one [[contract]] is wanted")
-    for field in ("tube", "path"):
-        _unique([getattr(contract, field) for contract in contracts], f"contract[].{field}")
+    for key in ("tube", "path"):
+        _unique([getattr(contract, key) for contract in contracts], f"contract[].{key}")
     seats: dict[str, HostSeat] = {}
     known: list[HostLine] = []
     for part in sections(conf, "host"):
@@ -347,16 +361,16 @@
     if "http" in conf:
         http = _http(conf, contracts, services)
     for n, contract in enumerate(contracts):
-        for field, section in (("tube", tubes), ("path", http)):
-            if getattr(contract, field) and section is None:
-                raise ConfigError(f"contract[{n}].{field}: its front is not set up in the file")
+        for key, section in (("tube", tubes), ("path", http)):
+            if getattr(contract, key) and section is None:
+                raise ConfigError(f"contract[{n}].{key}: its front is not set up in the file")
     book = Book(contracts, tuple(services), budget, balancers, advice, touches, warm_up, cold_from)
     try:
         settings = book.settings()
     except ValueError as problem:
         raise ConfigError(str(problem)) from None
     return Plan(name, int.from_bytes(os.urandom(8), "big"), settings, http, tubes, tuple(known), epoch,
-                connect_within, IDLE_SHARE * idle, sockets, streams)  # fmt: skip
+                connect_within, IDLE_SHARE * idle, sockets, streams, conf)  # fmt: skip
 
 
 def _http(conf: Mapping[str, Any], contracts: tuple[Contract, ...], services: Mapping[str, int]) -> HttpPlan:
--- a/thistleshore/platform/discovery.py
+++ b/thistleshore/platform/discovery.py
@@ -15,49 +15,72 @@
 WAIT = 5.0  # s that discovery may hold a call; short, so that a call lost in an outage is soon made again
 SILENCE = 0.5  # s beyond that after which the call counts as lost
 AGAIN = 0.1  # s before a call that failed is made again; a watch goes on only within 0.2 s
-CONNECT_WITHIN = 1.0
+ANSWER_WITHIN = 1.0  # s for the whole list, which the agent has at hand
+CONNECT_WITHIN = 0.5
 LIST_MOST = 8 * 1024 * 1024  # bytes of a list; more would endanger the memory
 
 
 class Discovery:
     def __init__(self, address: tuple[str, int], names: ListNames, epoch: float, seq: int) -> None:
-        self.address, self.names, self.epoch, self.seq = address, names, epoch, seq
+        self.address, self.names, self.epoch = address, names, epoch
+        self.seq: int | None = seq  # None: the next call asks for the whole list
         self._peer: Peer | None = None
+        self._at = address  # where that peer is
         self._lost = False
+        self._scope = trio.CancelScope()  # the call that is out
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Watch there from now on; versions of the old address mean nothing at the new one."""
+        self.address, self.seq = address, None
+        self._scope.cancel()
 
     async def run(self, events: trio.MemorySendChannel[Event]) -> None:
         try:
             while True:
-                try:
-                    told = await self._call()
-                except (OSError, trio.TooSlowError, trio.BrokenResourceError, trio.ClosedResourceError,
-                        h11.ProtocolError, Malformed) as problem:  # fmt: skip
-                    # Discovery may be down for long: the list in hand serves on, and the log says so once.
-                    if not self._lost:
-                        log.warning("discovery lost: %s: %s", type(problem).__name__, problem)
-                    self._lost = True
+                seq, told = None, None
+                with trio.CancelScope() as self._scope:
+                    seq, told = await self._call_or_wait()
+                if told is None or self._scope.cancel_called:
+                    # Failed or moved: what the old address still says must not pass for the new one's.
                     self._hang_up()
-                    await trio.sleep(AGAIN)
                     continue
+                self.seq = seq
                 if self._lost:
-                    log.info("discovery regained at version %d", self.seq)
+                    log.info("discovery regained at version %d", seq)
                 self._lost = False
                 await events.send(told)
         finally:
             self._hang_up()
 
+    async def _call_or_wait(self) -> tuple[int | None, HostsTold | None]:
+        """One call; where it fails, a wait before the next."""
+        try:
+            return await self._call()
+        except (OSError, trio.TooSlowError, trio.BrokenResourceError, trio.ClosedResourceError,
+                h11.ProtocolError, Malformed) as problem:  # fmt: skip
+            # Discovery may be down for long: the list in hand serves on, and the log says so once.
+            if not self._lost:
+                log.warning("discovery lost: %s: %s", type(problem).__name__, problem)
+            self._lost = True
+            self._hang_up()
+            await trio.sleep(AGAIN)
+            return None, None
+
     def _hang_up(self) -> None:
         if self._peer is not None:
             self._peer.close()
         self._peer = None
 
-    async def _call(self) -> HostsTold:
+    async def _call(self) -> tuple[int, HostsTold]:
+        if self._at != self.address:
+            self._hang_up()  # moved while an answer was being told: the next call must not go to the old address
         if self._peer is None:
+            self._at = self.address
             with trio.fail_after(CONNECT_WITHIN):
                 self._peer = Peer(await trio.open_tcp_stream(*self.address), h11.CLIENT)
         peer = self._peer
-        with trio.fail_after(WAIT + SILENCE):
-            target = f"/api/targets?after={self.seq}&wait_ms={int(WAIT * 1000)}"
+        with trio.fail_after(ANSWER_WITHIN if self.seq is None else WAIT + SILENCE):
+            target = "/api/targets" + ("" if self.seq is None else f"?after={self.seq}&wait_ms={int(WAIT * 1000)}")
             call = h11.Request(method="GET", target=target, headers=[("host", "discovery")])
             await peer.send(call, h11.EndOfMessage())
             response = await peer.event()
@@ -68,11 +91,11 @@
                     raise Malformed("the list is too long")
         if not isinstance(response, h11.Response) or response.status_code != 200:
             raise Malformed("the answer is no list")
-        self.seq, kind, lines = read_hosts(bytes(body), self.names, self.epoch)
+        seq, kind, lines = read_hosts(bytes(body), self.names, self.epoch)
         if peer.reusable:
             peer.http.start_next_cycle()
         else:
             self._hang_up()
-        return HostsTold(kind, lines)
+        return seq, HostsTold(kind, lines)
 
 
--- a/thistleshore/platform/downstream.py
+++ b/thistleshore/platform/downstream.py
@@ -11,9 +11,10 @@
 from thistleshore.core.model import StreamWithdrawn
 from thistleshore.gate import BROKEN, Gate
 from thistleshore.invariants import invariant
-from thistleshore.platform.messages import BODY_MOST, PASSED, RECEIVE, Ask, Peer, Rejected, Routes, header, read_terms
+from thistleshore.platform.messages import BODY_MOST, PASSED, RECEIVE, Ask, Peer, Rejected, Routes
+from thistleshore.platform.messages import check_framing, header, read_terms
 
-READ_WITHIN = 10.0  # s from a request's first byte to its last
+READ_WITHIN = 2.0  # s from a connection's start, or a later request's first byte, to a request's last byte
 WRITE_WITHIN = 5.0  # s for a downstream to take an answer
 
 
@@ -61,21 +62,21 @@
             if terms.name in self.names:
                 raise Rejected(409, "a request of this id is open")  # one id, one stream: two answers could cross
         except Rejected as problem:
-            return await self._reply(peer, problem.status, problem.reason.encode())
+            return await self._reply(peer, problem.status, problem.reason.encode(), close=True)
         passed = tuple((name, value) for name, value in request.headers if name in PASSED)
         stream = Stream(terms.name, terms.job_class, trio.current_time() + terms.remaining,
                         Ask(request.target, passed, body), terms.tenant, terms.key, terms.repeat)  # fmt: skip
         self.names.add(stream.name)
         try:
             answer = await self._await_answer(peer, stream)
+        except Rejected as problem:
+            return await self._reply(peer, problem.status, problem.reason.encode(), close=True)
         finally:
             self.names.discard(stream.name)
         return answer is not None and await self._answer(peer, answer)
 
     async def _first_bytes(self, peer: Peer) -> bool:
         """Wait for a request to begin; False at the end of the connection."""
-        if peer.http.trailing_data[0]:
-            return True
         data = b""
         with self.gate.idle() as idle:
             data = await peer.socket.receive_some(RECEIVE)
@@ -83,7 +84,7 @@
         if idle.cancelled_caught and peer.socket.socket.is_readable():
             data = await peer.socket.receive_some(RECEIVE)
         if data:
-            peer.http.receive_data(data)
+            peer.feed(data)
         return bool(data)
 
     async def _read(self, peer: Peer) -> tuple[h11.Request | None, bytes]:
@@ -91,6 +92,8 @@
         request = await peer.event()
         if not isinstance(request, h11.Request):
             return None, b""
+        head, peer.head = peer.head, b""
+        check_framing(head)
         if request.method == b"HEAD":
             raise Rejected(405, "")  # any body behind its answer would break the connection's framing
         length = header(request.headers, b"content-length")
@@ -103,28 +106,38 @@
             body += event.data
             if len(body) > BODY_MOST:  # a body in chunks says its length nowhere
                 raise Rejected(413, "a body holds 64 KiB at most")
+        if peer.http.trailing_data[0]:
+            # One request at a time: what follows stands inside a body whose length was said too short.
+            raise Rejected(400, "more has come than one request")
         return request, bytes(body)
 
     async def _await_answer(self, peer: Peer, stream: Stream) -> FinalAnswer | None:
         """Hand the stream over and wait for its answer; None when the downstream has gone away."""
         await self.inbox.send(StreamOpened(stream))
+        ahead = False
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watch, peer, stream)
+
+            async def watch() -> None:
+                nonlocal ahead
+                ahead = await self._watch(peer, stream)
+
+            nursery.start_soon(watch)
             await stream.answered.wait()
             nursery.cancel_scope.cancel()
+        if ahead:
+            raise Rejected(400, "more has come than one request")
         return stream.answer
 
-    async def _watch(self, peer: Peer, stream: Stream) -> None:
-        """Notice a downstream that goes away while its stream is open."""
+    async def _watch(self, peer: Peer, stream: Stream) -> bool:
+        """Notice a downstream that goes away while its stream is open; True where it sends on instead."""
         try:
             data = await peer.socket.receive_some(RECEIVE)
         except BROKEN:
             data = b""
-        if data:
-            # The next request, sent ahead: kept for its turn.  Nothing more is read, to bound what is kept.
-            peer.http.receive_data(data)
-            return
+        # One request at a time: what comes now belongs to a body whose length was said too short, and the answer
+        # to half a request must not look like one to the whole.
         await self.inbox.send(StreamWithdrawn(stream))
+        return bool(data)
 
     async def _answer(self, peer: Peer, answer: FinalAnswer) -> bool:
         if isinstance(answer, Served):
--- a/thistleshore/platform/messages.py
+++ b/thistleshore/platform/messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from math import isfinite
@@ -41,13 +42,19 @@
         self.socket = socket
         # A head without end would fill the memory: h11 gives up on it at this size.
         self.http = h11.Connection(role, max_incomplete_event_size=HEAD_MOST)
+        self.head = b""  # what has come while a request's head was awaited: h11 does not show how it was framed
 
     async def event(self) -> Any:
         """h11's next event; at the end of input ConnectionClosed or h11.RemoteProtocolError."""
         while (event := self.http.next_event()) is h11.NEED_DATA:
-            self.http.receive_data(await self.socket.receive_some(RECEIVE))
+            self.feed(await self.socket.receive_some(RECEIVE))
         return event
 
+    def feed(self, data: bytes) -> None:
+        if self.http.our_role is h11.SERVER and self.http.their_state is h11.IDLE:
+            self.head += data
+        self.http.receive_data(data)
+
     async def send(self, *events: h11.Event) -> None:
         await self.socket.send_all(b"".join(self.http.send(event) or b"" for event in events))
 
@@ -85,6 +92,21 @@
     repeat: bool
 
 
+FRAMING = re.compile(rb"^(content-length|transfer-encoding)[ \t]*:[ \t]*([^\r\n]*)", re.IGNORECASE | re.MULTILINE)
+ONCE = (b"x-txn", b"x-lane", b"x-remaining-ms", b"idempotency-key")
+
+
+def check_framing(head: bytes) -> None:
+    """Rejected where a head does not say once, and in one way, how long its body is.
+
+    h11 takes a length beside an encoding, or the same length twice.  Whoever stands before or behind us may read
+    the other one, and find a second request inside the body.
+    """
+    said = FRAMING.findall(head.replace(b"\r\n", b"\n").partition(b"\n\n")[0])
+    if len(said) > 1 or any(b"," in value for _, value in said):
+        raise Rejected(400, "the length of the body is said twice")
+
+
 def header(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> str | None:
     return next((value.decode("latin-1") for key, value in headers if key == name), None)
 
@@ -119,21 +141,25 @@
 def read_terms(request: h11.Request, routes: Routes) -> Terms:
     """What the headers ask for, or Rejected."""
     headers = list(request.headers)
+    names = [name for name, _ in headers]
+    if any(names.count(name) > 1 for name in ONCE):
+        raise Rejected(400, "a header that may stand once is doubled")  # a host may read the other one
     path = request.target.split(b"?")[0].decode("latin-1")
     lane = header(headers, b"x-lane") or path.split("/")[1 if path.startswith("/") else 0]
     job_class = routes.find(lane, path)
     if job_class is None:
         raise Rejected(404, "no such class")
+    if lane in routes.classes and path.split("/")[1:2] != [lane]:
+        raise Rejected(400, "path and X-Lane name different classes")  # a host would go by the other one
     if request.method != b"POST":
         raise Rejected(405, "every job comes by POST")
     name = header(headers, b"x-txn")
     if not name or len(name) > 128:
         raise Rejected(400, "X-Txn is missing or too long")
     left = header(headers, b"x-remaining-ms")
-    try:
-        remaining = routes.give_up[job_class] if left is None else int(left) / 1000
-    except ValueError:
-        raise Rejected(400, "X-Remaining-Ms is not a whole number") from None
+    if left is not None and not (left.isascii() and left.isdigit() and len(left) < 12):
+        raise Rejected(400, "X-Remaining-Ms is not a whole number")
+    remaining = routes.give_up[job_class] if left is None else int(left) / 1000
     if not 0 < remaining <= 3600:
         raise Rejected(400, "X-Remaining-Ms is out of range")
     tenant = job_class
