--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -21,7 +21,7 @@
 from oxbowarch.brain import Brain
 from oxbowarch.interface import Effect, Entry, JobClass, ListKind, Settings, State, Status
 from tests.standins import Http, Told
-from tests.support import ROOT, Lines, free_port, play, program, read_all
+from tests.support import ROOT, Lines, free_port, play, program, read_all, socket_pair
 from tests.test_config import PLATFORM
 from thistleshore import invariants
 from thistleshore.core import model
@@ -210,7 +210,7 @@
                 await gate._accept(listener, nursery, lambda stream: trio.sleep(0))  # type: ignore[arg-type]
         assert listener.left == -1
         gate.connections = 1
-        with trio.move_on_after(1.0), gate.idle() as idle:
+        with trio.move_on_after(1.0), gate.waiting(socket_pair()[0], None) as idle:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(gate._accept, listener, nursery, trio.sleep)
                 await trio.sleep_forever()
--- /dev/null
+++ b/tests/test_gate.py
@@ -0,0 +1,126 @@
+"""What the gate grants: time to newcomers, room to whom, and service in a drain."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+import trio
+
+from tests.standins import Http
+from tests.support import Lines, free_port, play, read_all
+from thistleshore import gate
+from thistleshore.core import model
+from thistleshore.platform.downstream import Downstream
+from thistleshore.platform.messages import Routes
+
+HEAD = b"POST /render HTTP/1.1\r\nHost: s\r\nX-Lane: render\r\nX-Remaining-Ms: 9000\r\n"
+POST = HEAD + b"X-Txn: %x\r\nContent-Length: 0\r\n\r\n"
+
+
+async def front(scenario: Any, most: int) -> Any:
+    """A downstream side whose streams are all served at once."""
+    inbox, events = trio.open_memory_channel[model.Event](99)
+    downstream, port = Downstream(Routes({"render": 0}, [9.0]), trio.Event(), inbox, most), free_port()
+
+    async def serve() -> None:
+        async for event in events:
+            if isinstance(event, model.StreamOpened):
+                event.stream.answer = model.Served(b"ok")
+                event.stream.answered.set()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(serve)
+        await nursery.start(downstream.run, ("127.0.0.1", port))
+        found = await scenario(port, downstream)
+        nursery.cancel_scope.cancel()
+    return found
+
+
+async def ask(lines: Lines, number: int) -> bytes:
+    await lines.stream.send_all(POST % number)
+    first, headers = await lines.head()
+    await lines.exactly(int(headers[b"content-length"]))
+    return first
+
+
+@pytest.mark.parametrize(
+    ("said", "answer"),
+    [(b"", b""), (b"POST / HT", b"HTTP/1.1 408"), (HEAD + b"X-A: b\r\n", b"HTTP/1.1 408"),
+     (HEAD + b"Content-Length: 9\r\n\r\nhalf", b"HTTP/1.1 408"),
+     (HEAD + b"Content-Length: 60000000\r\n\r\n" + b"x" * 3_000_000, b"HTTP/1.1 413")],
+)  # fmt: skip
+def test_a_newcomer_gets_an_error_or_a_close_within_3_s_whatever_it_withholds(said: bytes, answer: bytes) -> None:
+    async def scenario(port: int, _: Downstream) -> tuple[bytes, float]:
+        begun, stream = trio.current_time(), await trio.open_tcp_stream("127.0.0.1", port)
+        async with stream, trio.open_nursery() as nursery:
+            nursery.start_soon(stream.send_all, said)
+            found = await read_all(stream)
+            took = trio.current_time() - begun
+        return found, took
+
+    found, took = play(front, scenario, 9)
+    assert found[:12] == answer and took < 2.5
+
+
+def test_a_silent_crowd_takes_no_usual_client_s_place_and_all_of_it_is_closed() -> None:
+    async def scenario(port: int, downstream: Downstream) -> tuple[list[bytes], int]:
+        usual = [Lines(await trio.open_tcp_stream("127.0.0.1", port)) for _ in range(4)]
+        for n, lines in enumerate(usual):
+            await ask(lines, n)
+        crowd = [await trio.open_tcp_stream("127.0.0.1", port) for _ in range(40)]
+        late = Lines(await trio.open_tcp_stream("127.0.0.1", port))
+        found = [await ask(lines, n + 10) for n, lines in enumerate((late, *usual))]
+        with trio.fail_after(2.9):
+            for stream in crowd:
+                await read_all(stream)
+        return found, downstream.gate.connections
+
+    found, left = play(front, scenario, 8)
+    assert [first.split()[1] for first in found] == [b"200"] * 5 and left == 5
+
+
+def test_where_all_connections_are_kept_the_longest_idle_makes_room() -> None:
+    async def scenario(port: int, _: Downstream) -> list[bytes]:
+        kept = [Lines(await trio.open_tcp_stream("127.0.0.1", port)) for _ in range(5)]
+        return [await ask(lines, n) for n, lines in enumerate(kept)]
+
+    assert len(play(front, scenario, 4)) == 5
+
+
+def test_in_a_drain_kept_connections_are_served_for_a_while_then_closed() -> None:
+    async def scenario(at: Http) -> tuple[list[tuple[float, bytes]], float]:
+        lines, begun = Lines(await trio.open_tcp_stream("127.0.0.1", at.port)), trio.current_time()
+        found = []
+        with trio.move_on_after(9):
+            at.drain.set()
+            while True:
+                await lines.stream.send_all(b"POST /seat-search HTTP/1.1\r\nHost: s\r\nX-Txn: %x\r\n"
+                                            b"Content-Length: 1\r\n\r\nx" % len(found))  # fmt: skip
+                try:
+                    first, headers = await lines.head()
+                except (EOFError, trio.BrokenResourceError):
+                    break
+                found.append((trio.current_time() - begun, first))
+                await lines.exactly(int(headers[b"content-length"]))
+                await trio.sleep(0.1)
+        return found, trio.current_time() - begun
+
+    found, ended = play(Http().run, scenario)
+    assert all(b"200" in first for _, first in found)
+    assert found[-1][0] == pytest.approx(gate.SERVE_FOR, abs=0.3) and ended < gate.ANSWER_FOR
+
+
+def test_what_comes_late_in_a_drain_is_answered_before_sigkill() -> None:
+    async def scenario(at: Http) -> float:
+        idle, begun = Lines(await trio.open_tcp_stream("127.0.0.1", at.port)), trio.current_time()
+        await idle.stream.send_all(b"GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n")
+        await idle.exactly(int((await idle.head())[1][b"content-length"]))
+        at.drain.set()
+        await trio.sleep(2.9)
+        await idle.stream.send_all(b"POST /seat-search HTTP/1.1\r\nHost: s\r\nX-Txn: 1\r\nContent-Length: 1\r\n\r\nx")
+        assert b" 503 " in (await idle.head())[0]
+        return trio.current_time() - begun
+
+    at = Http(["hang"])
+    assert 3.4 < play(at.run, scenario) < gate.ANSWER_FOR and at.runs[b"x"]
--- a/thistleshore/gate.py
+++ b/thistleshore/gate.py
@@ -1,25 +1,44 @@
-"""The listening side that both fronts share: accepting, limits on connections, and the drain."""
+"""The listening side that both fronts share: accepting, limits on connections, and the drain.
+
+Connections that have said nothing whole yet are newcomers.  Where connections run short they go first, the longest
+silent of them before all, so that a crowd which connects and says nothing cannot take the place of usual clients.
+"""
 
 from __future__ import annotations
 
 import errno
 import logging
 from collections.abc import Awaitable, Callable, Iterator
-from contextlib import contextmanager
+from contextlib import AbstractContextManager, contextmanager
+from math import inf
+from typing import NamedTuple
 
 import trio
 
 log = logging.getLogger("thistleshore")
 
-ACCEPT_FOR = 0.55  # s after SIGTERM in which connections still come, and idle ones stay open
+ACCEPT_FOR = 0.55  # s after SIGTERM in which connections still come
+SERVE_FOR = 3.0  # s after SIGTERM in which what comes by connections that were kept is still taken
+ANSWER_FOR = 3.5  # s after SIGTERM in which that is answered: SIGKILL comes after 3.7 s
 BACKLOG = 512
 NO_SOCKET_PAUSE = 0.05  # s before accepting is tried again
 NO_SOCKET = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError)
+READ_WITHIN = 2.0  # s from a connection's start, or a later request's first byte, to a request's last byte
+NEWCOMER_GRACE = 0.05  # s in which even a crowd leaves a newcomer time to speak
+NEWCOMER_SHARE = 0.25  # of the connections: as many newcomers find room before kept ones give way
+ROOM_TRIES = 4  # waits of that grace for room, after which a connection is closed unheard
 
 Handler = Callable[[trio.SocketStream], Awaitable[None]]
 
 
+class Wait(NamedTuple):
+    """A connection that waits and may be told to give way."""
+
+    socket: trio.SocketStream
+    arrived: float
+
+
 class Gate:
     """One listener and the connections that came by it."""
 
@@ -28,8 +47,13 @@
         self.draining = trio.Event()
         self.listening = False
         self.connections = 0
-        self._closing = False
-        self._idle: dict[trio.CancelScope, None] = {}  # waits of idle connections, the longest first
+        self.answer_by = inf  # when the last answer must be out: SIGKILL follows
+        self.closing = False
+        # Who may give way, the first of each to come first: those that were turned away, newcomers, kept ones.
+        self._leaving: dict[trio.CancelScope, Wait] = {}
+        self._newcomers: dict[trio.CancelScope, Wait] = {}
+        self._kept: dict[trio.CancelScope, Wait] = {}
+        self._idle: set[trio.CancelScope] = set()  # waits in which nothing has been begun
         self._room = trio.Event()
 
     async def run(self, address: tuple[str, int], nursery: trio.Nursery, handler: Handler,
@@ -47,20 +71,27 @@
 
     async def _drain(self, accepting: trio.CancelScope) -> None:
         await self.draining.wait()
+        told = trio.current_time()
+        self.answer_by = told + ANSWER_FOR
         await trio.sleep(ACCEPT_FOR)  # the front before us goes on dealing connections out for a while
-        self._closing = True
         accepting.cancel()
-        for idle in list(self._idle):
+        # Clients go on by the connections that they have, and nobody else may be there to serve them.
+        with trio.move_on_at(told + SERVE_FOR):
+            while self.connections:
+                self._room = trio.Event()
+                await self._room.wait()
+        self.closing = True
+        for idle in self._idle:
             idle.cancel()
 
     async def _accept(self, listener: trio.SocketListener, nursery: trio.Nursery, handler: Handler) -> None:
         while True:
-            while self.connections >= self.most:
-                # Over the limit on sockets nothing could be sent on: an idle connection makes room.
+            for _ in range(ROOM_TRIES):
+                if self.connections < self.most:
+                    break
                 self._room = trio.Event()
-                if self._idle:
-                    next(iter(self._idle)).cancel()
-                with trio.move_on_after(1.0):
+                self._make_room()
+                with trio.move_on_after(NEWCOMER_GRACE):
                     await self._room.wait()
             try:
                 socket = await listener.accept()
@@ -71,6 +102,11 @@
                 log.warning("cannot accept: %s", problem)
                 await trio.sleep(NO_SOCKET_PAUSE)
                 continue
+            if self.connections >= self.most:
+                # Nobody gives way: over the limit on sockets nothing could be sent on, and left in the backlog a
+                # connection would get neither an answer nor a close.
+                socket.socket.close()
+                continue
             self.connections += 1
             nursery.start_soon(self._serve, handler, socket)
 
@@ -87,14 +123,44 @@
             self._room.set()
             socket.socket.close()
 
+    def _make_room(self) -> None:
+        """Tell one connection to give way, if any may."""
+        late = trio.current_time() - NEWCOMER_GRACE
+        for scope in self._leaving:
+            if not scope.cancel_called:
+                return scope.cancel()
+        for scope, wait in self._newcomers.items():
+            # What is there to be read may be a whole request.
+            if wait.arrived <= late and not scope.cancel_called and not wait.socket.socket.is_readable():
+                return scope.cancel()
+        if len(self._newcomers) < NEWCOMER_SHARE * self.most:
+            for scope in self._kept:
+                if not scope.cancel_called:
+                    return scope.cancel()
+
+    def waiting(self, socket: trio.SocketStream, arrived: float | None,
+                idle: bool = False) -> AbstractContextManager[trio.CancelScope]:  # fmt: skip
+        """A wait that is called off to make room, and where it is idle, when idle connections are closed.
+
+        `arrived` says since when a newcomer is here; None: the connection is kept.
+        """
+        waits = self._kept if arrived is None else self._newcomers
+        return self._listed(waits, Wait(socket, arrived or 0.0), idle)
+
+    def leaving(self, socket: trio.SocketStream) -> AbstractContextManager[trio.CancelScope]:
+        """A connection that has had its last answer: the first to give way."""
+        return self._listed(self._leaving, Wait(socket, 0.0), False)
+
     @contextmanager
-    def idle(self) -> Iterator[trio.CancelScope]:
-        """A wait that is called off to make room, and when idle connections are closed."""
+    def _listed(self, waits: dict[trio.CancelScope, Wait], wait: Wait, idle: bool) -> Iterator[trio.CancelScope]:
         with trio.CancelScope() as scope:
-            if self._closing:  # accepted at the last moment: nobody would cancel its wait any more
-                scope.cancel()
-            self._idle[scope] = None
+            waits[scope] = wait
+            if idle:
+                self._idle.add(scope)
+                if self.closing:  # accepted at the last moment: nobody would cancel its wait any more
+                    scope.cancel()
             try:
                 yield scope
             finally:
-                del self._idle[scope]
+                self._idle.discard(scope)
+                del waits[scope]
--- a/thistleshore/platform/downstream.py
+++ b/thistleshore/platform/downstream.py
@@ -3,19 +3,22 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from contextlib import nullcontext, suppress
+from math import inf
 
 import h11
 import trio
 
 from thistleshore.core.model import Event, Failed, FinalAnswer, LocalReply, Served, Stream, StreamOpened
 from thistleshore.core.model import StreamWithdrawn
-from thistleshore.gate import BROKEN, Gate
+from thistleshore.gate import BROKEN, READ_WITHIN, Gate
 from thistleshore.invariants import invariant
 from thistleshore.platform.messages import BODY_MOST, PASSED, RECEIVE, Ask, Peer, Rejected, Routes
 from thistleshore.platform.messages import check_framing, header, read_terms
 
-READ_WITHIN = 2.0  # s from a connection's start, or a later request's first byte, to a request's last byte
 WRITE_WITHIN = 5.0  # s for a downstream to take an answer
+LINGER = 1.0  # s in which what a downstream still sends is discarded, so that it gets to read its last answer
+DISCARD = bytearray(64 * 1024)  # what is discarded, of all connections; nobody reads it
 
 
 class Downstream:
@@ -35,16 +38,23 @@
 
     async def _connection(self, socket: trio.SocketStream) -> None:
         peer = Peer(socket, h11.SERVER)
-        while await self._turn(peer):
+        arrived: float | None = trio.current_time()
+        while await self._turn(peer, arrived):
+            arrived = None
             peer.http.start_next_cycle()
 
-    async def _turn(self, peer: Peer) -> bool:
-        """One request and its answer; False when the connection is to end."""
-        if not await self._first_bytes(peer):
+    async def _turn(self, peer: Peer, arrived: float | None) -> bool:
+        """One request and its answer; False when the connection is to end.
+
+        `arrived` says since when a connection is here that has asked for nothing yet.
+        """
+        if not await self._first_bytes(peer, arrived):
             return False
+        request, body = None, b""
         try:
-            with trio.fail_after(READ_WITHIN):
-                request, body = await self._read(peer)
+            with trio.fail_at((arrived or trio.current_time()) + READ_WITHIN):
+                with nullcontext() if arrived is None else self.gate.waiting(peer.socket, arrived):
+                    request, body = await self._read(peer)
         except Rejected as problem:
             return await self._reply(peer, problem.status, problem.reason.encode(), close=True)
         except h11.RemoteProtocolError as problem:
@@ -64,7 +74,9 @@
         except Rejected as problem:
             return await self._reply(peer, problem.status, problem.reason.encode(), close=True)
         passed = tuple((name, value) for name, value in request.headers if name in PASSED)
-        stream = Stream(terms.name, terms.job_class, trio.current_time() + terms.remaining,
+        # What comes late in a drain is answered before SIGKILL can end it.
+        deadline = min(trio.current_time() + terms.remaining, self.gate.answer_by)
+        stream = Stream(terms.name, terms.job_class, deadline,
                         Ask(request.target, passed, body), terms.tenant, terms.key, terms.repeat)  # fmt: skip
         self.names.add(stream.name)
         try:
@@ -75,10 +87,12 @@
             self.names.discard(stream.name)
         return answer is not None and await self._answer(peer, answer)
 
-    async def _first_bytes(self, peer: Peer) -> bool:
+    async def _first_bytes(self, peer: Peer, arrived: float | None) -> bool:
         """Wait for a request to begin; False at the end of the connection."""
         data = b""
-        with self.gate.idle() as idle:
+        with self.gate.waiting(peer.socket, arrived, idle=True) as idle:
+            # A newcomer that says nothing would hold a socket for good.
+            idle.deadline = inf if arrived is None else arrived + READ_WITHIN
             data = await peer.socket.receive_some(RECEIVE)
         # A close that crosses a request would cost the downstream a connection: what has come is served.
         if idle.cancelled_caught and peer.socket.socket.is_readable():
@@ -153,7 +167,7 @@
         """Write one whole answer; True where the connection goes on."""
         if not peer.answerable:
             return False
-        close = close or self.gate.draining.is_set()
+        close = close or self.gate.closing
         head = [("content-length", str(len(body))), *more, *([("connection", "close")] if close else [])]
         response = h11.Response(status_code=status, headers=head)
         # A downstream that does not read would hold its socket for good.
@@ -165,7 +179,7 @@
 
     async def _linger(self, peer: Peer) -> None:
         """End our side first: closing over unread input would reset the connection and lose the answer."""
-        with trio.move_on_after(0.5):
+        with trio.move_on_after(LINGER), self.gate.leaving(peer.socket), suppress(OSError):
             await peer.socket.send_eof()
-            while await peer.socket.receive_some(RECEIVE):
+            while await peer.socket.socket.recv_into(DISCARD):
                 pass
