--- a/oxbowarch/brain.py
+++ b/oxbowarch/brain.py
@@ -20,7 +20,7 @@
 NOISE_MARGIN = 1.0  # standard errors taken off an estimate before it may refuse
 PRESSURE = (0.65, 0.85)  # share of slots busy at which refusal beyond the limits begins, and is full
 LATE_SHARE, DOMINANT = 0.1, 1.5  # share of late answers that presses fully; times its part that is a flood
-OVERLOAD = (0.9, 1.0)  # share of slots busy at which jobs within the limits are refused too
+OVERLOAD = (0.9, 1.1)  # the same within the limits: never full, as what is held may find room
 SHED_EARLY = 0.1  # by how much sooner than the best class one that earns nothing gives way
 PRESSURE_FADE = 1 / 2.0  # 1/s; smooths the busy share, so that late reports don't flip refusal on and off
 REPORT_FADE = 1 / 0.5  # 1/s; how fast own attempts come to show in a worker's reports
@@ -36,7 +36,7 @@
 STRIKES_MOST, SHUN_BASE = 6, 0.25  # each strike halves the weight and doubles the s without sends
 WATCH_BACKOFF = 0.5  # s, first wait after a failed call; doubled up to ask_within
 ZONE_SLACK, LOAD_MOST = 0.1, 3.0  # load, in slots' worth, by which the own zone may exceed others; cap of it
-HOLD_STEP, LAST_QUEUE = 0.05, 1.0  # s between two looks for a held job; places of a queue at the end of it
+HOLD_STEP = 0.05  # s between two looks for a held job
 SLOW_FADE, SLOW_STEEP = 1 / 3.0, 3.0  # 1/s; power of a worker's slowness by which its weight falls
 KEEP_CONNECTION = 5.0  # s; an idle connection is kept if another send is expected within this
 ANYWHERE: Places = (None, None)  # the places of a class that is bound to none
@@ -125,12 +125,13 @@
         """A decayed count as a rate; right after a restart it is still filling, and reads low."""
         return count * DECAY / max(1e-3, 1.0 - exp(DECAY * (self.born - now)))
 
-    def _claim(self, tenant: int, now: float) -> tuple[float, bool]:
+    def _claim(self, tenant: int, repeat: bool, now: float) -> tuple[float, bool]:
         """The share of the tenant's jobs here beyond its limit, read before this one is counted, and whether
         it takes far more than its part of all jobs here, however many clients crowd at this balancer."""
         if not 0 <= tenant < len(self.set.limits):
             return 0.0, False
-        count = self.rates.add(tenant, DECAY, now)
+        # A client's repeat belongs to its first try: refusals that breed repeats must not breed refusals.
+        count = self.rates.add(tenant, DECAY, now, 0.0 if repeat else 1.0)
         # A tenant spread thinly leaves N noisy: innocents would be refused by chance.
         count = max(0.0, count - NOISE_MARGIN * sqrt(count / 2))
         limit, estimate = self.set.limits[tenant] / self.set.balancers, self._rate(count, now)
@@ -144,7 +145,7 @@
     def _refused(self, ask: Request, now: float) -> bool:
         """Refuse by chance what lies beyond the tenant's limit, as far as there is pressure."""
         places = self.set.classes[ask.job_class].places
-        (excess, flood), pressure = self._claim(ask.tenant, now), self._between(places, PRESSURE)
+        (excess, flood), pressure = self._claim(ask.tenant, ask.repeat, now), self._between(places, PRESSURE)
         if flood:
             # Where workers queue, slots tell too late that one tenant's flood makes everyone late.  Lateness
             # may have other causes, and clients crowd at some balancers: only a flood pays for it.
@@ -195,11 +196,11 @@
         elif not self._place(job, now):
             self._hold(job, now)
 
-    def _place(self, job: Job, now: float, queue: float = 0.0) -> bool:
-        worker = self._by_key(job, now, queue) if job.ask.key else None
+    def _place(self, job: Job, now: float) -> bool:
+        worker = self._by_key(job, now) if job.ask.key else None
         # A fetch anywhere else costs more than a short wait for room where the key's data is.
         if worker is None and not (job.ask.key and now - job.since < KEY_PATIENCE * job.rule.aim):
-            worker = self._draw(job, now, queue)
+            worker = self._draw(job, now)
         if worker is not None:
             self._send(job, worker, now)
         return worker is not None
@@ -222,8 +223,8 @@
         elif now < min(job.since + job.rule.aim, job.deadline - self.margin):
             self._keep(job)
             self.do.append(Timer(now + HOLD_STEP, job.id * 4 + HOLD))
-        elif not self._place(job, now, queue=LAST_QUEUE):  # a worker's own queue is the last resort
-            self._answer(job)  # deeper queues would not drain after a burst, and make all late for long
+        else:
+            self._answer(job)  # queues at workers would not drain after a burst, and make all late for long
 
     def _keep(self, job: Job) -> None:
         self.held[job.id] = job
@@ -327,9 +328,11 @@
         # Without news of room it counts as its kind does; a thin dispatcher must not double up there.
         usual = self.usual[worker.entry.kind].mean()
         shut += SLOW_STEEP / log(2) * self._slowness(worker, now)
-        return float((1.0 + free if free and free > 0.0 else (1.0 + usual) / (1.0 + worker.out)) * 0.5**shut)
+        # Reports are late, own attempts out are known: two must not meet by a stale report.
+        free = usual if free is None else max(0.0, free)
+        return float((1.0 + free) / (1.0 + worker.out) * 0.5**shut)
 
-    def _draw(self, job: Job, now: float, queue: float) -> Worker | None:
+    def _draw(self, job: Job, now: float) -> Worker | None:
         """Rejection draw by weight among ready workers: own zone first, then all."""
         # Crossings are priced, but where clients crowd into one zone, keeping to it would queue their jobs.
         crowded = self.near.mean() > self.away.mean() + ZONE_SLACK
@@ -338,7 +341,7 @@
             best, most = None, 0.0
             for _ in range(DRAWS if pool and (not job.attempts or self._budgeted(now)) else 0):
                 worker = pool[int(self.random.random() * len(pool))]
-                weight = self._weight(job, worker, now, queue)
+                weight = self._weight(job, worker, now)
                 if weight > 0.0 and self._may_send(job, worker, now):
                     if self.random.random() * (1.0 + self.most) < weight:
                         return worker
@@ -357,7 +360,7 @@
             ring = self.rings[places] = KeyRing(free or pool)
         return ring
 
-    def _by_key(self, job: Job, now: float, queue: float) -> Worker | None:
+    def _by_key(self, job: Job, now: float) -> Worker | None:
         """Draw among the key's homes, the workers next on its ring, where its data was fetched already."""
         ring, key = self._ring(job.rule.places), (job.ask.key, job.rule.places)
         if not ring.size:
@@ -369,7 +372,7 @@
         tries += self.keys[key].served_by  # a fetch is spared there too
         for n, worker in enumerate(tries):
             wanted = self.random.random() * (1.0 + self.most) if n < homes > 1 else 0.0
-            weight = self._weight(job, worker, now, queue or KEY_QUEUE * worker.size)
+            weight = self._weight(job, worker, now, KEY_QUEUE * worker.size)
             if weight > wanted and self._may_send(job, worker, now):
                 return worker
         return None
@@ -439,7 +442,9 @@
         worker.room = report.free - queued + worker.count_out(0, REPORT_FADE, now)
         worker.report_until = now + REPORT_AGE
         # Where workers queue, shutting one out for long crowds the rest; where 'full' is common, it pays.
-        worker.no_room_until = now + REPORT_AGE * min(1.0, NO_ROOM_PART + FULL_PART * self.full.mean())
+        # Where they tell starts, own attempts that wait say it sooner than any report.
+        part = FULL_PART * self.full.mean() + (0.0 if self.set.tells_start else NO_ROOM_PART)
+        worker.no_room_until = now + REPORT_AGE * min(1.0, part)
         running = (report.held or 0.0) - queued if report.free >= 1.0 else 0.0
         worker.size = max(worker.size, report.free + running, 1.0)
         self.most = max(self.most, min(report.free, 1000.0))
