--- a/oxbowarch/brain.py
+++ b/oxbowarch/brain.py
@@ -37,6 +37,10 @@
 WATCH_BACKOFF = 0.5  # s, first wait after a failed call; doubled up to ask_within
 ZONE_SLACK, LOAD_MOST = 0.1, 3.0  # load, in slots' worth, by which the own zone may exceed others; cap of it
 HOLD_STEP = 0.05  # s between two looks for a held job
+COPY_AFTER, COPY_STEP = 1.0, 0.2  # s without a start before a second copy, and between two looks for one
+COPY_SHARE, COPY_MOST, COPY_WON = 0.02, 6.0, 2.0  # copies earned by a job, at most, and by a faster one
+LONG_RUN, COPY_FADE = 1.2, 1 / 10.0  # logged excess of a run that calls for one; 1/s
+COPY_ROOM = 0.75  # share of slots busy from which a copy would take the place of another job
 SLOW_FADE, SLOW_STEEP = 1 / 3.0, 3.0  # 1/s; power of a worker's slowness by which its weight falls
 KEEP_CONNECTION = 5.0  # s; an idle connection is kept if another send is expected within this
 ANYWHERE: Places = (None, None)  # the places of a class that is bound to none
@@ -73,6 +77,7 @@
         self.most = 1.0  # most free slots seen on a worker
         self.pressed, self.watching, self.watch_wait = False, False, WATCH_BACKOFF
         self.probe_credit, self.probe_turn = 0.0, 0
+        self.copy_credit, self.won = COPY_MOST, Smoothed(now, COPY_FADE)  # and the share that were faster
         self.do: list[Action] = []
 
     # -- the list of workers ------------------------------------------------------------------
@@ -182,6 +187,7 @@
         if self._refused(ask, now):
             return self.do
         self.admitted.add(1.0, DECAY, now)
+        self.copy_credit = min(COPY_MOST, self.copy_credit + COPY_SHARE)
         job = self.jobs[ask.id] = Job(ask, self.set.classes[ask.job_class], now)
         self._probe_in_turn(now)
         self._seek(job, now)
@@ -215,6 +221,31 @@
         worker.count_out(1, REPORT_FADE, now)
         worker.credit -= 1.0
         self.do.append(Send(job.id, worker.id))
+        if self.set.second_copies and self.set.tells_start and len(job.attempts) == 1:
+            self.do.append(Timer(now + COPY_STEP, job.id * 4 + DEADLINE))
+
+    def _look(self, job: Job, now: float) -> None:
+        """Send a second copy of a job whose answer may never come, while some worker has room.  A worker may
+        lose an answer, or hang; no report shows that, and it costs the client the whole of its deadline."""
+        if job.ended or job.out > 1 or not self._may_try(job, now):
+            return
+        room = self.copy_credit >= 1.0 and self.busy[job.rule.places].mean() < COPY_ROOM
+        if job.out and room and self._overdue(job, now) and self._place(job, now):
+            self.copy_credit -= 1.0
+        else:
+            self.do.append(Timer(now + COPY_STEP, job.id * 4 + DEADLINE))
+
+    def _overdue(self, job: Job, now: float) -> bool:
+        """Does its attempt wait or run for far too long?  Where copies mostly lose, a long run is a long job,
+        which a copy would double: they are sent late there."""
+        attempt = next(attempt for attempt in job.attempts if attempt.out)
+        if not attempt.started:
+            return now - attempt.at >= COPY_AFTER
+        usual = self.runs[job.ask.job_class].mean()
+        if now - attempt.started > exp(usual + LONG_RUN):
+            return True
+        soon = job.since + job.rule.aim + (job.rule.stretch - 1.0) * exp(usual)
+        return self.won.mean() > 0.5 and now >= soon
 
     def _hold(self, job: Job, now: float) -> None:
         """Keep a job for which no worker has room: brief waiting beats both a queue and a refusal."""
@@ -265,6 +296,8 @@
         last, ran = job.attempts[-1], job.ran_first()
         if last.worker is worker and now - last.at < FULL_AGE or not self._budgeted(now):
             return False  # asking a worker that has just turned the job away would use up its attempts
+        if any(attempt.out and attempt.worker is worker for attempt in job.attempts):
+            return False
         if ran is None or job.rule.effect is not Effect.KEYED or job.rule.group is Group.ALL:
             return True
         same_cell = job.rule.group is Group.ZONE or ran.entry.cell == worker.entry.cell
@@ -506,6 +539,10 @@
         report = event.report or (Report(0.0) if full else None)
         if event.status is Status.OK or report and event.status is not Status.ERROR:
             self._heard(worker, report, now)
+        if event.status is Status.OK and job.out:
+            faster = attempt is not next(a for a in job.attempts if a.out or a is attempt)
+            self.won.see(float(faster), now)
+            self.copy_credit = min(COPY_MOST, self.copy_credit + COPY_WON * faster)
         if event.status is Status.OK:
             for door in job.doors:
                 worker.turned.halve(door)
@@ -537,8 +574,10 @@
         purpose, job = token & 3, self.held.get(token >> 2)
         if purpose == LIST and not self.watching:
             self.do.append(Watch())
-        elif job is not None and purpose == DEADLINE:
+        elif purpose == DEADLINE and job is not None and now >= job.deadline - self.margin:
             self._answer(job)
+        elif purpose == DEADLINE and token >> 2 in self.jobs:
+            self._look(self.jobs[token >> 2], now)
         elif job is not None and purpose == (HOLD if job.answers is None else PROBED):
             self._choose(job, now) if purpose == PROBED else self._seek(job, now)
         return self.do
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -11,8 +11,8 @@
 from oxbowarch import brain as module
 from oxbowarch.brain import Brain
 from oxbowarch.interface import (
-    CloseIdle, Effect, Entry, Fail, JobClass, ListKind, Outcome, Probe, Refuse, Report, Reports, Request, Send,
-    Settings, State, Status, Timer, Watch,
+    Cancel, CloseIdle, Effect, Entry, Fail, Group, JobClass, ListKind, Outcome, Probe, Refuse, Report, Reports,
+    Request, Send, Settings, State, Status, Timer, Watch,
 )  # fmt: skip
 from oxbowarch.records import Worker
 
@@ -712,3 +712,67 @@
     for n in range(400):
         refused[n % 2] += any(isinstance(a, Refuse) for a in brain.on_request(Request(10 + n, n % 2, 5.0), 0.5))
     assert refused[0] > 1.5 * refused[1] > 0
+
+
+def copying(count: int = 3) -> tuple[Brain, Send]:
+    """A brain that may copy, after some jobs of half a second, and a job of its that has just started."""
+    brain = make(count=count, tells_start=True, second_copies=True, can_cancel=True)
+    run_jobs(brain, dict.fromkeys(map(name, range(count)), 0.5))
+    (send,) = sent(brain.on_request(Request(900, 0, 5.0), 50.0))
+    brain.on_started(900, 0, 50.0)
+    return brain, send
+
+
+def looks(brain: Brain, until: float, job: int = 900) -> list[tuple[float, Send]]:
+    """What its looks at a job that is out send, and when."""
+    found, now = [], 50.0
+    while now < until:
+        now += module.COPY_STEP
+        found += [(now, send) for send in sent(brain.on_timer(job * 4 + module.DEADLINE, now))]
+    return found
+
+
+def test_a_run_far_longer_than_usual_gets_one_second_copy_elsewhere() -> None:
+    brain, send = copying()
+    ((when, copy),) = looks(brain, 54.0)
+    assert 51.5 < when < 52.5 and copy.worker != send.worker
+    actions = brain.on_outcome(Outcome(900, 1, copy.worker, Status.OK, 0.1, True), when + 0.1)
+    assert [a for a in actions if isinstance(a, Cancel)] == [Cancel(900, 0)] and brain.won.mean() == 0.5
+
+
+def test_an_attempt_that_never_starts_gets_a_second_copy() -> None:
+    brain, _ = copying()
+    (send,) = sent(brain.on_request(Request(901, 0, 5.0), 50.0))
+    ((when, copy),) = looks(brain, 54.0, 901)
+    assert when - 50.0 == pytest.approx(module.COPY_AFTER, abs=0.21) and copy.worker != send.worker
+
+
+def test_no_second_copy_takes_the_place_of_another_job_or_outlives_its_budget() -> None:
+    busy, spent, lone = copying()[0], copying()[0], copying(count=1)[0]
+    for _ in range(100):
+        busy.busy[module.ANYWHERE].see(1.0, 50.0)
+    spent.copy_credit = 0.9
+    assert not any(looks(brain, 54.9) for brain in (busy, spent, lone))
+
+
+def test_copies_that_win_are_sent_sooner_and_earn_more() -> None:
+    brain, _ = copying()
+    for _ in range(9):
+        brain.won.see(1.0, 50.0)
+    brain.copy_credit = 2.0
+    ((when, copy),) = looks(brain, 54.0)
+    assert 50.3 < when < 51.0  # from its aim on, less a usual run
+    brain.on_outcome(Outcome(900, 1, copy.worker, Status.OK, 0.1, True), when + 0.1)
+    assert brain.copy_credit == 1.0 + module.COPY_WON
+
+
+def test_a_keyed_copy_stays_in_its_cell() -> None:
+    keyed = JobClass(Effect.KEYED, Group.CELL, repeat_window=4.0)
+    for seed in range(20):
+        settings = Settings(balancers=1, zone=0, classes=(keyed,), second_copies=True, tells_start=True)
+        brain = Brain(settings, seed, 0.0)
+        brain.on_list(ListKind.FULL, tuple(Entry(name(n), State.READY, cell=n // 2) for n in range(6)), 0.0)
+        (send,) = sent(brain.on_request(Request(900, 0, 9.0), 50.0))
+        copies = looks(brain, 53.0)
+        cells = {brain.workers[worker].entry.cell for worker in (send.worker, copies[0][1].worker)}
+        assert len(copies) == 1 and len(cells) == 1
