--- a/oxbowarch/brain.py
+++ b/oxbowarch/brain.py
@@ -33,6 +33,7 @@
 PROBE_SAMPLE, PROBE_WAIT = 3, 0.03  # workers probed near a decision, and s that a job waits for them
 OWN_ROUNDS, PROBE_ROUNDS = 2, 3  # samples taken for one job in its own zone, and in all, before it waits
 PROBES_PER_REQUEST, PROBE_EVERY = 0.25, 1.0  # budget for fresh reports, and s between two of one worker
+FAILURES, COMMON_FAILURE = (Status.ERROR, Status.RESET, Status.TIMEOUT, Status.CONNECT_FAILED), 4.0
 STRIKES_MOST, SHUN_BASE = 6, 0.25  # each strike halves the weight and doubles the s without sends
 WATCH_BACKOFF = 0.5  # s, first wait after a failed call; doubled up to ask_within
 ZONE_SLACK, LOAD_MOST = 0.1, 3.0  # load, in slots' worth, by which the own zone may exceed others; cap of it
@@ -72,6 +73,7 @@
         span = settings.budget.span if settings.budget else 0.0
         self.taken, self.further = Window(span - settings.tick), Window(span + settings.tick)
         self.late, self.full = Smoothed(now, PRESSURE_FADE), Smoothed(now, PRESSURE_FADE)  # shares of answers
+        self.failing = Smoothed(now, PRESSURE_FADE)  # share of attempts
         self.usual = MeanTable(now, PRESSURE_FADE)  # free slots that a kind of machine reports
         self.runs = MeanTable(now, DECAY)  # logged run time of a class, where workers tell starts
         self.most = 1.0  # most free slots seen on a worker
@@ -505,7 +507,9 @@
     def _strike(self, worker: Worker, now: float) -> None:
         """A fast failer must not attract work; a silent one must lose weight and be retried gently."""
         worker.strikes = min(STRIKES_MOST, worker.strikes + 1)
-        worker.shunned_until = now + SHUN_BASE * 2**worker.strikes * (0.5 + self.random.random())
+        # What befalls attempts everywhere is no news of this worker: shunning each would leave none.
+        alone = max(0.0, 1.0 - COMMON_FAILURE * self.failing.mean())
+        worker.shunned_until = now + SHUN_BASE * 2**worker.strikes * (0.5 + self.random.random()) * alone
         if worker.strikes == 3:
             self.do.append(Log(f"worker {worker.id.hex()} shunned: three failures and no success between"))
 
@@ -532,6 +536,8 @@
         worker, full = attempt.worker, event.status is Status.FULL
         worker.count_out(-1, REPORT_FADE, now)
         self.full.see(float(full), now)
+        if event.status is not Status.CANCELLED:
+            self.failing.see(float(event.status in FAILURES), now)
         rate = self._rate(self.admitted.count, now) / max(1, len(self.workers))
         if worker.out == 0 and rate * KEEP_CONNECTION < 1.0:
             # Many dispatchers of little traffic would fill a worker's connection table with idle ones.
@@ -559,7 +565,7 @@
             for door in job.doors:
                 worker.turned.add(door, DECAY, now)
             worker.room, worker.no_room_until = worker.out, now + FULL_AGE
-        elif event.status in (Status.ERROR, Status.RESET, Status.TIMEOUT, Status.CONNECT_FAILED):
+        elif event.status in FAILURES:
             self._strike(worker, now)
 
     def on_started(self, job_id: int, attempt: int, now: float) -> list[Action]:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -776,3 +776,14 @@
         copies = looks(brain, 53.0)
         cells = {brain.workers[worker].entry.cell for worker in (send.worker, copies[0][1].worker)}
         assert len(copies) == 1 and len(cells) == 1
+
+
+def test_failures_that_are_common_to_all_shun_one_worker_less() -> None:
+    shunned = []
+    for share in (0.0, 0.2):
+        brain = make(count=2)
+        for _ in range(40):
+            brain.failing.see(share, 0.0)
+        brain._strike(brain.workers[name(0)], 0.0)
+        shunned.append(brain.workers[name(0)].shunned_until)
+    assert shunned[1] == pytest.approx(shunned[0] * (1 - module.COMMON_FAILURE * 0.2), abs=0.03)
