Refuse an id that was open, end half a beanstalkd command, survive every accept error

Seen: an id is told apart only while its stream is open: sent again just after, a keyed job could run outside its bay. The beanstalkd front knew no newcomers and no limit on half a command. Gate._accept ended the program at an error of accept() other than a lack of descriptors (such as ECONNABORTED).

--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -7,7 +7,7 @@
 import pytest
 import trio
 
-from tests.standins import Http
+from tests.standins import Beanstalkd, Http
 from tests.support import Lines, free_port, play, read_all
 from thistleshore import gate
 from thistleshore.core import model
@@ -63,6 +63,26 @@
     assert found[:12] == answer and took < 2.5
 
 
+def test_an_id_that_was_open_is_not_taken_again() -> None:
+    async def scenario(port: int, _: Downstream) -> list[bytes]:
+        return [(await ask(Lines(await trio.open_tcp_stream("127.0.0.1", port)), 7)).split()[1] for _ in range(2)]
+
+    assert play(front, scenario, 9) == [b"200", b"409"]
+
+
+def test_half_a_command_is_ended_and_silence_between_commands_is_not() -> None:
+    async def scenario(at: Beanstalkd) -> tuple[bytes, float, bytes]:
+        silent, half = [await at.connect() for _ in range(2)]
+        begun = trio.current_time()
+        await half.stream.send_all(b"put 0 0 60 10\r\nhalf")
+        found, took = await read_all(half.stream), trio.current_time() - begun
+        await trio.sleep(9)
+        return found, took, await at.say(silent, b"use default")
+
+    found, took, said = play(Beanstalkd().run, scenario)
+    assert (found, said) == (b"BAD_FORMAT\r\n", b"USING default") and took == pytest.approx(gate.READ_WITHIN, abs=0.1)
+
+
 def test_a_silent_crowd_takes_no_usual_client_s_place_and_all_of_it_is_closed() -> None:
     async def scenario(port: int, downstream: Downstream) -> tuple[list[bytes], int]:
         usual = [Lines(await trio.open_tcp_stream("127.0.0.1", port)) for _ in range(4)]
--- a/thistleshore/beanstalkd/codec.py
+++ b/thistleshore/beanstalkd/codec.py
@@ -73,6 +73,11 @@
         self._skipping = 0  # bytes of a body that is too big, and its line end
         self._lost: Fault | None = None  # what to say once the next line end has come
 
+    @property
+    def begun(self) -> bool:
+        """A command has come in part."""
+        return bool(self._held or self._put or self._skipping or self._lost)
+
     def feed(self, data: bytes) -> None:
         self._held += data
 
--- a/thistleshore/beanstalkd/downstream.py
+++ b/thistleshore/beanstalkd/downstream.py
@@ -7,6 +7,7 @@
 
 import logging
 from collections.abc import Mapping
+from contextlib import nullcontext
 from dataclasses import dataclass, field
 from itertools import count
 from math import inf
@@ -20,7 +21,7 @@
 from thistleshore.beanstalkd.upstream import HOST_PREFIX, Hosts, Reservation, Slot, TubeJob
 from thistleshore.core.model import Event, FinalAnswer, LocalReply, Served, Stream, StreamOpened
 from thistleshore.core.model import StreamWithdrawn
-from thistleshore.gate import BROKEN, Gate
+from thistleshore.gate import BROKEN, READ_WITHIN, Gate
 
 log = logging.getLogger("thistleshore")
 
@@ -173,17 +174,32 @@
         return [tube.removeprefix(HOST_PREFIX) for tube in self.watched if tube.startswith(HOST_PREFIX)]
 
     async def run(self) -> None:
+        arrived: float | None = trio.current_time()
+        begun: float | None = None
         while not self.over:
             command = self.decoder.next()
             if command is None:
-                await self._receive()
-            elif isinstance(command, Fault):
+                begun = (begun or trio.current_time()) if self.decoder.begun else None
+                await self._listen(arrived, begun)
+                continue
+            arrived = begun = None
+            if isinstance(command, Fault):
                 await self.send(command.reply + b"\r\n")
             else:
                 reply = await self._do(command)
                 if reply:
                     await self.send(reply)
 
+    async def _listen(self, arrived: float | None, begun: float | None) -> None:
+        """Wait for more; silence between commands is usual here, half a command is not."""
+        room = nullcontext() if arrived is None else self.tubes.gate.waiting(self.socket, arrived)
+        with trio.move_on_at(inf if begun is None else begun + READ_WITHIN) as reading, room:
+            await self._receive()
+            return
+        self.over = True  # a newcomer that gives way, or a command without an end, which would hold a socket for good
+        if reading.cancelled_caught:
+            await self.send(b"BAD_FORMAT\r\n")
+
     async def _receive(self) -> None:
         data = await self.socket.receive_some(RECEIVE)
         self.over = not data
--- a/thistleshore/gate.py
+++ b/thistleshore/gate.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import errno
 import logging
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import AbstractContextManager, contextmanager
@@ -22,7 +21,6 @@
 ANSWER_FOR = 3.5  # s after SIGTERM in which that is answered: SIGKILL comes after 3.7 s
 BACKLOG = 512
 NO_SOCKET_PAUSE = 0.05  # s before accepting is tried again
-NO_SOCKET = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError)
 READ_WITHIN = 2.0  # s from a connection's start, or a later request's first byte, to a request's last byte
 NEWCOMER_GRACE = 0.05  # s in which even a crowd leaves a newcomer time to speak
@@ -103,9 +101,7 @@
             try:
                 socket = await listener.accept()
             except OSError as problem:
-                if problem.errno not in NO_SOCKET:
-                    raise
-                # Out of descriptors: a crash here would lose every stream that was taken.
+                # Out of descriptors, or a client that gave up: a crash here would lose every stream that was taken.
                 log.warning("cannot accept: %s", problem)
                 await trio.sleep(NO_SOCKET_PAUSE)
                 continue
--- a/thistleshore/platform/downstream.py
+++ b/thistleshore/platform/downstream.py
@@ -16,6 +16,7 @@
 from thistleshore.platform.messages import BODY_MOST, PASSED, RECEIVE, Ask, Peer, Rejected, Routes
 from thistleshore.platform.messages import check_framing, header, read_terms
 
+PAST_KEPT, PAST_MOST = 10.0, 2048  # s and number for which names of ended streams are known
 WRITE_WITHIN = 5.0  # s for a downstream to take an answer
 LINGER = 1.0  # s in which what a downstream still sends is discarded, so that it gets to read its last answer
 DISCARD = bytearray(64 * 1024)  # what is discarded, of all connections; nobody reads it
@@ -25,6 +26,7 @@
     def __init__(self, routes: Routes, listed: trio.Event, inbox: trio.MemorySendChannel[Event], most: int) -> None:
         self.routes, self.listed, self.inbox, self.gate = routes, listed, inbox, Gate(most)
         self.names: set[str] = set()  # streams that are open
+        self._past: dict[str, float] = {}  # streams that were, and when they ended, the longest ago first
 
     @property
     def ready(self) -> bool:
@@ -69,8 +71,9 @@
             return await self._reply(peer, 200 if fine else 503, b"ready" if fine else b"not ready")
         try:
             terms = read_terms(request, self.routes)
-            if terms.name in self.names:
-                raise Rejected(409, "a request of this id is open")  # one id, one stream: two answers could cross
+            if terms.name in self.names or self._was(terms.name):
+                # One id, one stream: two answers could cross, and what ran once would run again.
+                raise Rejected(409, "a request of this id is or was open")
         except Rejected as problem:
             return await self._reply(peer, problem.status, problem.reason.encode(), close=True)
         passed = tuple((name, value) for name, value in request.headers if name in PASSED)
@@ -85,8 +88,16 @@
             return await self._reply(peer, problem.status, problem.reason.encode(), close=True)
         finally:
             self.names.discard(stream.name)
+            self._past[stream.name] = trio.current_time()
         return answer is not None and await self._answer(peer, answer)
 
+    def _was(self, name: str) -> bool:
+        """Was a stream of that name open lately?  Every try of a client has a new one."""
+        before = trio.current_time() - PAST_KEPT
+        while self._past and (len(self._past) > PAST_MOST or next(iter(self._past.values())) < before):
+            del self._past[next(iter(self._past))]
+        return name in self._past
+
     async def _first_bytes(self, peer: Peer, arrived: float | None) -> bool:
         """Wait for a request to begin; False at the end of the connection."""
         data = b""
