--- a/thistleshore/gate.py
+++ b/thistleshore/gate.py
@@ -25,7 +25,7 @@
 READ_WITHIN = 2.0  # s from a connection's start, or a later request's first byte, to a request's last byte
 NEWCOMER_GRACE = 0.05  # s in which even a crowd leaves a newcomer time to speak
 NEWCOMER_SHARE = 0.25  # of the connections: as many newcomers find room before kept ones give way
-KEPT_SPARE = 6  # connections that a drain should leave free, or a quarter: who finds none takes us for dead
+KEPT_SPARE = 8  # connections that a drain should leave free, or a third: who finds none takes us for dead
 ROOM_TRIES = 4  # waits of that grace for room, after which a connection is closed unheard
 
 Handler = Callable[[trio.SocketStream], Awaitable[None]]
@@ -58,7 +58,7 @@
     @property
     def spare(self) -> float:
         """How far the free connections of a drain, in which no new ones come, go: 1 is enough, 0 none."""
-        wanted = min(KEPT_SPARE, self.connections // 4) if self.draining.is_set() else 0
+        wanted = min(KEPT_SPARE, self.connections // 3) if self.draining.is_set() else 0
         return min(1.0, len(self._idle) / wanted) if wanted else 1.0
 
     async def run(self, address: tuple[str, int], nursery: trio.Nursery, handler: Handler,
