Route streams by a statically safe subset of CEL, with a command line on click

Operators could not say without code how a class, member or key is computed: paths and tubes were compared in the fronts, and read_terms knew one header.

SIGHUP swaps the set whole. config is a package now and names all faults of a file at once. `thistleshore serve|check|expr|import|completion`; the module entry of the importer tells its new name.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -12,7 +12,7 @@
 
 from tests.support import Lines, free_port
 from thistleshore import config
-from thistleshore.__main__ import serve
+from thistleshore.dispatcher import serve
 
 HOSTS = {"h1": 1, "h2": 1, "h3": 2, "h4": 2}  # and their bays: each has a second host to repeat at
 DEADLINE = 3.0
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -13,6 +13,7 @@
 from oxbowarch.interface import AttemptBudget, Effect, Group
 from tests.support import GARBAGE, steady
 from thistleshore import config, nginx
+from thistleshore.expressions import Request
 
 ROOT = Path(__file__).parent.parent
 OPERATOR = (ROOT / "deploy" / "operator.toml").read_text()
@@ -71,7 +72,8 @@
     assert ticket.effect is Effect.KEYED and ticket.group is Group.CELL and ticket.repeat_window == 7.5
     assert (search.max_attempts, ticket.max_attempts, plan.settings.max_attempts) == (6, 3, 6)
     assert plan.settings.limits == (30.0, 15.0) and plan.settings.budget == AttemptBudget(10.0, 0.2, 10.0)
-    assert plan.beanstalkd.terms["ticket-issue"] == (1, 5.0) and plan.beanstalkd.seats["counter-3"] == (0, 2)
+    assert plan.beanstalkd.router.route("ticket-issue", 3, 0)[:2] == (1, 5.0)
+    assert plan.beanstalkd.seats["counter-3"] == (0, 2)
 
 
 @pytest.mark.parametrize(
@@ -141,7 +143,9 @@
     ]  # fmt: skip
     assert (search.effect, search.give_up, search.max_attempts, search.kinds) == (Effect.SAFE, 10.0, 4, (0,))
     assert (pay.effect, pay.give_up, pay.kinds) == (Effect.UNSAFE, 60.0, (1,))
-    assert plan.http.routes.find("", "/pay/x") == 1 and plan.http.routes.find("", "/other") is None
+    assert plan.live is not None
+    found = [plan.live.table.route(Request(path=path)) for path in ("/seat-search", "/pay/x", "/other")]
+    assert [routed and routed.contract for routed in found] == [0, 1, None]
 
 
 @pytest.mark.parametrize(
@@ -163,7 +167,7 @@
 ) -> None:
     assert old in NGINX
     imported(tmp_path, NGINX.replace(old, new))
-    assert nginx.main(["--team", "counters", str(tmp_path / "nginx.conf")]) == 1
+    assert nginx.convert(str(tmp_path / "nginx.conf"), "counters") == 1
     said = capsys.readouterr()
     assert not said.out and f"nginx.conf:{line}: {name}" in said.err
 
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -21,7 +21,7 @@
 from tests.support import CUTS, GARBAGE, PAUSE, commands, pieces, play, socket_pair, steady, talk
 
 NAMES = messages.ListNames({"a": 0, "b": 1}, {"m2": 0})
-ROUTES = messages.Routes({"render": 0}, [5.0], {"acme": 0}, (("/old/", 0),))
+ROUTES = messages.Routes({"render": 0}, [5.0], {"acme": 0})
 PUTS = b"use mail\r\nput 1 0 60 4\r\na\r\nb\r\nreserve-with-timeout 3\r\nput 0 0 1 0\r\n\r\nquit\r\n"
 POST = (
     b"POST /render HTTP/1.1\r\nHost: s\r\nX-Txn: 9b1f\r\nX-Lane: render\r\nX-Remaining-Ms: 480\r\n"
@@ -185,7 +185,7 @@
      (b"/render", b"/paint", 400), (b"Length: 3", b"Length: -3", 400), (b"Length: 3", b"Length: " + b"9" * 5000, 400),
      (b"POST", b"PUT", 405), (b"POST", b"HEAD", 405),
      (b"Length: 3", b"Length: 65537", 413), (b"Length: 3", b"Length: x", 400),
-     (b"/render HTTP/1.1\r\nHost: s\r\nX-Txn: 9b1f\r\nX-Lane: render", b"/old/x HTTP/1.1\r\nHost: s\r\nX-Txn: 9", 200),
+     (b"/render HTTP/1.1\r\nHost: s\r\nX-Txn: 9b1f\r\nX-Lane: render", b"/render HTTP/1.1\r\nHost: s\r\nX-Txn: 9", 200),
      (b"/render", b"/-/ready", 400)],
 )  # fmt: skip
 def test_bad_requests_are_told_apart(old: bytes, new: bytes, status: int) -> None:
--- a/thistleshore/__main__.py
+++ b/thistleshore/__main__.py
@@ -1,4 +1,8 @@
-"""Start-up, the one nursery, and signals."""
+"""Start-up and signals.
+
+Without arguments it serves as the environment says: the platform by `PROXY_CONFIG`, an operator's file by
+`PROXY_OPERATOR`.  With arguments it is the command line, `thistleshore.cli`.
+"""
 
 from __future__ import annotations
 
@@ -8,107 +12,39 @@
 import signal
 import sys
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from math import inf
-from typing import Protocol
 
 import trio
 
-from oxbowarch.brain import Brain
-from oxbowarch.interface import ListKind
 from thistleshore import config
-from thistleshore.beanstalkd.downstream import Tubes
-from thistleshore.beanstalkd.upstream import Hosts
-from thistleshore.core.broker import Broker
-from thistleshore.core.model import HostsTold
-from thistleshore.gate import Gate
-from thistleshore.platform.discovery import Discovery
-from thistleshore.platform.downstream import Downstream
-from thistleshore.platform.upstream import Upstreams, Ways
+from thistleshore.dispatcher import serve
 
 log = logging.getLogger("thistleshore")
 
 
-class Front(Protocol):
-    """A downstream side: it serves until its gate drains and what it took is finished."""
-
-    gate: Gate
-
-    async def run(self, address: tuple[str, int], task_status: trio.TaskStatus[None]) -> None: ...
-
-
-async def serve(plan: config.Plan, drain: trio.Event, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
-                rereads: trio.MemoryReceiveChannel[config.Plan] | None = None) -> None:  # fmt: skip
-    """Run until the event is set and all that was taken is finished; follow what the file says when read again."""
-    broker = Broker(Brain(plan.settings, plan.seed, trio.current_time()))
-    upstreams = Upstreams(Ways(plan.connect_within, plan.idle_most, plan.upstream_most))
-    broker.carriers[tuple] = upstreams
-    fronts: list[tuple[Front, tuple[str, int]]] = []
-    watch: Discovery | None = None
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(broker.run)
-        nursery.start_soon(upstreams.run)
-        await broker.inbox.send(HostsTold(ListKind.CACHED, plan.known))
-        if plan.http is not None:
-            downstream = Downstream(plan.http.routes, broker.listed, broker.inbox, plan.downstream_most)
-            fronts.append((downstream, plan.http.listen))
-            if plan.http.discovery is not None:
-                watch = Discovery(plan.http.discovery, plan.http.names, plan.epoch, plan.http.known_seq)
-                nursery.start_soon(watch.run, broker.inbox)
-        if plan.beanstalkd is not None:
-            hosts = Hosts(plan.beanstalkd.seats, broker.inbox, plan.connect_within)
-            broker.carriers[str] = hosts
-            tubes = Tubes(plan.beanstalkd.terms, hosts, broker.inbox, plan.streams_most, plan.downstream_most)
-            fronts.append((tubes, plan.beanstalkd.listen))
-        nursery.start_soon(_drain, drain, [front.gate.draining for front, _ in fronts])
-        if rereads is not None:
-            nursery.start_soon(_follow, rereads, plan, watch)
-        async with trio.open_nursery() as serving:
-            for front, address in fronts:
-                await serving.start(front.run, address)
-            task_status.started()
-        log.info("drained: every stream that was taken is answered")
-        nursery.cancel_scope.cancel()
-
-
-async def _drain(drain: trio.Event, draining: list[trio.Event]) -> None:
-    await drain.wait()
-    log.info("draining: not ready; finishing what was taken")
-    for event in draining:
-        event.set()
-
-
-async def _follow(rereads: trio.MemoryReceiveChannel[config.Plan], plan: config.Plan, watch: Discovery | None) -> None:
-    """Move to the address of discovery that the file names now; the rest of it needs a restart."""
-    async for found in rereads:
-        if changed := plan.changed(found):
-            log.warning("configuration reread: a restart is needed for %s", ", ".join(changed))
-        address = found.http.discovery if found.http is not None else None
-        if watch is None or address is None or address == watch.address:
-            log.info("configuration reread: discovery stays where it was")
-        else:
-            log.info("configuration reread: discovery moves to %s:%d", *address)
-            watch.move(address)
-
-
-async def _obey(signals: AsyncIterator[int], drain: trio.Event, rereads: trio.MemorySendChannel[config.Plan]) -> None:
+async def _obey(signals: AsyncIterator[int], drain: trio.Event, environ: Mapping[str, str],
+                rereads: trio.MemorySendChannel[config.Plan]) -> None:  # fmt: skip
     """SIGHUP reads the file again, also in a drain; a second SIGTERM changes nothing: SIGKILL is what ends it early."""
     async for number in signals:
         if number != signal.SIGHUP:
             drain.set()
             continue
         try:
-            rereads.send_nowait(_load(again=True))
+            rereads.send_nowait(_load(environ, again=True))
+        except config.ConfigError as problem:
+            log.error("configuration not reread, the old one holds: %s", problem.in_a_line)
         except Exception as problem:
             # A file that is faulty, or half written, must not end a dispatcher that serves.
             log.error("configuration not reread, the old one holds: %s", problem)
 
 
-def _load(again: bool = False) -> config.Plan:
-    return config.load(os.environ, trio.current_time() - time.time(), again)
+def _load(environ: Mapping[str, str], again: bool = False) -> config.Plan:
+    return config.load(environ, trio.current_time() - time.time(), again)
 
 
-def main() -> int:
+def run(environ: Mapping[str, str]) -> int:
+    """Serve until a signal ends it; the exit status: 0 after a drain, 2 for configuration that cannot be used."""
     # Until the program listens to it, and while it ends, SIGHUP would end it as it ends any program.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
@@ -117,9 +53,9 @@
         drain = trio.Event()
         rereads = trio.open_memory_channel[config.Plan](inf)
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-            plan = _load()
+            plan = _load(environ)
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(_obey, signals, drain, rereads[0])
+                nursery.start_soon(_obey, signals, drain, environ, rereads[0])
                 await serve(plan, drain, rereads=rereads[1])
                 nursery.cancel_scope.cancel()
 
@@ -134,5 +70,13 @@
     return 0
 
 
+def main() -> int:
+    if len(sys.argv) > 1:
+        from thistleshore.cli import main as command_line  # an operator's tool: the platform never gets here
+
+        return command_line()
+    return run(os.environ)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/thistleshore/beanstalkd/downstream.py
+++ b/thistleshore/beanstalkd/downstream.py
@@ -6,22 +6,22 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Mapping
 from contextlib import nullcontext
 from dataclasses import dataclass, field
 from itertools import count
 from math import inf
-from typing import NamedTuple
 
 import trio
 
 from oxbowarch.interface import Status
 from thistleshore.beanstalkd import codec
 from thistleshore.beanstalkd.codec import Command, Decoder, Fault, line, with_body
+from thistleshore.beanstalkd.routed import TubeRouter
 from thistleshore.beanstalkd.upstream import HOST_PREFIX, Hosts, Reservation, Slot, TubeJob
 from thistleshore.core.model import Event, FinalAnswer, LocalReply, Served, Stream, StreamOpened
 from thistleshore.core.model import StreamWithdrawn
-from thistleshore.gate import BROKEN, READ_WITHIN, Gate
+from thistleshore.gate import BROKEN, READ_WITHIN, Gate, peer_address
+from thistleshore.routing import Routed
 
 log = logging.getLogger("thistleshore")
 
@@ -37,13 +37,6 @@
 NOT_FOUND, DELETED = b"NOT_FOUND\r\n", b"DELETED\r\n"
 
 
-class TubeTerms(NamedTuple):
-    """The contract to which a tube is tied."""
-
-    job_class: int
-    deadline: float
-
-
 @dataclass(slots=True, eq=False)
 class Reply:
     """A final answer that waits in its reply tube."""
@@ -67,9 +60,9 @@
 class Tubes:
     """The beanstalkd front of one dispatcher."""
 
-    def __init__(self, terms: Mapping[str, TubeTerms], hosts: Hosts, inbox: trio.MemorySendChannel[Event],
+    def __init__(self, router: TubeRouter, hosts: Hosts, inbox: trio.MemorySendChannel[Event],
                  streams_most: int, connections_most: int) -> None:  # fmt: skip
-        self.terms, self.hosts, self.inbox, self.streams_most = terms, hosts, inbox, streams_most
+        self.router, self.hosts, self.inbox, self.streams_most = router, hosts, inbox, streams_most
         self.gate = Gate(connections_most)
         self.numbers = count(1)
         self.open: dict[int, tuple[Stream, TubeJob]] = {}  # jobs without a final answer
@@ -106,11 +99,11 @@
             with trio.CancelScope(shield=True), trio.move_on_after(1.0):
                 await connection.lost()
 
-    async def take(self, tube: str, ttr: int, body: bytes) -> int:
+    async def take(self, tube: str, ttr: int, body: bytes, routed: Routed) -> int:
         """A complete put is a stream."""
-        terms = self.terms[tube]
         job = TubeJob(next(self.numbers), tube, body, float(max(1, ttr)))
-        stream = Stream(str(job.id), terms.job_class, trio.current_time() + terms.deadline, job, terms.job_class)
+        stream = Stream(str(job.id), routed.contract, trio.current_time() + routed.deadline, job, routed.contract,
+                        routed.key, member=routed.member)  # fmt: skip
         self.open[job.id] = stream, job
         self._keepers.start_soon(self._keep, stream, job)
         await self.inbox.send(StreamOpened(stream))
@@ -160,7 +153,7 @@
     """One client or host: its used and watched tubes, what it holds, and its commands one by one."""
 
     def __init__(self, tubes: Tubes, socket: trio.SocketStream) -> None:
-        self.tubes, self.socket = tubes, socket
+        self.tubes, self.socket, self.address = tubes, socket, peer_address(socket)
         self.used = "default"
         self.watched = {"default": None}
         self.reservations: dict[int, Reservation] = {}
@@ -231,8 +224,8 @@
 
     async def _do(self, command: Command) -> bytes:
         match command:
-            case Command("put", (_, delay, ttr, _), _, body):
-                return await self._put(delay, ttr, body)
+            case Command("put", (priority, delay, ttr, _), _, body):
+                return await self._put(priority, delay, ttr, body)
             case Command("use", _, tube):
                 self.used = tube
                 return line(b"USING", tube)
@@ -250,16 +243,17 @@
             case _:
                 return self._look(command)
 
-    async def _put(self, delay: int, ttr: int, body: bytes) -> bytes:
+    async def _put(self, priority: int, delay: int, ttr: int, body: bytes) -> bytes:
         if self.used.startswith(REPLY_PREFIX):
             return self._result(body)
-        if self.used not in self.tubes.terms or delay:
-            return b"BAD_FORMAT\r\n"  # neither a tube without a contract nor a delay is carried out
+        routed = None if delay else self.tubes.router.route(self.used, len(body), priority, self.address)
+        if routed is None:
+            return b"BAD_FORMAT\r\n"  # neither what no rule fits nor a delay is carried out
         if self.tubes.draining:
             return b"DRAINING\r\n"
         if len(self.tubes.open) >= self.tubes.streams_most:
             return b"OUT_OF_MEMORY\r\n"  # jobs without bound would fill the memory
-        return line(b"INSERTED", await self.tubes.take(self.used, ttr, body))
+        return line(b"INSERTED", await self.tubes.take(self.used, ttr, body, routed))
 
     def _result(self, body: bytes) -> bytes:
         """A host's result for a job in its hands; one that comes late is discarded."""
@@ -410,7 +404,7 @@
 
     def _tubes(self) -> list[str]:
         used = {self.used: None, **self.watched, **{r.tube: None for r in self.tubes.replies.values()}}
-        return list({"default": None, **dict.fromkeys(self.tubes.terms), **used})
+        return list({"default": None, **dict.fromkeys(self.tubes.router.tubes), **used})
 
     def _stats_job(self, number: int) -> bytes:
         reply, (_, job) = self.tubes.replies.get(number), self.tubes.open.get(number, (None, None))
--- /dev/null
+++ b/thistleshore/config/operator.py
@@ -0,0 +1,342 @@
+"""An operator's own file, TOML: every table and key, its default and its check.
+
+A fault does not end the reading: a stand-in value is put in its place, so that all faults of a file are named at
+once.  A file with any fault comes to nothing.
+"""
+
+from __future__ import annotations
+
+import os
+import re
+import tomllib
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from typing import Any
+
+from oxbowarch.interface import Effect, Entry, Group, State
+from thistleshore.beanstalkd.codec import NAME
+from thistleshore.beanstalkd.downstream import REPLY_PREFIX
+from thistleshore.beanstalkd.routed import TubeRouter
+from thistleshore.beanstalkd.upstream import HOST_PREFIX, HostSeat
+from thistleshore.config.platform import (
+    IDLE_SHARE, SOCKETS, SOCKETS_SPARE, Address, BeanstalkdPlan, ConfigError, HttpPlan, Plan, address, number,
+)  # fmt: skip
+from thistleshore.core.contracts import Book, Budget, Contract
+from thistleshore.core.model import HostLine
+from thistleshore.expressions import Limits, NetworkError, Rule, Source, address_set, request_environment
+from thistleshore.expressions.networks import AddressSet
+from thistleshore.platform.messages import ListNames, Routes
+from thistleshore.platform.routed import HttpRouter
+from thistleshore.routing import Live, RouteTable, TableError, Terms
+from thistleshore.routing.table import KINDS
+
+KEPT_TUBES = (REPLY_PREFIX, HOST_PREFIX)  # tubes of these names mean something else
+EFFECTS = {"safe": Effect.SAFE, "keyed": Effect.KEYED, "unsafe": Effect.UNSAFE}
+GROUPS = {"all": Group.ALL, "bay": Group.CELL}
+TOP = ("name", "balancers", "streams", "max_retry_after", "http", "beanstalkd", "discovery", "limits", "start",
+       "budget", "service", "host", "contract", "match", "address_set", "expressions")  # fmt: skip
+PLAIN = TOP[:4]
+FILE_MOST = 8 * 1024 * 1024  # bytes; more is no file that somebody wrote
+
+
+def read(path: str, epoch: float, named_by: str) -> Plan:
+    """The plan of a file, or ConfigError with all that is wrong with it."""
+    try:
+        data = Path(path).read_bytes()
+        if len(data) > FILE_MOST:
+            raise ValueError(f"{path} has over {FILE_MOST} bytes")
+        text = data.decode()
+        conf = tomllib.loads(text)
+    except RecursionError:
+        raise ConfigError(f"{named_by}: {path} is nested too deep") from None
+    except (OSError, ValueError) as problem:
+        raise ConfigError(f"{named_by}: {problem}") from None
+    return Reader(conf, path, text).plan(epoch)
+
+
+class Section:
+    """One table of the file; what is left unread at the end is unknown, and a fault."""
+
+    def __init__(self, found: Any, path: str, faults: list[str]) -> None:
+        self.faults, self.path = faults, path
+        if not isinstance(found, Mapping):
+            faults.append(f"{path}: a table is wanted")
+            found = {}
+        self.left = dict(found)
+
+    def __enter__(self) -> Section:
+        return self
+
+    def __exit__(self, kind: object, *_: object) -> None:
+        if kind is None:
+            self.faults += [f"{self.path}.{key}: unknown key" for key in self.left]
+
+    def fault(self, key: str, text: str) -> None:
+        self.faults.append(f"{self.path}.{key}: {text}")
+
+    def _take(self, key: str, default: Any, stand_in: Any) -> Any:
+        if key not in self.left and default is None:
+            self.fault(key, "missing")
+            return stand_in
+        return self.left.pop(key, default)
+
+    def number(self, key: str, default: float | None = None, low: float = 0.0) -> float:
+        stand_in = max(low, 1.0)
+        try:
+            return number({key: self._take(key, default, stand_in)}, key, self.path, 0.0, low)
+        except ConfigError as problem:
+            self.faults += problem.problems
+            return stand_in
+
+    def whole(self, key: str, default: int | None = None, low: int = 0) -> int:
+        found = self._take(key, default, max(low, 1))
+        if type(found) is not int or found < low:
+            self.fault(key, f"a whole number of at least {low} is wanted, not {found!r}")
+            return max(low, 1)
+        return found
+
+    def text(self, key: str, default: str | None = None) -> str:
+        found = self._take(key, default, "")
+        if not isinstance(found, str):
+            self.fault(key, f"a text is wanted, not {found!r}")
+            return ""
+        return found
+
+    def flag(self, key: str, default: bool) -> bool:
+        found = self._take(key, default, default)
+        if not isinstance(found, bool):
+            self.fault(key, f"true or false is wanted, not {found!r}")
+            return default
+        return found
+
+    def choice(self, key: str, table: Mapping[str, Any], default: str | None = None) -> Any:
+        given = key in self.left or default is not None
+        found = self.text(key, default)
+        if found not in table:
+            if given:
+                self.fault(key, f"one of {', '.join(table)} is wanted, not {found!r}")
+            return next(iter(table.values()), None)
+        return table[found]
+
+    def texts(self, key: str) -> list[str]:
+        found = self._take(key, None, [])
+        if not isinstance(found, list) or not all(isinstance(text, str) for text in found):
+            self.fault(key, "a list of texts is wanted")
+            return []
+        return found
+
+    def address(self, key: str) -> Address:
+        if key not in self.left:
+            self.fault(key, "missing")
+            return ("127.0.0.1", 1)
+        try:
+            return address(self.left.pop(key), f"{self.path}.{key}")
+        except ConfigError as problem:
+            self.faults += problem.problems
+            return ("127.0.0.1", 1)
+
+
+class Reader:
+    """Reads the tables of one file; `text` lets faults in expressions name their lines."""
+
+    def __init__(self, conf: Mapping[str, Any], file: str = "", text: str = "") -> None:
+        self.conf, self.file, self.text = conf, file, text
+        self.faults: list[str] = []
+
+    def _section(self, key: str) -> Section:
+        return Section(self.conf.get(key, {}), key, self.faults)
+
+    def _sections(self, key: str) -> list[Section]:
+        found = self.conf.get(key, [])
+        if not isinstance(found, list):
+            self.faults.append(f"{key}: tables of the form [[{key}]] are wanted")
+            return []
+        return [Section(item, f"{key}[{n}]", self.faults) for n, item in enumerate(found)]
+
+    def plan(self, epoch: float) -> Plan:
+        """The plan, or ConfigError with every fault."""
+        self.faults += [f"{key}: unknown key" for key in self.conf if key not in TOP]
+        services = self._services()
+        contracts = self._contracts(services)
+        seats, known = self._hosts(services)
+        top = Section({key: self.conf[key] for key in PLAIN if key in self.conf}, "file", self.faults)
+        with top, self._section("limits") as limits, self._section("start") as start:
+            balancers, streams = top.whole("balancers", 1, 1), top.whole("streams", 512, 1)
+            name, advice = top.text("name", "dispatcher"), top.number("max_retry_after", 2.0)
+            sockets = limits.whole("sockets", SOCKETS, 4 * SOCKETS_SPARE) - SOCKETS_SPARE
+            connect_within, idle = limits.number("connect", 0.2, 0.001), limits.number("idle", 15.0, 0.1)
+            warm_up, cold_from = start.number("warm_up", 0.0), start.number("cold_from", 1.0, 0.001)
+        budget = None
+        if "budget" in self.conf:
+            with self._section("budget") as part:
+                budget = Budget(part.number("free"), part.number("share"), part.number("span", low=0.001))
+        live = self._live(contracts)
+        touches, tubes, http = False, None, None
+        if "beanstalkd" in self.conf:
+            with self._section("beanstalkd") as part:
+                listen, touches = part.address("listen"), part.flag("touches", False)
+            tubes = BeanstalkdPlan(listen, TubeRouter(live), seats) if live is not None else None
+        if "http" in self.conf:
+            http = self._http(contracts, services, live)
+        for n, contract in enumerate(contracts):
+            for key, front in (("tube", "beanstalkd"), ("path", "http")):
+                if getattr(contract, key) and front not in self.conf:
+                    self.faults.append(f"contract[{n}].{key}: its front is not set up in the file")
+        book = Book(tuple(contracts), tuple(services), budget, balancers, advice, touches, warm_up, cold_from)
+        if not self.faults:
+            try:
+                settings = book.settings()
+            except ValueError as problem:
+                self.faults.append(str(problem))
+        if self.faults:
+            raise ConfigError(*dict.fromkeys(self.faults))
+        return Plan(name, int.from_bytes(os.urandom(8), "big"), settings, http, tubes, tuple(known), epoch,
+                    connect_within, IDLE_SHARE * idle, sockets, streams, live, self.conf)  # fmt: skip
+
+    def _services(self) -> dict[str, int]:
+        services: dict[str, int] = {}
+        for part in self._sections("service"):
+            with part:
+                name = part.text("name")
+                if name in services:
+                    part.fault("name", f"{name!r} is named twice")
+                services.setdefault(name, len(services))
+        return services
+
+    def _contracts(self, services: Mapping[str, int]) -> list[Contract]:
+        contracts = [self._contract(part, services) for part in self._sections("contract")]
+        if not contracts:
+            self.faults.append("contract: at least one [[contract]] is wanted")
+        for key in ("tube", "path"):
+            seen: set[str] = set()
+            for n, contract in enumerate(contracts):
+                value = getattr(contract, key)
+                if value and value in seen:
+                    self.faults.append(f"contract[{n}].{key}: {value!r} is named twice")
+                seen.add(value)
+        return contracts
+
+    def _contract(self, part: Section, services: Mapping[str, int]) -> Contract:
+        with part:
+            effect = part.choice("effect", EFFECTS)
+            contract = Contract(
+                team=part.text("team"),
+                service=part.text("service"),
+                job_class=part.text("class"),
+                effect=effect,
+                deadline=part.number("deadline", low=0.001),
+                rate=part.number("rate"),
+                attempts=part.whole("attempts", 3, 1),
+                group=part.choice("group", GROUPS, "bay"),
+                window=part.number("window", None if effect is Effect.KEYED else 0.0),
+                aim=part.number("aim", 1.0),
+                stretch=part.number("stretch", 0.0),
+                worth=part.number("worth", 1.0),
+                tube=part.text("tube", ""),
+                path=part.text("path", ""),
+                name=part.text("name", ""),
+            )
+            if contract.service and contract.service not in services:
+                part.fault("service", f"no [[service]] is named {contract.service!r}")
+            if not (contract.tube or contract.path or self.conf.get("match")):
+                part.fault("tube", "a tube, a path or a [[match]] is wanted")
+            if contract.tube and (not NAME.fullmatch(contract.tube.encode()) or contract.tube.startswith(KEPT_TUBES)):
+                part.fault("tube", f"{contract.tube!r} is no tube that a contract may have")
+            if contract.path and not contract.path.startswith("/"):
+                part.fault("path", "must begin with a slash")
+            return contract
+
+    def _hosts(self, services: Mapping[str, int]) -> tuple[dict[str, HostSeat], list[HostLine]]:
+        seats: dict[str, HostSeat] = {}
+        known: list[HostLine] = []
+        for part in self._sections("host"):
+            with part:
+                name, service = part.text("name"), part.choice("service", services)
+                bay, weight = part.whole("bay", 0), part.number("weight", 1.0)
+                if name in seats or any(line.entry.worker == name.encode() for line in known):
+                    part.fault("name", f"{name!r} is named twice")
+                if "address" in part.left:
+                    dial = part.address("address")
+                    entry = Entry(name.encode(), State.READY, kind=service or 0, cell=bay, weight=weight)
+                    known.append(HostLine(entry, dial))
+                else:
+                    seats[name] = HostSeat(service or 0, bay)
+        return seats, known
+
+    def _http(self, contracts: Sequence[Contract], services: Mapping[str, int], live: Live | None) -> HttpPlan | None:
+        with self._section("http") as part:
+            listen = part.address("listen")
+        discovery = None
+        if "discovery" in self.conf:
+            with self._section("discovery") as part:
+                discovery = part.address("address")
+        if live is None:
+            return None
+        routes = Routes({}, [contract.deadline for contract in contracts], None, HttpRouter(live))
+        return HttpPlan(listen, routes, ListNames({}, services), discovery)
+
+    # -- the rules ----------------------------------------------------------------------------
+
+    def _live(self, contracts: Sequence[Contract]) -> Live | None:
+        """The route table; None where something is wrong with it."""
+        with self._section("expressions") as part:
+            limits = Limits(part.whole("cost", Limits().expression, 1), part.whole("total", Limits().total, 1))
+        sets = self._sets()
+        rules: list[Rule] = []
+        names: set[str] = set()
+        for n, part in enumerate(self._sections("match")):
+            with part:
+                name = part.text("name", f"match[{n}]")
+                if name in names:
+                    part.fault("name", f"{name!r} is named twice")
+                names.add(name)
+                when = self._source(part, n, "when")
+                given = {kind.name: self._source(part, n, kind.name) for kind in KINDS if kind.name in part.left}
+                if not given:
+                    part.fault("contract", "a rule gives at least one of contract, class, member and key")
+                rules.append(Rule(name, when, given))
+        terms = [Terms(c.name or c.job_class, c.job_class, c.team, c.deadline, c.path, c.tube) for c in contracts]
+        try:
+            return Live(RouteTable(terms, rules, request_environment(sets), limits))
+        except TableError as problem:
+            self.faults += map(str, problem.problems)
+            return None
+
+    def _sets(self) -> dict[str, AddressSet]:
+        sets: dict[str, AddressSet] = {}
+        for part in self._sections("address_set"):
+            with part:
+                name, networks = part.text("name"), part.texts("networks")
+                if name in sets:
+                    part.fault("name", f"{name!r} is named twice")
+                found: list[str] = []
+                for n, network in enumerate(networks):
+                    try:
+                        address_set("", [network])
+                        found.append(network)
+                    except NetworkError as problem:
+                        part.fault(f"networks[{n}]", str(problem))
+                sets[name] = address_set(name, found)
+        return sets
+
+    def _source(self, part: Section, number: int, key: str) -> Source:
+        """An expression's text, and where it stands in the file."""
+        text = part.text(key) or "true"
+        line, column = locate(self.text, "match", number, key, text)
+        return Source(text, self.file, f"match[{number}].{key}", line, column)
+
+
+def locate(text: str, table: str, number: int, key: str, value: str) -> tuple[int, int]:
+    """Line and column, from 1, where the value of a key in the so-manieth `[[table]]` begins; 0, 0 where it is not
+    found, or stands there with escapes."""
+    heads = list(re.finditer(rf"^[ \t]*\[\[[ \t]*{re.escape(table)}[ \t]*\]\]", text, re.MULTILINE))
+    if number >= len(heads):
+        return 0, 0
+    end = heads[number + 1].start() if number + 1 < len(heads) else len(text)
+    found = re.compile(rf"^[ \t]*{re.escape(key)}[ \t]*=[ \t]*(\"\"\"\r?\n?|'''\r?\n?|\"|')", re.MULTILINE).search(
+        text, heads[number].end(), end
+    )
+    if found is None or not text.startswith(value, found.end()):
+        return 0, 0
+    before = text[: found.end()]
+    return before.count("\n") + 1, found.end() - (before.rfind("\n") + 1) + 1
--- /dev/null
+++ b/thistleshore/config/platform.py
@@ -0,0 +1,208 @@
+"""The plan that configuration comes to, and the platform's part: `PROXY_*` and a JSON file, in which unknown keys
+are ignored: the platform may add some.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field, replace
+from math import isfinite
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from oxbowarch import wire
+from oxbowarch.interface import Settings
+from thistleshore.core.model import HostLine
+from thistleshore.platform.messages import ListNames, Malformed, Routes, read_address, read_hosts
+
+if TYPE_CHECKING:  # the platform imports none of it
+    from thistleshore.beanstalkd.routed import TubeRouter
+    from thistleshore.beanstalkd.upstream import HostSeat
+    from thistleshore.routing import Live
+
+Address = tuple[str, int]
+SOCKETS = 1024  # where the platform names no limit
+SOCKETS_SPARE = 64  # for the listener, discovery, the log and the interpreter's own files
+# Keys that may differ in a file read again: followed, or of use at a start only.
+RULES = ("match", "address_set", "expressions")
+MOVES = ("discovery", "known", "seed", *RULES)
+IDLE_SHARE = 0.6  # of the time after which hosts close an idle connection: ours are retired well before
+
+
+class ConfigError(ValueError):
+    """Configuration that cannot be used; the text names the faulty keys, `problems` has one text for each."""
+
+    def __init__(self, *problems: str) -> None:
+        super().__init__("\n".join(problems))
+        self.problems: Sequence[str] = problems
+
+    @property
+    def in_a_line(self) -> str:
+        """For a log, where an event is a line: each problem, its place and what would be right."""
+        return "; ".join(" ".join(filter(None, map(str.strip, problem.split("\n")))) for problem in self.problems)
+
+
+@dataclass(frozen=True, slots=True)
+class HttpPlan:
+    listen: Address
+    routes: Routes
+    names: ListNames
+    discovery: Address | None = None
+    known_seq: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class BeanstalkdPlan:
+    listen: Address
+    router: TubeRouter
+    seats: dict[str, HostSeat]
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """All that the program is told, checked."""
+
+    name: str
+    seed: int
+    settings: Settings  # the module's
+    http: HttpPlan | None
+    beanstalkd: BeanstalkdPlan | None
+    known: tuple[HostLine, ...]
+    epoch: float
+    connect_within: float
+    idle_most: float
+    sockets: int
+    streams_most: int = 512
+    live: Live | None = None  # the route table in force, of an operator's file
+    told: Mapping[str, Any] = field(default_factory=dict, repr=False)  # as the file words it
+
+    def changed(self, other: Plan) -> list[str]:
+        """The keys in which another reading of the file differs and which hold until a restart."""
+        keys = sorted(self.told.keys() | other.told.keys())
+        return [key for key in keys if key not in MOVES and self.told.get(key) != other.told.get(key)]
+
+    @property
+    def downstream_most(self) -> int:
+        """Connections of each front."""
+        return self.sockets * 2 // (6 if self.http and self.beanstalkd else 3)
+
+    @property
+    def upstream_most(self) -> int:
+        return self.sockets // 3
+
+
+def address(text: Any, key: str) -> Address:
+    try:
+        return read_address(text)
+    except (ValueError, AttributeError, TypeError):
+        raise ConfigError(f"{key}: {text!r} is no address of the form HOST:PORT") from None
+
+
+def table(parent: Mapping[str, Any], key: str, path: str) -> Mapping[str, Any]:
+    found = parent.get(key, {})
+    if not isinstance(found, Mapping):
+        raise ConfigError(f"{path}: an object is wanted")
+    return found
+
+
+def number(parent: Mapping[str, Any], key: str, path: str, default: float, low: float = 0.0) -> float:
+    """A figure of at least `low`, or its default."""
+    found = parent.get(key, default)
+    if isinstance(found, bool) or not isinstance(found, int | float) or not (isfinite(found) and found >= low):
+        raise ConfigError(f"{path}.{key}: a number of at least {low:g} is wanted, not {found!r}")
+    return float(found)
+
+
+def named(found: Any, path: str) -> dict[str, int]:
+    """The numbers of named things, by their order in a list of names or of objects with a name."""
+    if not isinstance(found, list):
+        raise ConfigError(f"{path}: a list is wanted")
+    numbers: dict[str, int] = {}
+    for n, item in enumerate(found):
+        name = item.get("name") if isinstance(item, Mapping) else item
+        if not isinstance(name, str):
+            raise ConfigError(f"{path}[{n}].name: a name is wanted")
+        numbers[name] = n
+    return numbers
+
+
+def platform_file(path: str, environ: Mapping[str, str], epoch: float, again: bool) -> Plan:
+    """The plan of the platform's file."""
+    try:
+        conf = json.loads(Path(path).read_bytes())
+    except (OSError, ValueError) as problem:
+        raise ConfigError(f"PROXY_CONFIG: {problem}") from None
+    if not isinstance(conf, Mapping):
+        raise ConfigError("PROXY_CONFIG: a JSON object is wanted")
+    if again and conf.get("discovery"):
+        environ = {**environ, "PROXY_DISCOVERY": ""}
+    return platform_plan(conf, environ, epoch)
+
+
+def platform_plan(conf: Mapping[str, Any], environ: Mapping[str, str], epoch: float) -> Plan:
+    raw = dict(table(conf, "settings", "settings"))
+    _check_figures(raw)
+    try:
+        # The platform's protocol has no probe: a module that asked for one would wait in vain.
+        settings = replace(wire.settings(raw), can_probe=False)
+    except (ValueError, TypeError, AttributeError, KeyError) as problem:
+        raise ConfigError(f"settings: {str(problem).removeprefix('settings: ')}") from None
+    zones, kinds = (named(raw.get(key, []), f"settings.{key}") for key in ("localities", "kinds"))
+    names = ListNames(zones, kinds)
+    limits, rules = table(raw, "limits", "settings.limits"), table(conf, "limits", "limits")
+    sockets = int(number(rules, "sockets", "limits", SOCKETS, 4 * SOCKETS_SPARE)) - SOCKETS_SPARE
+    seq, known = 0, tuple[HostLine, ...]()
+    if "known" in conf:
+        try:
+            seq, _, known = read_hosts(conf["known"], names, epoch)
+        except Malformed as problem:
+            raise ConfigError(f"known: {problem}") from None
+    discovery = environ.get("PROXY_DISCOVERY") or conf.get("discovery")
+    where = "PROXY_DISCOVERY" if environ.get("PROXY_DISCOVERY") else "discovery"
+    routes = Routes(
+        classes=named(raw.get("lanes", []), "settings.lanes"),
+        give_up=[rule.give_up for rule in settings.classes],
+        tenants=named(raw.get("tenants", []), "settings.tenants"),
+    )
+    return Plan(
+        name=environ.get("PROXY_NAME") or str(conf.get("name", "dispatcher")),
+        seed=seed(conf.get("seed", 0)),
+        settings=settings,
+        http=HttpPlan(
+            address(environ.get("PROXY_LISTEN") or conf.get("listen"), "PROXY_LISTEN"),
+            routes,
+            names,
+            address(discovery, where) if discovery else None,
+            seq,
+        ),
+        beanstalkd=None,
+        known=known,
+        epoch=epoch,
+        connect_within=number(limits, "connectTimeout", "settings.limits", 0.2, 0.001),
+        idle_most=IDLE_SHARE * number(limits, "connIdle", "settings.limits", 15.0, 0.1),
+        sockets=sockets,
+        told=conf,
+    )
+
+
+def _check_figures(raw: Mapping[str, Any]) -> None:
+    """Name a figure that is none by its key: the adapter, which takes the settings over, does not."""
+    wanted = {"lanes": ("aim", "giveUp", "lateShare", "worth", "repeatWindow", "aimStretch"), "tenants": ("quotaPerS",)}
+    for key, figures in wanted.items():
+        named(raw.get(key, []), f"settings.{key}")
+        for n, item in enumerate(raw.get(key, [])):
+            for figure in figures:
+                number(item, figure, f"settings.{key}[{n}]", 0.0)
+    for key, figures in (("rules", ("askWithin", "coldFrom", "warmUp")), ("limits", ("maxAttempts", "maxRetryAfter"))):
+        for figure in figures:
+            number(table(raw, key, f"settings.{key}"), figure, f"settings.{key}", 0.0)
+    for figure in ("balancers", "quantum", "locality"):
+        number(raw, figure, "settings", 0.0)
+
+
+def seed(found: Any) -> int:
+    try:
+        return found if isinstance(found, int) else int(found, 16)
+    except (ValueError, TypeError):
+        raise ConfigError(f"seed: {found!r} is no number") from None
--- a/thistleshore/core/contracts.py
+++ b/thistleshore/core/contracts.py
@@ -28,6 +28,7 @@
     worth: float = 1.0
     tube: str = ""  # where beanstalkd clients put its jobs
     path: str = ""  # the prefix by which HTTP clients name it
+    name: str = ""  # what rules call it; "": by its class
 
 
 @dataclass(frozen=True, slots=True)
--- a/thistleshore/core/model.py
+++ b/thistleshore/core/model.py
@@ -38,6 +38,7 @@
     tenant: int = 0
     key: int = 0
     repeat: bool = False
+    member: str = ""  # whose it is, as the operator's rules tell
     spare: float = 1.0  # how far its front's means to be answered by go, 1 to 0
     id: int = -1  # the broker's number for it
     answer: FinalAnswer | None = None
--- a/thistleshore/gate.py
+++ b/thistleshore/gate.py
@@ -28,6 +28,19 @@
 KEPT_SPARE = 8  # connections that a drain should leave free, or a third: who finds none takes us for dead
 ROOM_TRIES = 4  # waits of that grace for room, after which a connection is closed unheard
 
+
+
+def peer_address(socket: trio.SocketStream) -> int:
+    """Who a connection comes from, as rules see it; 0 where the transport names no address."""
+    from thistleshore.expressions.networks import address  # of an operator's installation: the platform has no rules
+
+    try:
+        name = socket.socket.getpeername()
+    except OSError:  # it has gone already
+        return 0
+    return (address(name[0]) or 0) if isinstance(name, tuple) else 0
+
+
 Handler = Callable[[trio.SocketStream], Awaitable[None]]
 
 
--- a/thistleshore/nginx.py
+++ b/thistleshore/nginx.py
@@ -1,6 +1,6 @@
 """Offline importer: nginx upstream and location blocks become an operator's TOML file.
 
-    python -m thistleshore.nginx --team NAME nginx.conf > operator.toml
+    thistleshore import nginx --team NAME nginx.conf > operator.toml
 
 What cannot be carried over is refused with file, line and directive, and nothing is written.  A directive that
 may be lost is named with --leave-out; the file then says in a comment where it stood.
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import argparse
 import ipaddress
 import json
 import re
@@ -195,7 +194,7 @@
     # -- the file that comes of it --------------------------------------------------------------
 
     def toml(self) -> str:
-        lines = ["# From nginx blocks, by python -m thistleshore.nginx."]
+        lines = ["# From nginx blocks, by thistleshore import nginx."]
         lines += [f"# left out: {item.at}: {' '.join((item.name, *item.args))}" for item in self.left_out]
         lines += ["", "[http]", f"listen = {json.dumps(self.listen or '0.0.0.0:80')}"]
         if self.connect is not None:
@@ -295,18 +294,17 @@
     return (walk(item, part["file"]) for item in part["parsed"])
 
 
-def main(arguments: list[str] | None = None) -> int:
-    parser = argparse.ArgumentParser(prog="python -m thistleshore.nginx", description=(__doc__ or "").split("\n")[0])
-    parser.add_argument("file")
-    parser.add_argument("--team", required=True, help="the consumer team of the contracts")
-    parser.add_argument("--leave-out", action="append", default=[], metavar="DIRECTIVE", help="may be lost; repeatable")
-    asked = parser.parse_args(arguments)
-    found = read(asked.file, asked.team, frozenset(asked.leave_out))
+def convert(path: str, team: str, leave_out: frozenset[str] = frozenset()) -> int:
+    """Write the operator's file of an nginx file to standard output, or each refusal to standard error.
+
+    Returns the exit status: 0 where it is written, 1 where anything is refused.
+    """
+    found = read(path, team, leave_out)
     if not found.refusals:
         try:
             config.operator_plan(tomllib.loads(found.toml()), 0.0)
         except config.ConfigError as problem:
-            found.refusals.append(Refusal(Directive(asked.file, 1, "result", (), ()), str(problem)))
+            found.refusals.append(Refusal(Directive(path, 1, "result", (), ()), str(problem)))
     for refusal in found.refusals:
         print(refusal, file=sys.stderr)
     if not found.refusals:
@@ -314,5 +312,5 @@
     return 1 if found.refusals else 0
 
 
-if __name__ == "__main__":
-    sys.exit(main())
+if __name__ == "__main__":  # the entry of earlier versions: a script that still calls it must not get an empty file
+    sys.exit("the importer is now: thistleshore import nginx --team NAME nginx.conf > operator.toml")
--- a/thistleshore/platform/downstream.py
+++ b/thistleshore/platform/downstream.py
@@ -11,7 +11,7 @@
 
 from thistleshore.core.model import Event, Failed, FinalAnswer, LocalReply, Served, Stream, StreamOpened
 from thistleshore.core.model import StreamWithdrawn
-from thistleshore.gate import BROKEN, READ_WITHIN, Gate
+from thistleshore.gate import BROKEN, READ_WITHIN, Gate, peer_address
 from thistleshore.invariants import invariant
 from thistleshore.platform.messages import BODY_MOST, PASSED, RECEIVE, Ask, Peer, Rejected, Routes
 from thistleshore.platform.messages import check_framing, header, read_terms
@@ -40,6 +40,8 @@
 
     async def _connection(self, socket: trio.SocketStream) -> None:
         peer = Peer(socket, h11.SERVER)
+        if self.routes.router is not None:
+            peer.address = peer_address(socket)
         arrived: float | None = trio.current_time()
         while await self._turn(peer, arrived):
             arrived = None
@@ -70,7 +72,7 @@
             fine = self.ready or request.target == b"/-/healthy"
             return await self._reply(peer, 200 if fine else 503, b"ready" if fine else b"not ready")
         try:
-            terms = read_terms(request, self.routes)
+            terms = read_terms(request, self.routes, len(body), peer.address)
             if terms.name in self.names or self._was(terms.name):
                 # One id, one stream: two answers could cross, and what ran once would run again.
                 raise Rejected(409, "a request of this id is or was open")
@@ -80,7 +82,7 @@
         # What comes late in a drain is answered before SIGKILL can end it.
         deadline = min(trio.current_time() + terms.remaining, self.gate.answer_by)
         stream = Stream(terms.name, terms.job_class, deadline, Ask(request.target, passed, body), terms.tenant,
-                        terms.key, terms.repeat, self.gate.spare)  # fmt: skip
+                        terms.key, terms.repeat, terms.member, self.gate.spare)  # fmt: skip
         self.names.add(stream.name)
         try:
             answer = await self._await_answer(peer, stream)
--- a/thistleshore/platform/messages.py
+++ b/thistleshore/platform/messages.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from math import isfinite
-from typing import Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import h11
 import trio
@@ -15,6 +15,9 @@
 from oxbowarch.interface import Entry, ListKind, Report, State, Status
 from thistleshore.core.model import HostLine
 
+if TYPE_CHECKING:  # the platform has no rules, and imports none of what they need
+    from thistleshore.platform.routed import HttpRouter
+
 BODY_MOST = 64 * 1024  # bytes of any body
 LINE_MOST = 6 * BODY_MOST + 1024  # a result of that size, every byte of it escaped, in its JSON object
 HEAD_MOST = 16 * 1024
@@ -42,6 +45,7 @@
         self.socket = socket
         # A head without end would fill the memory: h11 gives up on it at this size.
         self.http = h11.Connection(role, max_incomplete_event_size=HEAD_MOST)
+        self.address = 0  # of a client, where an operator's rules may ask for it
         self.head = b""  # what has come while a request's head was awaited: h11 does not show how it was framed
 
     async def event(self) -> Any:
@@ -90,6 +94,7 @@
     key: int
     remaining: float
     repeat: bool
+    member: str = ""
 
 
 FRAMING = re.compile(rb"^(content-length|transfer-encoding)[ \t]*:[ \t]*([^\r\n]*)", re.IGNORECASE | re.MULTILINE)
@@ -129,28 +134,29 @@
     classes: Mapping[str, int]
     give_up: Sequence[float]
     tenants: Mapping[str, int] | None = None  # None: a contract is class and tenant in one
-    paths: tuple[tuple[str, int], ...] = ()  # prefixes of paths, for what names no class
-
-    def find(self, lane: str, path: str) -> int | None:
-        if lane in self.classes:
-            return self.classes[lane]
-        fits = [(len(prefix), number) for prefix, number in self.paths if path.startswith(prefix)]
-        return max(fits)[1] if fits else None
+    router: HttpRouter | None = None  # an operator's rules, which name the contract instead
 
 
-def read_terms(request: h11.Request, routes: Routes) -> Terms:
-    """What the headers ask for, or Rejected."""
+def read_terms(request: h11.Request, routes: Routes, size: int = 0, address: int = 0) -> Terms:
+    """What a request asks for, or Rejected; `size` of its body and the client's `address` are for the rules."""
     headers = list(request.headers)
     names = [name for name, _ in headers]
     if any(names.count(name) > 1 for name in ONCE):
         raise Rejected(400, "a header that may stand once is doubled")  # a host may read the other one
     path = request.target.split(b"?")[0].decode("latin-1")
-    lane = header(headers, b"x-lane") or path.split("/")[1 if path.startswith("/") else 0]
-    job_class = routes.find(lane, path)
-    if job_class is None:
-        raise Rejected(404, "no such class")
-    if lane in routes.classes and path.split("/")[1:2] != [lane]:
-        raise Rejected(400, "path and X-Lane name different classes")  # a host would go by the other one
+    routed = None
+    if routes.router is not None:
+        routed = routes.router.route(request, size, address)
+        if routed is None:
+            raise Rejected(404, "no such class")
+        job_class = routed.contract
+    else:
+        lane = header(headers, b"x-lane") or path.split("/")[1 if path.startswith("/") else 0]
+        if lane not in routes.classes:
+            raise Rejected(404, "no such class")
+        job_class = routes.classes[lane]
+        if path.split("/")[1:2] != [lane]:
+            raise Rejected(400, "path and X-Lane name different classes")  # a host would go by the other one
     if request.method != b"POST":
         raise Rejected(405, "every job comes by POST")
     name = header(headers, b"x-txn")
@@ -167,7 +173,10 @@
         # A tenant that the settings do not name has no limit: the module takes a number past its list so.
         tenant = routes.tenants.get(header(headers, b"x-org") or "", len(routes.tenants))
     key = key_number(header(headers, b"cookie") or "")
-    return Terms(name, job_class, tenant, key, remaining, header(headers, b"x-resent") == "1")
+    repeat = header(headers, b"x-resent") == "1"
+    if routed is None:
+        return Terms(name, job_class, tenant, key, remaining, repeat)
+    return Terms(name, job_class, tenant, routed.key or key, remaining, repeat, routed.member)
 
 
 PASSED = frozenset((b"x-txn", b"idempotency-key", b"x-lane", b"x-org", b"cookie", b"content-type", b"x-labels"))
