--- a/oxbowarch/brain.py
+++ b/oxbowarch/brain.py
@@ -2,7 +2,7 @@
 
 Types and rules of use: oxbowarch/interface.py; what is remembered: oxbowarch/records.py.  The method is
 EARRRL, an estimated average recent request rate: under pressure a tenant is refused what lies beyond its
-limit; what is admitted goes to a worker drawn by free slots.  docs/design.md: what was changed, and when.
+limit; what is admitted goes to a worker drawn by free slots.  docs/design/decisions.md: what was changed.
 """
 
 from collections import OrderedDict
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -7,7 +7,7 @@
 
 
 def test_every_log_line_is_on_the_page() -> None:
-    page = (ROOT / "docs" / "oncall.md").read_text()
+    page = (ROOT / "docs" / "operate" / "oncall.md").read_text()
     listed = [re.escape(line).replace("…", ".*") for line in re.findall(r"`([^`]+)`", page)]
     wanted = []
     for source in (ROOT / "thistleshore").rglob("*.py"):
--- a/thistleshore/expressions/functions.py
+++ b/thistleshore/expressions/functions.py
@@ -219,3 +219,11 @@
     Entry("`inNet(a, \"10.0.0.0/8\")`, `inNet(a, \"set\")`", "bool", "2 + log2(networks)",
           "**addition**: a network, or a set of the file by its name"),
 )  # fmt: skip
+
+
+def reference() -> str:
+    """The table as Markdown, as docs/operate/expressions.md holds it."""
+    rows = [(entry.form, entry.result, entry.cost, entry.meaning) for entry in REFERENCE]
+    cells = [[cell.replace("|", "\\|") for cell in row] for row in (("form", "result", "units", "meaning"), *rows)]
+    lines = ["| " + " | ".join(row) + " |" for row in cells]
+    return "\n".join([lines[0], "| --- | --- | --- | --- |", *lines[1:]])
