Stamp streams within or beyond their member's share, and serve what is beyond last

One member's surge swallowed the rest: a contract was a rate in the module's limits, and beyond that all waited alike.

thistleshore/contracts is a ledger without I/O: guarantees by weighted max-min over the slots that the pool has now, buckets of work, fair queueing of what is beyond share into room that is not kept back, bounds on what waits, retry purses, and leases between instances over lossy datagrams. Not yet set up by the operator's file.

--- a/oxbowarch/brain.py
+++ b/oxbowarch/brain.py
@@ -169,7 +169,7 @@
             return self._refuse(ask)  # held, it would take the last means by which any client is answered
         overload = self._between(places, (OVERLOAD[0] - early, OVERLOAD[1] - early))
         passed = (1.0 - pressure * excess) * (1.0 - overload)
-        return self.random.random() >= passed and self._refuse(ask, excess)
+        return ask.beyond is None and self.random.random() >= passed and self._refuse(ask, excess)
 
     def _yield(self, job_class: int) -> float:
         """Worth earned by a second of a worker's slot, as far as workers tell when jobs start."""
@@ -221,6 +221,7 @@
         job.answers = None
         if job.attempts:
             self.further.add(now)
+            job.ask.purse.pay(now)
         job.attempts.append(Attempt(worker, job.ask.job_class, now, self.set.tells_start))
         job.out += 1
         worker.count_out(1, REPORT_FADE, now)
@@ -254,9 +255,12 @@
 
     def _hold(self, job: Job, now: float) -> None:
         """Keep a job for which no worker has room: brief waiting beats both a queue and a refusal."""
+        until = job.since + job.rule.aim
+        if job.ask.beyond is False:  # within its share it may wait as long as it can still be in time
+            until = max(until, job.ask.rank - exp(self.runs[job.ask.job_class].mean()))
         if not self._may_try(job, now):
             self._answer(job)  # nothing can go out for it any more: the client must not wait for that
-        elif now < min(job.since + job.rule.aim, job.deadline - self.margin):
+        elif now < min(until, job.deadline - self.margin):
             self._keep(job)
             self.do.append(Timer(now + HOLD_STEP, job.id * 4 + HOLD))
         else:
@@ -275,7 +279,8 @@
         """May one more attempt go out?  Never doubles an effect."""
         most = min(self.set.max_attempts, job.rule.max_attempts)
         over = now >= job.deadline - self.margin or len(job.attempts) >= most
-        if over or job.out and not self.set.second_copies:
+        unpaid = bool(job.attempts) and job.ask.purse.left(now) < 1.0  # the client hears so at once
+        if over or unpaid or job.out and not self.set.second_copies:
             return False
         ran, rule = job.ran_first(), job.rule
         if ran is None or rule.effect is Effect.SAFE:
@@ -352,8 +357,9 @@
         if now < worker.shunned_until or worker.entry.state is not State.READY or worker.waiting > queue:
             return 0.0
         free = worker.room - worker.out if now < worker.report_until else None
-        if free is not None and free < 0.5 - queue and now < worker.no_room_until:
-            return 0.0
+        if free is not None and free < 0.5 - queue:
+            if job.ask.beyond is not None or now < worker.no_room_until:
+                return 0.0  # by contract it had better wait here, where who goes next can still be chosen
         warmth = self._warmth(worker, now)
         if warmth < 1.0:
             # Fail back safely: no more than a cold worker's part of what a warm one gets from here.
@@ -502,10 +508,11 @@
         return self.do
 
     def _use_room(self, now: float) -> None:
-        """Room may have come up: first the class that earns most by it, of that the job held longest."""
+        """Room may have come up: first by contract, then by what a class earns, then by how long it waits."""
         waiting = [held for held in self.held.values() if held.answers is None]
         if waiting:
-            self._place(max(waiting, key=lambda held: self._yield(held.ask.job_class)), now)
+            self._place(max(waiting, key=lambda held: (not held.ask.beyond, -held.ask.rank,
+                                                       self._yield(held.ask.job_class))), now)
 
     def _strike(self, worker: Worker, now: float) -> None:
         """A fast failer must not attract work; a silent one must lose weight and be retried gently."""
@@ -525,6 +532,7 @@
         attempt.end(event.status not in self.proof)
         if event.status is Status.MOOT and event.attempt and attempt.at in self.further.times:
             self.further.times.remove(attempt.at)  # it was never sent
+            job.ask.purse.give_back(now)
         job.out -= 1
         self._judge(job, attempt, event, now)
         if event.closed or job.ended:
--- a/oxbowarch/interface.py
+++ b/oxbowarch/interface.py
@@ -5,7 +5,8 @@
 set, or `on_withdrawn` names it.  Order: events go in as they arrive; the actions returned are to be
 carried out in the order given, before the next event.  Restart: make a new Brain and hand it the
 last list first; it remembers nothing.  Where workers tell that a job starts, hand it to `on_started`; a load
-report that comes outside any outcome goes to `on_report`.
+report that comes outside any outcome goes to `on_report`.  Where contracts are kept, `Request` tells each job's
+standing and rank; a job for which no room to wait is left is handed in with no `spare`, and refused.
 Late, repeated or unknown ids are ignored.
 """
 
@@ -13,8 +14,8 @@
 
 from dataclasses import dataclass
 from enum import Enum
-from math import isfinite
-from typing import NamedTuple
+from math import inf, isfinite
+from typing import NamedTuple, Protocol
 
 WorkerId = bytes
 Places = tuple[tuple[int, ...] | None, tuple[int, ...] | None]  # machine kinds and zones; None: any
@@ -164,6 +165,32 @@
     held: float | None = None
 
 
+class Purse(Protocol):
+    """A budget that pays for attempts beyond the first.  It only counts: whether one goes out is the module's say."""
+
+    def left(self, now: float) -> float: ...
+
+    def pay(self, now: float) -> None: ...
+
+    def give_back(self, now: float) -> None: ...
+
+
+class Unlimited:
+    """The purse of a request for which no contract pays."""
+
+    def left(self, now: float) -> float:
+        return inf
+
+    def pay(self, now: float) -> None:
+        """Nothing is counted."""
+
+    def give_back(self, now: float) -> None:
+        """Nothing was counted."""
+
+
+UNLIMITED = Unlimited()
+
+
 class Request(NamedTuple):
     id: int
     job_class: int
@@ -173,6 +200,9 @@
     slots: float = 1.0
     repeat: bool = False  # a client's marked repeat
     spare: float = 1.0  # how far the means to answer clients by go, as in a drain: 1 enough, 0 nothing left
+    beyond: bool | None = None  # beyond its contract's share, or within; None: no contracts are kept
+    rank: float = 0.0  # of what waits, within before beyond, the lowest first; within it is when it is wanted
+    purse: Purse = UNLIMITED  # pays for its further attempts, besides the settings' budget
 
 
 class Outcome(NamedTuple):
--- a/thistleshore/beanstalkd/downstream.py
+++ b/thistleshore/beanstalkd/downstream.py
@@ -103,7 +103,7 @@
         """A complete put is a stream."""
         job = TubeJob(next(self.numbers), tube, body, float(max(1, ttr)))
         stream = Stream(str(job.id), routed.contract, trio.current_time() + routed.deadline, job, routed.contract,
-                        routed.key, member=routed.member)  # fmt: skip
+                        routed.key, member=routed.member, size=len(body))  # fmt: skip
         self.open[job.id] = stream, job
         self._keepers.start_soon(self._keep, stream, job)
         await self.inbox.send(StreamOpened(stream))
--- a/thistleshore/config/operator.py
+++ b/thistleshore/config/operator.py
@@ -21,7 +21,7 @@
 from thistleshore.config.platform import (
     IDLE_SHARE, SOCKETS, SOCKETS_SPARE, Address, BeanstalkdPlan, ConfigError, HttpPlan, Plan, address, number,
 )  # fmt: skip
-from thistleshore.core.contracts import Book, Budget, Contract
+from thistleshore.contracts.book import Book, Budget, Contract
 from thistleshore.core.model import HostLine
 from thistleshore.expressions import Limits, NetworkError, Rule, Source, address_set, request_environment
 from thistleshore.expressions.networks import AddressSet
--- /dev/null
+++ b/thistleshore/contracts/exchange.py
@@ -0,0 +1,206 @@
+"""How several instances share out their members' guarantees: leases over datagrams that may be lost.
+
+Each instance owns an equal part of every guarantee.  What it does not need it cedes to peers that do, for the time of
+a lease.  A peer uses what it was ceded only while it can be sure that the owner still counts it as ceded:
+
+- A message says which of the peer's messages its sender has heard last (`heard`).  The lease runs, for the receiver,
+  from when it sent *that* message: earlier than the sender's own reading, so never longer than for the owner.
+- The owner counts as ceded the most that any message of the last lease ceded, whether it arrived or not.
+
+So the parts in use never sum to more than the whole: whatever is lost, repeated, reordered or late, with clocks that
+agree on nothing but their rate (`drift` is taken off).  After a lease of silence each has its equal part again.  An
+instance that starts does not know what it had ceded: for one lease it uses only what it can never have ceded.
+
+State is idempotent and monotone: a message holds the whole state of its sender for its receiver, and only one with a
+higher number counts.  A number begins with its sender's life, so that no instance takes what is said of an earlier
+life's message for word of its own.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections import Counter, deque
+from collections.abc import Mapping, Sequence
+from typing import NamedTuple
+
+from thistleshore.contracts.model import Leaf
+from thistleshore.contracts.sharing import fill
+
+VERSION = 1
+BYTES_MOST = 256
+HEAD = struct.Struct("!BBBBQQH")  # version, from, to, instances, number, heard, first leaf
+LIFE = 1 << 32  # numbers of one life; the next begins above them all
+ROW = struct.Struct("!BB")  # demand, ceded
+ROWS_MOST = (BYTES_MOST - HEAD.size) // ROW.size
+DEMAND_STEP = 1 / 64  # of a guarantee; 255 steps are four times it
+CEDE_STEP = 1 / 255  # of an equal part
+
+
+class Terms(NamedTuple):
+    """Times in seconds."""
+
+    every: float = 0.1  # between two messages to a peer
+    lease: float = 1.0
+    drift: float = 0.01  # by how much clocks may run apart, of a lease
+    keep: float = 0.2  # of its equal part that an instance never cedes
+    margin: float = 1.3  # what it seems to need is rounded up so before the rest is ceded
+
+
+class _Ceded(NamedTuple):
+    """What one message gave away."""
+
+    until: float
+    rows: tuple[int, ...]  # steps by leaf
+    first: int
+
+
+class _Peer:
+    """What is known of one other instance."""
+
+    __slots__ = ("ceded", "demand", "heard", "sent", "taken", "told_at")
+
+    def __init__(self, leaves: int) -> None:
+        self.heard = 0  # of its messages the latest
+        self.told_at = float("-inf")  # when it was last heard
+        self.demand = [0.0] * leaves  # parts of the guarantee that it asks for
+        self.taken: list[tuple[int, float]] = [(0, float("-inf"))] * leaves  # steps ceded to us, and until when
+        self.ceded: deque[_Ceded] = deque()  # by us to it, the latest last
+        self.sent: dict[int, float] = {}  # when our messages to it went out, by number
+
+
+class Exchange:
+    """One instance's side; `life`, below 2^32, grows with each start.
+
+    `due` gives the datagrams to send, `on_datagram` takes what comes.
+    """
+
+    def __init__(self, me: int, instances: int, leaves: Sequence[Leaf], terms: Terms, life: int, now: float) -> None:
+        if not 0 <= me < instances <= 255:
+            raise ValueError("an instance is numbered among at most 255")
+        self.me, self.instances, self.leaves, self.terms = me, instances, tuple(leaves), terms
+        self.numbers = {leaf: n for n, leaf in enumerate(self.leaves)}
+        self.counts: Counter[str] = Counter()
+        self._born, self._number, self._turn = now, life * LIFE, 0
+        self._demand = [0.0] * len(self.leaves)
+        self._peers = {n: _Peer(len(self.leaves)) for n in range(instances) if n != me}
+
+    # -- what is in use -------------------------------------------------------------------------
+
+    @property
+    def equal(self) -> float:
+        return 1.0 / self.instances
+
+    def part(self, leaf: Leaf, now: float) -> float:
+        """The part of a leaf's guarantee that this instance may use now, 0 to 1."""
+        number = self.numbers.get(leaf)
+        if number is None:
+            return self.equal
+        return max(0.0, self.equal * (1.0 - self._given(number, now) + self._got(number, now)))
+
+    def _given(self, leaf: int, now: float) -> float:
+        """Of the equal part, what may be in others' use."""
+        if now < self._born + self.terms.lease:
+            # What an earlier life of this instance ceded is not known, and may still be in use.
+            return 1.0 - self.terms.keep
+        return sum(self._ceded(peer, leaf, now) for peer in self._peers.values()) * CEDE_STEP
+
+    def _ceded(self, peer: _Peer, leaf: int, now: float) -> int:
+        while peer.ceded and peer.ceded[0].until <= now:
+            peer.ceded.popleft()
+        return max((given.rows[leaf - given.first] for given in peer.ceded
+                    if given.first <= leaf < given.first + len(given.rows)), default=0)  # fmt: skip
+
+    def _got(self, leaf: int, now: float) -> float:
+        return (
+            sum(steps for peer in self._peers.values() for steps, until in (peer.taken[leaf],) if now < until)
+            * CEDE_STEP
+        )
+
+    def silent(self, now: float) -> list[int]:
+        """Peers that have not been heard for a lease."""
+        return [n for n, peer in self._peers.items() if now - peer.told_at > self.terms.lease]
+
+    # -- messages out ---------------------------------------------------------------------------
+
+    def on_demand(self, demands: Mapping[Leaf, float], now: float) -> None:
+        """What is asked for here, as parts of each leaf's whole guarantee."""
+        for leaf, demand in demands.items():
+            if leaf in self.numbers:
+                self._demand[self.numbers[leaf]] = demand
+
+    def due(self, now: float) -> list[tuple[int, bytes]]:
+        """The messages to send now, one for each peer; where leaves do not fit one, they take turns."""
+        first = self._turn if self._turn < len(self.leaves) else 0
+        rows = range(first, min(first + ROWS_MOST, len(self.leaves)))
+        self._turn = rows.stop if rows.stop < len(self.leaves) else 0
+        ceding = {leaf: self._cede(leaf, now) for leaf in rows}
+        told = []
+        for number, peer in self._peers.items():
+            self._number += 1
+            peer.sent[self._number] = now
+            while len(peer.sent) > 64:
+                del peer.sent[next(iter(peer.sent))]
+            steps = tuple(ceding[leaf].get(number, 0) for leaf in rows)
+            peer.ceded.append(_Ceded(now + self.terms.lease, steps, first))
+            head = HEAD.pack(VERSION, self.me, number, self.instances, self._number, peer.heard, first)
+            body = b"".join(ROW.pack(min(255, round(self._demand[leaf] / DEMAND_STEP)), step)
+                            for leaf, step in zip(rows, steps, strict=True))  # fmt: skip
+            told.append((number, head + body))
+        return told
+
+    def _cede(self, leaf: int, now: float) -> dict[int, int]:
+        """Steps of the equal part to give to each peer: by what it lacks, of what is spare here."""
+        if now < self._born + self.terms.lease:
+            return {}  # what an earlier life gave may still be in use, beside which nothing more may go
+        heard = {n: peer for n, peer in self._peers.items() if now - peer.told_at <= self.terms.lease}
+        need = self._demand[leaf] * self.terms.margin / self.equal
+        spare = min(1.0 - self.terms.keep, 1.0 - need)
+        lacking = {n: max(0.0, peer.demand[leaf] * self.terms.margin / self.equal - 1.0) for n, peer in heard.items()}
+        if spare <= 0.0 or not any(lacking.values()):
+            return {}
+        # Beside what is out already under older leases, which may not have been taken back.
+        others = {n: self._ceded(peer, leaf, now) for n, peer in self._peers.items()}
+        parts = fill(spare, list(lacking.values()), [1.0] * len(lacking))
+        wanted = {n: int(part / CEDE_STEP) for n, part in zip(lacking, parts, strict=True)}
+        most = int((1.0 - self.terms.keep) / CEDE_STEP)
+        room = most - sum(others.values())
+        told = {}
+        for n, steps in wanted.items():
+            more = max(0, steps - others[n])
+            more = min(more, max(0, room))
+            room -= more
+            told[n] = min(steps, others[n] + more)
+        return told
+
+    # -- messages in ----------------------------------------------------------------------------
+
+    def on_datagram(self, data: bytes, now: float) -> bool:
+        """Take a message in; one that is garbage, old or not for us is counted and changes nothing."""
+        if not HEAD.size <= len(data) <= BYTES_MOST or (len(data) - HEAD.size) % ROW.size:
+            return self._ignore("garbage")
+        version, sender, to, instances, number, heard, first = HEAD.unpack_from(data)
+        rows = list(ROW.iter_unpack(data[HEAD.size :]))
+        if version != VERSION:
+            return self._ignore("version")
+        if (
+            to != self.me
+            or instances != self.instances
+            or sender not in self._peers
+            or first + len(rows) > len(self.leaves)
+        ):
+            return self._ignore("stranger")
+        peer = self._peers[sender]
+        if number <= peer.heard:
+            return self._ignore("old")  # repeated, or overtaken by a later one
+        peer.heard, peer.told_at = number, now
+        sent = peer.sent.get(heard)
+        until = sent + self.terms.lease * (1.0 - self.terms.drift) if sent is not None else float("-inf")
+        for leaf, (demand, steps) in enumerate(rows, first):
+            peer.demand[leaf] = demand * DEMAND_STEP
+            peer.taken[leaf] = (steps, until)
+        self.counts["taken"] += 1
+        return True
+
+    def _ignore(self, why: str) -> bool:
+        self.counts[why] += 1
+        return False
--- /dev/null
+++ b/thistleshore/contracts/ledger.py
@@ -0,0 +1,430 @@
+"""The ledger: who is within its share, in which order what waits is served, and who pays for further attempts.
+
+No I/O, no clock: events with their time go in, stamps and actions come out.  The ledger refuses nothing.  What it
+stamps goes to the decision module in `Request`, and the module alone decides server, retry and refusal.
+
+Rules, each decided here and nowhere else:
+
+- A member's guarantee is its share of what the pool can do now, in slots.  Among its contracts it is filled by weight,
+  and what one of them leaves the others have.  Per member and contract it flows into a bucket of slot-seconds.
+- A stream is within share where its bucket holds anything, and takes its expected work out of it.  What it really
+  took is settled when its attempts end: jobs that are heavier than their neighbours' cost their own member.
+- A stream keeps its standing until its final answer: it is never stamped upward while it waits.
+- What is within share is offered to the module at once; the module lets the earliest wanted time go first.
+- What is beyond share waits here, and is offered into room that nobody within share wants, in fair-queueing order by
+  share.  A few free slots are kept back, so that what comes within share next finds room: that is how lent share is
+  taken back, within the time that it takes a job to end.
+- It waits as long as its aim, and no more than the bounds allow; over them the member that has been over its share
+  longest gives way, its latest first.  Then it is offered without `spare`, and the module refuses it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from heapq import heappop, heappush
+from math import exp, inf, log
+from typing import NamedTuple
+
+from thistleshore.contracts.model import OTHERS, Agreements, ContractTerms, Leaf, LeafFigures, MemberTerms, Offer
+from thistleshore.contracts.model import Stamp
+from thistleshore.contracts.purse import Account, Purse
+from thistleshore.contracts.sharing import fill, lend
+
+TURN = 0.1  # s between two computations of shares
+DEMAND_FADE = log(2) / 2.0  # 1/s; demand of two seconds ago counts half
+RUN_PART = 0.1  # of a job's work in the estimate of the next one's
+DEMAND_MARGIN = 1.25  # what a contract seems to need is rounded up so, before its siblings share the rest
+DEBT_MOST = (
+    5.0  # s of its guarantee that settling may leave a bucket in debt: one giant must not bar its member for good
+)
+LEAST_WEIGHT = 0.01  # by which a member without a share borrows
+KEPT_BACK = 0.06  # of a service's slots that are not lent, one at least
+ROOM_AGE = 0.01  # s for which a sum of free slots counts; what is offered meanwhile is taken off it
+STEP = 0.02  # s between two looks while something waits
+REPEAT_LAST = 1e9  # added to the rank of a marked repeat that no budget pays for
+
+
+class _Leaf:
+    """One member under one contract."""
+
+    __slots__ = ("allotment", "bucket", "contract", "counts", "demand", "demand_at", "fill", "member", "over",
+                 "retries", "run", "turned", "waiting")  # fmt: skip
+
+    def __init__(self, member: _Member, contract: ContractTerms, now: float) -> None:
+        self.member, self.contract = member, contract
+        self.fill = 0.0  # slots that flow into the bucket
+        self.bucket = inf  # until the first guarantee is known
+        self.turned = now
+        self.demand, self.demand_at = 0.0, now  # decayed slot-seconds asked for
+        self.run = contract.run  # s that a job is expected to take
+        self.allotment = 0.0
+        self.over = inf  # since when it has been beyond its share
+        self.waiting: dict[int, int] = {}  # streams that wait, and their bytes, the latest last
+        self.retries = Account(member.terms.retries, now)
+        self.counts = dict.fromkeys(
+            ("offered", "within", "beyond", "served", "in_time", "late", "refused", "failed"), 0
+        )
+
+    def asked(self, now: float) -> float:
+        """Slots that are asked for: work a second, lately."""
+        return self.demand * exp(DEMAND_FADE * min(0.0, self.demand_at - now)) * DEMAND_FADE
+
+    def ask(self, work: float, now: float) -> None:
+        self.demand = self.demand * exp(DEMAND_FADE * min(0.0, self.demand_at - now)) + work
+        self.demand_at = max(now, self.demand_at)
+
+    def cap(self) -> float:
+        """What a bucket holds."""
+        return max(self.member.terms.burst * self.fill, self.member.terms.jobs * self.run)
+
+
+class _Member:
+    """One member: its retry account, its fair-queueing tag, and its ceiling's bucket."""
+
+    __slots__ = ("ceiling", "retries", "tag", "terms", "turned")
+
+    def __init__(self, terms: MemberTerms, now: float) -> None:
+        self.terms = terms
+        self.retries = Account(terms.retries, now)
+        self.tag = 0.0
+        self.ceiling, self.turned = inf, now
+
+
+class Guarantee(NamedTuple):
+    """A row of the agreement tree: slots."""
+
+    leaf: Leaf
+    member: str
+    contract: str
+    guaranteed: float
+    allotted: float  # with what is lent, by present demand
+    demand: float
+
+
+class _Open:
+    """A stream that has no final answer yet, or attempts out."""
+
+    __slots__ = ("charged", "leaf", "offered", "opened", "sent", "size", "stamp", "until", "worked")
+
+    def __init__(self, leaf: _Leaf, stamp: Stamp, charged: float, opened: float, until: float, size: int) -> None:
+        self.leaf, self.stamp, self.charged, self.opened, self.size = leaf, stamp, charged, opened, size
+        self.until = until  # it waits here no longer than that
+        self.offered = False
+        self.sent = 0  # attempts
+        self.worked = 0.0  # slot-seconds that have ended
+
+
+class Ledger:
+    """All agreements of one dispatcher.
+
+    `capacity()` gives the slots of each service's hosts that are ready now, 0 where that is not known, and `room()`
+    those of them that are free.
+    `part(leaf)` is the part of a leaf's guarantee that this instance has, 0 to 1.
+    """
+
+    def __init__(self, agreements: Agreements, now: float, capacity: Callable[[], Sequence[float]],
+                 room: Callable[[], Sequence[float]],
+                 part: Callable[[Leaf], float] = lambda leaf: 1.0) -> None:  # fmt: skip
+        self.capacity, self.room, self.part = capacity, room, part
+        self._line: list[tuple[float, int]] = []  # what waits beyond share, by rank
+        self._due: list[Offer] = []  # what is to be offered at once
+        self._free: list[float] = []
+        self._summed = -inf
+        self._wanting = 0  # streams within share that are offered and not out yet
+        self.slots: Sequence[float] = ()
+        self._open: dict[int, _Open] = {}
+        self._virtual = 0.0
+        self._turned = -inf
+        self._members: dict[str, _Member] = {}
+        self._leaves: dict[Leaf, _Leaf] = {}
+        self.agreements = agreements
+        self.adopt(agreements, now)
+
+    # -- agreements ---------------------------------------------------------------------------
+
+    def adopt(self, agreements: Agreements, now: float) -> None:
+        """New terms in place of the old; counters, estimates and budgets of what goes on are kept.
+
+        A contract that vanishes drains: its streams keep their standing to the end, and none joins them.
+        """
+        before = {(leaf.member.terms.name, leaf.contract.name): leaf for leaf in self._leaves.values()}
+        members, self._members, self._leaves = self._members, {}, {}
+        for m, terms in enumerate(agreements.members):
+            member = members.get(terms.name) or _Member(terms, now)
+            member.terms, member.retries.terms = terms, terms.retries
+            self._members[terms.name] = member
+            for c, contract in enumerate(agreements.contracts):
+                leaf = before.get((terms.name, contract.name)) or _Leaf(member, contract, now)
+                leaf.contract, leaf.retries.terms = contract, terms.retries
+                self._leaves[Leaf(m, c)] = leaf
+        self.agreements = agreements
+        self._numbers = {terms.name: m for m, terms in enumerate(agreements.members)}
+        self._turned = -inf
+
+    def _turn(self, now: float) -> None:
+        """Bring guarantees up to date, a few times a second; buckets are filled when they are looked at."""
+        if now - self._turned < TURN and now >= self._turned:
+            return
+        self._turned = now
+        self.slots = self.capacity()
+        for m, member in enumerate(self.agreements.members):
+            for service in range(self.agreements.services):
+                leaves = [leaf for leaf in self._leaves if leaf.member == m and self._service(leaf) == service]
+                room = member.share * self.agreements.scale * self._slots(service)
+                asked = [DEMAND_MARGIN * self._leaves[leaf].asked(now) for leaf in leaves]
+                weights = [member.weights.get(self._leaves[leaf].contract.name, 1.0) for leaf in leaves]
+                parts = fill(room, asked, weights)
+                spare, heavy = max(0.0, room - sum(parts)), sum(weights) or 1.0
+                for leaf, part, weight in zip(leaves, parts, weights, strict=True):
+                    self._refill(self._leaves[leaf], now)
+                    state = self._leaves[leaf]
+                    state.fill = (part + spare * weight / heavy) * self.part(leaf)
+                    if state.fill <= 0.0 < self._slots(service):
+                        state.bucket = min(state.bucket, 0.0)  # no share: what was open while nothing was known ends
+
+    def _service(self, leaf: Leaf) -> int:
+        return self.agreements.contracts[leaf.contract].service
+
+    def _slots(self, service: int) -> float:
+        return self.slots[service] if service < len(self.slots) else 0.0
+
+    def _refill(self, leaf: _Leaf, now: float) -> None:
+        # A clock that jumped back fills nothing; one that jumped ahead fills a burst, which is all a bucket holds.
+        leaf.bucket = (
+            min(leaf.cap(), leaf.bucket + leaf.fill * max(0.0, now - leaf.turned)) if leaf.fill else leaf.bucket
+        )
+        leaf.turned = now
+
+    def _ceiling(self, member: _Member, service: int, work: float, now: float) -> bool:
+        """Is the member over its ceiling?  If not, the work is taken out of its bucket."""
+        if member.terms.ceiling is None or not self._slots(service):
+            return False
+        rate = member.terms.ceiling * self._slots(service) * self.part(Leaf(self._numbers.get(member.terms.name, 0), 0))
+        cap = max(rate * member.terms.burst, work)
+        member.ceiling = min(cap, member.ceiling + rate * max(0.0, now - member.turned))
+        member.turned = now
+        if member.ceiling < work:
+            return True
+        member.ceiling -= work
+        return False
+
+    # -- streams ------------------------------------------------------------------------------
+
+    def on_open(self, stream: int, contract: int, member: str, size: int, repeat: bool, now: float,
+                patience: float = inf) -> tuple[Stamp, Purse]:  # fmt: skip
+        """A stream has come: its standing and rank, which it keeps, and the purse of its further attempts.
+
+        `size` in bytes; `repeat`: its client marks it as a repeat; `patience`: s that the client waits.  A member that
+        has no agreement counts as OTHERS, or, where that has none, is beyond share whatever it asks.
+        """
+        self._turn(now)
+        name = member if member in self._numbers else OTHERS
+        number = self._numbers.get(name, -1)
+        leaf = self._leaves.get(Leaf(number, contract)) or self._stranger(contract, now)
+        self._refill(leaf, now)
+        leaf.counts["offered"] += 1
+        work, service = leaf.run, leaf.contract.service
+        leaf.ask(work, now)
+        purse = Purse(leaf.retries, leaf.member.retries)
+        unpaid = False
+        if not repeat:
+            leaf.retries.earn(now)
+            leaf.member.retries.earn(now)
+        elif purse.left(now) >= 1.0:
+            purse.pay(now)
+        else:
+            unpaid = True  # repeats beyond the budget are served last: a storm of them is nobody's share
+        barred = self._ceiling(leaf.member, service, work, now)
+        within = number >= 0 and leaf.bucket > 0.0 and not unpaid and not barred
+        charged = 0.0
+        if within:
+            leaf.counts["within"] += 1
+            charged, leaf.over = work, inf
+            leaf.bucket -= work
+            rank = now + leaf.contract.aim + leaf.contract.stretch * work
+        else:
+            leaf.counts["beyond"] += 1
+            leaf.over = min(leaf.over, now)
+            weight = max(LEAST_WEIGHT, leaf.member.terms.share)
+            rank = max(self._virtual, leaf.member.tag)
+            leaf.member.tag = rank + work / weight
+            rank += REPEAT_LAST if unpaid else 0.0
+        stamp = Stamp(Leaf(number, contract), not within, rank, barred)
+        # Offered for refusal well before its client gives up, so that the answer is in time.
+        until = now + min(leaf.contract.aim, 0.8 * patience)
+        self._open[stream] = _Open(leaf, stamp, charged, now, until, size)
+        if within or barred:
+            self._offer(stream, 0.0 if barred else 1.0)
+        else:
+            leaf.waiting[stream] = size
+            heappush(self._line, (rank, stream))
+        return stamp, purse
+
+    def _offer(self, stream: int, spare: float = 1.0) -> None:
+        """Hand it to the module; from then on it is the module's."""
+        found = self._open[stream]
+        found.leaf.waiting.pop(stream, None)
+        found.offered = True
+        if not found.stamp.beyond and spare:
+            self._wanting += 1
+        self._due.append(Offer(stream, spare))
+
+    def due(self, now: float) -> list[Offer]:
+        """What is to be offered now, in order; to be asked after every event, and each `STEP` while something waits."""
+        self._crowded()
+        self._overdue(now)
+        kept: list[tuple[float, int]] = []
+        while self._line:
+            rank, stream = self._line[0]
+            found = self._open.get(stream)
+            if found is None or found.offered:
+                heappop(self._line)  # answered, withdrawn, or given way
+            elif self._lendable(found.leaf.contract.service, now):
+                heappop(self._line)
+                self._virtual = max(self._virtual, rank if rank < REPEAT_LAST else 0.0)
+                self._free[found.leaf.contract.service] -= 1.0
+                self._offer(stream)
+            elif self.agreements.services > 1:
+                kept.append(heappop(self._line))  # another service may have room
+            else:
+                break
+        for item in kept:
+            heappush(self._line, item)
+        told, self._due = self._due, []
+        return told
+
+    def _lendable(self, service: int, now: float) -> bool:
+        """Is there room that nobody within share wants?"""
+        if not self._slots(service):
+            return True  # nothing is known of the pool: the module looks for itself
+        if now - self._summed > ROOM_AGE or now < self._summed:
+            self._summed, self._free = now, list(self.room())
+        return self._free[service] - self._wanting - max(1.0, KEPT_BACK * self._slots(service)) >= 1.0
+
+    def _overdue(self, now: float) -> None:
+        """What has waited for its aim is the module's to refuse: a late answer would take a slot and earn little."""
+        for leaf in self._leaves.values():
+            for stream in list(leaf.waiting):
+                if now >= self._open[stream].until:
+                    self._offer(stream, 0.0)
+
+    @property
+    def waiting(self) -> int:
+        """Streams that wait here."""
+        return sum(len(leaf.waiting) for leaf in self._leaves.values())
+
+    def _stranger(self, contract: int, now: float) -> _Leaf:
+        """The leaf of streams that no agreement covers."""
+        return self._leaves.setdefault(
+            Leaf(-1, contract), _Leaf(_Member(MemberTerms(OTHERS, 0.0), now), self.agreements.contracts[contract], now)
+        )
+
+    def on_sent(self, stream: int, now: float) -> None:
+        """An attempt goes out: the stream waits no more."""
+        found = self._open.get(stream)
+        if found is None:
+            return
+        if not found.sent and not found.stamp.beyond:
+            self._wanting -= 1
+        found.sent += 1
+
+    def on_attempt_ended(self, stream: int, worked: float, now: float) -> None:
+        """An attempt has ended after so many seconds in a host's slot; 0: it never ran."""
+        found = self._open.get(stream)
+        if found is None or worked <= 0.0:
+            return
+        leaf = found.leaf
+        leaf.run += RUN_PART * (worked - leaf.run)
+        found.worked += worked
+        if not found.stamp.beyond:  # what is borrowed is nobody's guarantee, and is not paid back
+            self._refill(leaf, now)
+            leaf.bucket = max(-DEBT_MOST * leaf.fill, leaf.bucket - (worked - found.charged))
+            found.charged = 0.0  # a further attempt is paid whole
+
+    def on_answered(self, stream: int, kind: str, now: float) -> None:
+        """The final answer: `served`, `refused`, `failed`, or `withdrawn` by the client."""
+        found = self._open.get(stream)
+        if found is None:
+            return
+        leaf = found.leaf
+        leaf.waiting.pop(stream, None)
+        if found.offered and not found.sent and not found.stamp.beyond:
+            self._wanting -= 1
+        never, found.sent = not found.sent, max(1, found.sent)  # it wants nothing any more
+        if kind in leaf.counts:
+            leaf.counts[kind] += 1
+        if kind == "served":
+            run = found.worked or leaf.run
+            fine = now - found.opened <= leaf.contract.aim + leaf.contract.stretch * run
+            leaf.counts["in_time" if fine else "late"] += 1
+        if never and found.charged:  # it took nobody's slot
+            leaf.bucket = min(leaf.cap(), leaf.bucket + found.charged)
+            found.charged = 0.0
+
+    def on_forgotten(self, stream: int) -> None:
+        """The stream is answered and has nothing out."""
+        self._open.pop(stream, None)
+
+    # -- what waits ---------------------------------------------------------------------------
+
+    def _crowded(self) -> None:
+        """Let some give way where more waits than the bounds allow."""
+        leaves = [leaf for leaf in self._leaves.values() if leaf.waiting]
+        while leaves:
+            full = [leaf for leaf in leaves if len(leaf.waiting) > self.agreements.waiting_each]
+            size = sum(sum(leaf.waiting.values()) for leaf in leaves)
+            over = sum(len(leaf.waiting) for leaf in leaves) > self.agreements.waiting
+            if not full and not over and size <= self.agreements.waiting_bytes:
+                return
+            # Whoever has been over its share longest; of that the latest, which has waited least.
+            longest = min(full or leaves, key=lambda leaf: leaf.over)
+            self._offer(next(reversed(longest.waiting)), 0.0)
+            leaves = [leaf for leaf in leaves if leaf.waiting]
+
+    # -- to see it ----------------------------------------------------------------------------
+
+    def demands(self, now: float) -> dict[Leaf, float]:
+        """Slots that each leaf asks for here, as a part of what its member is guaranteed over all instances."""
+        told = {}
+        for leaf, state in self._leaves.items():
+            if leaf.member >= 0:
+                room = (
+                    self.agreements.members[leaf.member].share
+                    * self.agreements.scale
+                    * self._slots(self._service(leaf))
+                )
+                told[leaf] = state.asked(now) / room if room > 0.0 else 0.0
+        return told
+
+    def tree(self, now: float) -> list[Guarantee]:
+        """The agreement tree with the shares as they are now."""
+        self._turn(now)
+        keys = [leaf for leaf in self._leaves if leaf.member >= 0]
+        told: list[Guarantee] = []
+        for service in range(self.agreements.services):
+            here = [leaf for leaf in keys if self._service(leaf) == service]
+            states = [self._leaves[leaf] for leaf in here]
+            asked = [state.asked(now) for state in states]
+            ceilings = [inf if (c := self.agreements.members[leaf.member].ceiling) is None else c * self._slots(service)
+                        for leaf in here]  # fmt: skip
+            lent = lend(self._slots(service), [state.fill for state in states], asked, ceilings)
+            for leaf, state, allotted, demand in zip(here, states, lent, asked, strict=True):
+                state.allotment = allotted
+                told.append(Guarantee(leaf, state.member.terms.name, state.contract.name, state.fill, allotted, demand))
+        return told
+
+    def figures(self, now: float) -> list[LeafFigures]:
+        """Counts and state of every member under every contract that has had a stream."""
+        self.tree(now)
+        return [
+            LeafFigures(
+                state.member.terms.name, state.contract.name, **state.counts, retries_paid=state.retries.spent,
+                budget_left=Purse(state.retries, state.member.retries).left(now), allotment=state.fill,
+                demand=state.asked(now), waiting=len(state.waiting),
+            )
+            for state in self._leaves.values() if state.counts["offered"]
+        ]  # fmt: skip
+
+    @property
+    def open(self) -> int:
+        return len(self._open)
--- a/thistleshore/core/broker.py
+++ b/thistleshore/core/broker.py
@@ -6,28 +6,34 @@
 from collections import Counter
 from heapq import heappop, heappush
 from itertools import count
+from typing import TYPE_CHECKING
 
 import trio
 
 from oxbowarch.brain import Brain
-from oxbowarch.interface import Action, Cancel, CloseIdle, Fail, Log, ListKind, Outcome, Refuse, Request
+from oxbowarch.interface import NEVER_RAN, Action, Cancel, CloseIdle, Fail, Log, ListKind, Outcome, Refuse, Request
 from oxbowarch.interface import Send, State, Status, Timer, Watch
 from thistleshore.core import model
 from thistleshore.invariants import invariant
 
+if TYPE_CHECKING:  # an operator's; the platform has no contracts
+    from thistleshore.contracts import Ledger
+
 log = logging.getLogger("thistleshore")
 
 QUEUE = 2048  # events that may wait for the broker; a front that is ahead of it waits
 ANSWER_LEAD = 0.01  # s before a deadline at which an upstream request times out, so that the answer is in time
 FIGURES_EVERY = 10.0  # s between two lines of figures in the log
+ANSWERS = {model.Served: "served", model.LocalReply: "refused", model.Failed: "failed"}  # as a ledger calls them
+LOOK, LOOK_EVERY = -1, 0.02  # the token of the timer while something waits beyond its share, and s between two
 FIGURES = 0  # the token of that timer: the module's tokens are those of streams, numbered from 1
 
 
 class Broker:
     """Hands events to the module in order and carries out its actions in order."""
 
-    def __init__(self, brain: Brain) -> None:
-        self.brain = brain
+    def __init__(self, brain: Brain, ledger: Ledger | None = None) -> None:
+        self.brain, self.ledger = brain, ledger
         self.carriers: dict[type, model.UpstreamFront] = {}  # by what a host's `dial` is
         self.inbox, self._events = trio.open_memory_channel[model.Event](QUEUE)
         self.hosts: dict[bytes, model.UpstreamHost] = {}
@@ -39,6 +45,8 @@
         self._states: dict[bytes, tuple[State, int]] = {}
         self._timers: list[tuple[float, int]] = []
         self._numbers = count(1)
+        self._asks: dict[int, Request] = {}  # of streams that the ledger has not offered yet
+        self._looking = False
 
     @property
     def open_streams(self) -> int:
@@ -52,6 +60,8 @@
                 now = trio.current_time()
                 try:
                     self._carry_out(self._fire(now) if event is None else self._tell(event, now), now)
+                    if self.ledger is not None:
+                        self._offer(self.ledger, now)
                 except Exception:
                     # A fault met at one event must not lose every other stream that was taken.
                     log.exception("fault in the broker at %s", type(event).__name__)
@@ -69,6 +79,9 @@
 
     def _fire(self, now: float) -> list[Action]:
         _, token = heappop(self._timers)
+        if token == LOOK:
+            self._looking = False
+            return []  # what waits is offered after every event
         if token == FIGURES:
             heappush(self._timers, (now + FIGURES_EVERY, FIGURES))
             log.info("figures: open=%d %s", len(self._streams), " ".join(f"{k}={n}" for k, n in self.figures.items()))
@@ -90,6 +103,7 @@
         if isinstance(event, model.StreamOpened):
             return self._opened(event.stream, now)
         if isinstance(event, model.UpstreamStarted):
+            event.request.started = event.request.started or now
             return self.brain.on_started(event.request.stream.id, event.request.number, now)
         if isinstance(event, model.StreamWithdrawn):
             return self._withdrawn(event.stream, now)
@@ -104,7 +118,24 @@
         self.figures["taken"] += 1
         ask = Request(stream.id, stream.job_class, stream.deadline - now, stream.tenant, stream.key,
                       repeat=stream.repeat, spare=stream.spare)  # fmt: skip
-        return self.brain.on_request(ask, now)
+        if self.ledger is None:
+            return self.brain.on_request(ask, now)
+        stamp, purse = self.ledger.on_open(stream.id, stream.job_class, stream.member, stream.size, stream.repeat, now,
+                                           ask.budget)  # fmt: skip
+        self._asks[stream.id] = ask._replace(beyond=stamp.beyond, rank=stamp.rank, purse=purse)
+        return []
+
+    def _offer(self, ledger: Ledger, now: float) -> None:
+        """Hand the module what the ledger offers, in its order, and look again while something waits there."""
+        while due := ledger.due(now):
+            for offer in due:
+                ask, stream = self._asks.pop(offer.stream, None), self._streams.get(offer.stream)
+                if ask is not None and stream is not None and not stream.over:
+                    left = ask._replace(budget=stream.deadline - now, spare=min(ask.spare, offer.spare))
+                    self._carry_out(self.brain.on_request(left, now), now)
+        if ledger.waiting and not self._looking:
+            self._looking = True
+            heappush(self._timers, (now + LOOK_EVERY, LOOK))
 
     def _withdrawn(self, stream: model.Stream, now: float) -> list[Action]:
         if stream.over:
@@ -112,6 +143,8 @@
         stream.withdrawn = True
         stream.answered.set()
         self.figures["withdrawn"] += 1
+        if self.ledger is not None:
+            self.ledger.on_answered(stream.id, "withdrawn", now)
         actions = self.brain.on_withdrawn(stream.id, now)
         self._forget(stream)
         return actions
@@ -121,6 +154,8 @@
         stream = request.stream
         self._left[stream.id] -= 1
         self.figures[outcome.status.value] += 1
+        if self.ledger is not None:
+            self.ledger.on_attempt_ended(stream.id, self._worked(event, now), now)
         if outcome.status is Status.OK and not stream.over and outcome.result is not None:
             self._finish(stream, model.Served(outcome.result))
         told = Outcome(stream.id, request.number, request.host.id, outcome.status, event.took, stream.over,
@@ -129,6 +164,30 @@
         self._forget(stream)
         return actions
 
+    @staticmethod
+    def _worked(event: model.UpstreamEnded, now: float) -> float:
+        """Seconds that an attempt held a host's slot, as far as that is known; what never ran held none."""
+        if event.outcome.status in NEVER_RAN or not event.request.sent:
+            return 0.0
+        return now - event.request.started if event.request.started else event.took
+
+    def slots(self, services: int) -> list[float]:
+        """Slots of the ready hosts of each service, as far as seen; a host that is shunned has none."""
+        found, now = [0.0] * services, trio.current_time()
+        for worker in self.brain.workers.values():
+            if worker.entry.state is State.READY and now >= worker.shunned_until and worker.entry.kind < services:
+                found[worker.entry.kind] += max(worker.size, float(worker.out))
+        return found
+
+    def room(self, services: int) -> list[float]:
+        """Those of the slots that are free, as far as reports and our own attempts tell."""
+        found, now = [0.0] * services, trio.current_time()
+        for worker in self.brain.workers.values():
+            if worker.entry.state is State.READY and now >= worker.shunned_until and worker.entry.kind < services:
+                held = min(worker.size, worker.room) if now < worker.report_until else worker.size
+                found[worker.entry.kind] += held - worker.out
+        return found
+
     def _told(self, event: model.HostsTold, now: float) -> list[Action]:
         named = {line.entry.worker for line in event.lines}
         if event.kind is not ListKind.CHANGES:
@@ -198,6 +257,8 @@
         request = model.UpstreamRequest(stream, len(self._out[stream.id]), host, deadline)
         self._out[stream.id].append(request)
         self._left[stream.id] += 1
+        if self.ledger is not None:
+            self.ledger.on_sent(stream.id, now)
         self._attempts.start_soon(self._attempt, request)
 
     async def _attempt(self, request: model.UpstreamRequest) -> None:
@@ -242,9 +303,14 @@
             stream.answer = answer
             stream.answered.set()
             self.figures[type(answer).__name__] += 1
+            if self.ledger is not None:
+                self.ledger.on_answered(stream.id, ANSWERS[type(answer)], trio.current_time())
 
     def _forget(self, stream: model.Stream) -> None:
         """Drop the books of a stream that is over and has nothing out."""
         if stream.over and not self._left[stream.id]:
             for book in (self._streams, self._out, self._left):
                 book.pop(stream.id, None)
+            if self.ledger is not None:
+                self.ledger.on_forgotten(stream.id)
+                self._asks.pop(stream.id, None)
--- a/thistleshore/core/model.py
+++ b/thistleshore/core/model.py
@@ -39,6 +39,7 @@
     key: int = 0
     repeat: bool = False
     member: str = ""  # whose it is, as the operator's rules tell
+    size: int = 0  # bytes of its body
     spare: float = 1.0  # how far its front's means to be answered by go, 1 to 0
     id: int = -1  # the broker's number for it
     answer: FinalAnswer | None = None
@@ -80,6 +81,7 @@
     number: int
     host: UpstreamHost
     deadline: float
+    started: float = 0.0  # when it began to run, as far as its host tells; 0: not known
     sent: bool = False  # set by the front once the last byte of the request is written
     cancelled: bool = False
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
--- a/thistleshore/platform/downstream.py
+++ b/thistleshore/platform/downstream.py
@@ -82,7 +82,7 @@
         # What comes late in a drain is answered before SIGKILL can end it.
         deadline = min(trio.current_time() + terms.remaining, self.gate.answer_by)
         stream = Stream(terms.name, terms.job_class, deadline, Ask(request.target, passed, body), terms.tenant,
-                        terms.key, terms.repeat, terms.member, self.gate.spare)  # fmt: skip
+                        terms.key, terms.repeat, terms.member, len(body), self.gate.spare)  # fmt: skip
         self.names.add(stream.name)
         try:
             answer = await self._await_answer(peer, stream)
