Hold contract streams here rather than in a host's queue, and lend with care beside others

Lost time of others under a surge came from three things: a stream within its share was sent to a host without a free slot, as reports are late; a contract's bucket ran dry by chance while its sibling's was full; two instances lent the same free slot. Now free slots are never thought more than a host's size less own attempts, a sibling with half its bucket pays, and each instance lends its part of what is free.

--- a/oxbowarch/brain.py
+++ b/oxbowarch/brain.py
@@ -357,6 +357,8 @@
         if now < worker.shunned_until or worker.entry.state is not State.READY or worker.waiting > queue:
             return 0.0
         free = worker.room - worker.out if now < worker.report_until else None
+        if free is not None and job.ask.beyond is not None:
+            free = min(free, worker.size - worker.out)  # what a late report may promise is not there
         if free is not None and free < 0.5 - queue:
             if job.ask.beyond is not None or now < worker.no_room_until:
                 return 0.0  # by contract it had better wait here, where who goes next can still be chosen
@@ -503,6 +505,7 @@
         """A worker tells of its load unasked: room for a held job, but no proof that it serves any."""
         self.do = []
         if at in self.workers:
+            self.workers[at].lag_out = self.workers[at].out  # told as it is, not a moment late
             self._read_load(self.workers[at], report, now)
             self._use_room(now)
         return self.do
--- a/thistleshore/contracts/ledger.py
+++ b/thistleshore/contracts/ledger.py
@@ -33,12 +33,13 @@
 TURN = 0.1  # s between two computations of shares
 DEMAND_FADE = log(2) / 2.0  # 1/s; demand of two seconds ago counts half
 RUN_PART = 0.1  # of a job's work in the estimate of the next one's
+LONG_FADE = log(2) / 8.0  # the same for what other instances are told: parts must not follow chance
 DEMAND_MARGIN = 1.25  # what a contract seems to need is rounded up so, before its siblings share the rest
 DEBT_MOST = (
     5.0  # s of its guarantee that settling may leave a bucket in debt: one giant must not bar its member for good
 )
 LEAST_WEIGHT = 0.01  # by which a member without a share borrows
-KEPT_BACK = 0.06  # of a service's slots that are not lent, one at least
+KEPT_BACK, KEPT_BESIDE = 0.08, 0.08  # of a service's slots that are not lent, and more for each instance beside
 ROOM_AGE = 0.01  # s for which a sum of free slots counts; what is offered meanwhile is taken off it
 STEP = 0.02  # s between two looks while something waits
 REPEAT_LAST = 1e9  # added to the rank of a marked repeat that no budget pays for
@@ -47,8 +48,8 @@
 class _Leaf:
     """One member under one contract."""
 
-    __slots__ = ("allotment", "bucket", "contract", "counts", "demand", "demand_at", "fill", "member", "over",
-                 "retries", "run", "turned", "waiting")  # fmt: skip
+    __slots__ = ("allotment", "born", "bucket", "contract", "counts", "demand", "demand_at", "fill", "lately", "member",
+                 "over", "retries", "run", "turned", "waiting")  # fmt: skip
 
     def __init__(self, member: _Member, contract: ContractTerms, now: float) -> None:
         self.member, self.contract = member, contract
@@ -56,6 +57,7 @@
         self.bucket = inf  # until the first guarantee is known
         self.turned = now
         self.demand, self.demand_at = 0.0, now  # decayed slot-seconds asked for
+        self.lately, self.born = 0.0, now  # as `demand`, for longer
         self.run = contract.run  # s that a job is expected to take
         self.allotment = 0.0
         self.over = inf  # since when it has been beyond its share
@@ -69,7 +71,13 @@
         """Slots that are asked for: work a second, lately."""
         return self.demand * exp(DEMAND_FADE * min(0.0, self.demand_at - now)) * DEMAND_FADE
 
+    def asked_lately(self, now: float) -> float:
+        """The same over a longer time; right after the start it is still filling, and would read low."""
+        filled = 1.0 - exp(LONG_FADE * min(-0.5, self.born - now))
+        return self.lately * exp(LONG_FADE * min(0.0, self.demand_at - now)) * LONG_FADE / filled
+
     def ask(self, work: float, now: float) -> None:
+        self.lately = self.lately * exp(LONG_FADE * min(0.0, self.demand_at - now)) + work
         self.demand = self.demand * exp(DEMAND_FADE * min(0.0, self.demand_at - now)) + work
         self.demand_at = max(now, self.demand_at)
 
@@ -235,12 +243,13 @@
         else:
             unpaid = True  # repeats beyond the budget are served last: a storm of them is nobody's share
         barred = self._ceiling(leaf.member, service, work, now)
-        within = number >= 0 and leaf.bucket > 0.0 and not unpaid and not barred
+        payer = leaf if leaf.bucket > 0.0 else self._sibling(number, leaf, work, now)
+        within = number >= 0 and payer is not None and not unpaid and not barred
         charged = 0.0
-        if within:
+        if within and payer is not None:
             leaf.counts["within"] += 1
             charged, leaf.over = work, inf
-            leaf.bucket -= work
+            payer.bucket -= work
             rank = now + leaf.contract.aim + leaf.contract.stretch * work
         else:
             leaf.counts["beyond"] += 1
@@ -298,8 +307,12 @@
         if not self._slots(service):
             return True  # nothing is known of the pool: the module looks for itself
         if now - self._summed > ROOM_AGE or now < self._summed:
-            self._summed, self._free = now, list(self.room())
-        return self._free[service] - self._wanting - max(1.0, KEPT_BACK * self._slots(service)) >= 1.0
+            # All instances see the same free slots, and late, and none sees what the others are about to send.
+            share = KEPT_BACK + KEPT_BESIDE * (self.agreements.instances - 1)
+            kept = [max(1.0, share * slots) for slots in self.slots]
+            self._free = [(room - back) / self.agreements.instances for room, back in zip(self.room(), kept, strict=True)]
+            self._summed = now
+        return self._free[service] - self._wanting >= 1.0
 
     def _overdue(self, now: float) -> None:
         """What has waited for its aim is the module's to refuse: a late answer would take a slot and earn little."""
@@ -313,6 +326,17 @@
         """Streams that wait here."""
         return sum(len(leaf.waiting) for leaf in self._leaves.values())
 
+    def _sibling(self, member: int, leaf: _Leaf, work: float, now: float) -> _Leaf | None:
+        """A contract of the same member that has more than half of its bucket left, and so can pay for another:
+        the member is within its share, though chance has it ask for one class more than usual."""
+        best, most = None, 0.0
+        for key, other in self._leaves.items():
+            if key.member == member and other is not leaf and other.contract.service == leaf.contract.service:
+                self._refill(other, now)
+                if (spare := other.bucket - work - other.cap() / 2) > most:
+                    best, most = other, spare
+        return best
+
     def _stranger(self, contract: int, now: float) -> _Leaf:
         """The leaf of streams that no agreement covers."""
         return self._leaves.setdefault(
@@ -393,7 +417,7 @@
                     * self.agreements.scale
                     * self._slots(self._service(leaf))
                 )
-                told[leaf] = state.asked(now) / room if room > 0.0 else 0.0
+                told[leaf] = state.asked_lately(now) / room if room > 0.0 else 0.0
         return told
 
     def tree(self, now: float) -> list[Guarantee]:
--- a/thistleshore/contracts/model.py
+++ b/thistleshore/contracts/model.py
@@ -57,6 +57,7 @@
     members: tuple[MemberTerms, ...]
     contracts: tuple[ContractTerms, ...]
     services: int = 1
+    instances: int = 1  # that share the pool
     waiting: int = 256  # streams that wait, in all
     waiting_bytes: int = 4 * 1024 * 1024
     waiting_each: int = 64  # of one member under one contract
