--- a/benchmarks/contracts.py
+++ b/benchmarks/contracts.py
@@ -222,6 +222,17 @@
         host = self.world.fleets[self.number][action.worker]
         self.world.later(WIRE, lambda: self.world.arrive(host, running))
 
+    def heard(self, data: bytes) -> None:
+        """A peer's datagram: leases, and what it has out, which is news of hosts as good as their own."""
+        assert self.exchange is not None
+        now = self.world.now
+        if self.exchange.on_datagram(data, now):
+            for name, worker in self.brain.workers.items():
+                beside = self.exchange.beside(name, now)
+                if beside is not None and worker.size:
+                    free = max(0.0, worker.size - worker.out - beside)
+                    self.carry_out(self.brain.on_report(name, Report(free, 0.0, float(worker.out + beside)), now))
+
     def reported(self, host: Host) -> None:
         self.carry_out(self.brain.on_report(host.name, host.report(), self.world.now))
 
@@ -442,12 +453,13 @@
     def beat(self, node: Node) -> None:
         assert node.exchange is not None and node.ledger is not None
         node.exchange.on_demand(node.ledger.demands(self.now), self.now)
+        if self.plan.front == "http":  # elsewhere a host's slots are one dispatcher's
+            node.exchange.on_out({name: worker.out for name, worker in node.brain.workers.items()})
         for peer, data in node.exchange.due(self.now):
             cut = self.plan.cut[0] <= self.now < self.plan.cut[1]
             if not cut and self.random.random() >= self.plan.loss:
                 wait = float(self.random.uniform(0.001, 0.024))
-                to = self.nodes[peer].exchange
-                self.later(wait, lambda to=to, data=data: to.on_datagram(data, self.now))
+                self.later(wait, lambda peer=peer, data=data: self.nodes[peer].heard(data))
         if node.number == 0:
             leaf = Leaf(0, 0)
             parts = sum(n.exchange.part(leaf, self.now) for n in self.nodes if n.exchange is not None)
--- a/thistleshore/contracts/exchange.py
+++ b/thistleshore/contracts/exchange.py
@@ -11,6 +11,9 @@
 agree on nothing but their rate (`drift` is taken off).  After a lease of silence each has its equal part again.  An
 instance that starts does not know what it had ceded: for one lease it uses only what it can never have ceded.
 
+Beside the leases a message tells how many attempts its sender has out at each host: free slots that hosts report come
+late, and two instances that go by the same report would meet at the same slot.
+
 State is idempotent and monotone: a message holds the whole state of its sender for its receiver, and only one with a
 higher number counts.  A number begins with its sender's life, so that no instance takes what is said of an earlier
 life's message for word of its own.
@@ -22,16 +25,20 @@
 from collections import Counter, deque
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
+from zlib import crc32
 
 from thistleshore.contracts.model import Leaf
 from thistleshore.contracts.sharing import fill
 
 VERSION = 1
 BYTES_MOST = 256
-HEAD = struct.Struct("!BBBBQQH")  # version, from, to, instances, number, heard, first leaf
+HEAD = struct.Struct("!BBBBQQHB")  # version, from, to, instances, number, heard, first leaf, how many leaves
 LIFE = 1 << 32  # numbers of one life; the next begins above them all
 ROW = struct.Struct("!BB")  # demand, ceded
-ROWS_MOST = (BYTES_MOST - HEAD.size) // ROW.size
+HOST = struct.Struct("!IB")  # crc32 of a host's name, and our attempts that are out there
+ROWS_MOST = 64  # leaves in one message; what is left of it tells of hosts
+OUT_AGE = 0.5  # s for which it counts what a peer has out at a host
+HOSTS_KEPT = 4096
 DEMAND_STEP = 1 / 64  # of a guarantee; 255 steps are four times it
 CEDE_STEP = 1 / 255  # of an equal part
 
@@ -57,13 +64,14 @@
 class _Peer:
     """What is known of one other instance."""
 
-    __slots__ = ("ceded", "demand", "heard", "sent", "taken", "told_at")
+    __slots__ = ("ceded", "demand", "heard", "out", "sent", "taken", "told_at")
 
     def __init__(self, leaves: int) -> None:
         self.heard = 0  # of its messages the latest
         self.told_at = float("-inf")  # when it was last heard
         self.demand = [0.0] * leaves  # parts of the guarantee that it asks for
         self.taken: list[tuple[int, float]] = [(0, float("-inf"))] * leaves  # steps ceded to us, and until when
+        self.out: dict[int, tuple[int, float]] = {}  # its attempts out, by host, and when it said so
         self.ceded: deque[_Ceded] = deque()  # by us to it, the latest last
         self.sent: dict[int, float] = {}  # when our messages to it went out, by number
 
@@ -82,6 +90,8 @@
         self.counts: Counter[str] = Counter()
         self._born, self._number, self._turn = now, life * LIFE, 0
         self._demand = [0.0] * len(self.leaves)
+        self._out: list[tuple[int, int]] = []  # our attempts out, by host
+        self._host_turn = 0
         self._peers = {n: _Peer(len(self.leaves)) for n in range(instances) if n != me}
 
     # -- what is in use -------------------------------------------------------------------------
@@ -128,12 +138,27 @@
             if leaf in self.numbers:
                 self._demand[self.numbers[leaf]] = demand
 
+    def on_out(self, out: Mapping[bytes, int]) -> None:
+        """How many attempts of ours are out, by host."""
+        self._out = [(crc32(host), min(255, count)) for host, count in sorted(out.items())]
+
+    def beside(self, host: bytes, now: float) -> int | None:
+        """Attempts that the others have out at a host, as far as they said so lately; None where any is silent."""
+        number, total = crc32(host), 0
+        for peer in self._peers.values():
+            count, at = peer.out.get(number, (0, float("-inf")))
+            if now - at > OUT_AGE:
+                return None
+            total += count
+        return total
+
     def due(self, now: float) -> list[tuple[int, bytes]]:
         """The messages to send now, one for each peer; where leaves do not fit one, they take turns."""
         first = self._turn if self._turn < len(self.leaves) else 0
         rows = range(first, min(first + ROWS_MOST, len(self.leaves)))
         self._turn = rows.stop if rows.stop < len(self.leaves) else 0
         ceding = {leaf: self._cede(leaf, now) for leaf in rows}
+        hosts = self._hosts(BYTES_MOST - HEAD.size - len(rows) * ROW.size)
         told = []
         for number, peer in self._peers.items():
             self._number += 1
@@ -142,12 +167,22 @@
                 del peer.sent[next(iter(peer.sent))]
             steps = tuple(ceding[leaf].get(number, 0) for leaf in rows)
             peer.ceded.append(_Ceded(now + self.terms.lease, steps, first))
-            head = HEAD.pack(VERSION, self.me, number, self.instances, self._number, peer.heard, first)
+            head = HEAD.pack(VERSION, self.me, number, self.instances, self._number, peer.heard, first, len(steps))
             body = b"".join(ROW.pack(min(255, round(self._demand[leaf] / DEMAND_STEP)), step)
                             for leaf, step in zip(rows, steps, strict=True))  # fmt: skip
-            told.append((number, head + body))
+            told.append((number, head + body + hosts))
         return told
 
+    def _hosts(self, room: int) -> bytes:
+        """As many hosts as fit; where not all do, they take turns."""
+        most = room // HOST.size
+        if len(self._out) <= most:
+            return b"".join(HOST.pack(*row) for row in self._out)
+        self._host_turn = self._host_turn % len(self._out)
+        rows = (self._out[self._host_turn :] + self._out[: self._host_turn])[:most]
+        self._host_turn += most
+        return b"".join(HOST.pack(*row) for row in rows)
+
     def _cede(self, leaf: int, now: float) -> dict[int, int]:
         """Steps of the equal part to give to each peer: by what it lacks, of what is spare here."""
         if now < self._born + self.terms.lease:
@@ -176,10 +211,13 @@
 
     def on_datagram(self, data: bytes, now: float) -> bool:
         """Take a message in; one that is garbage, old or not for us is counted and changes nothing."""
-        if not HEAD.size <= len(data) <= BYTES_MOST or (len(data) - HEAD.size) % ROW.size:
+        if not HEAD.size <= len(data) <= BYTES_MOST:
+            return self._ignore("garbage")
+        version, sender, to, instances, number, heard, first, count = HEAD.unpack_from(data)
+        end = HEAD.size + count * ROW.size
+        if end > len(data) or (len(data) - end) % HOST.size:
             return self._ignore("garbage")
-        version, sender, to, instances, number, heard, first = HEAD.unpack_from(data)
-        rows = list(ROW.iter_unpack(data[HEAD.size :]))
+        rows = list(ROW.iter_unpack(data[HEAD.size : end]))
         if version != VERSION:
             return self._ignore("version")
         if (
@@ -198,6 +236,9 @@
         for leaf, (demand, steps) in enumerate(rows, first):
             peer.demand[leaf] = demand * DEMAND_STEP
             peer.taken[leaf] = (steps, until)
+        peer.out.update((host, (out, now)) for host, out in HOST.iter_unpack(data[end:]))
+        if len(peer.out) > HOSTS_KEPT:  # a year of deploys must not fill the memory
+            peer.out = {host: told for host, told in peer.out.items() if now - told[1] <= OUT_AGE}
         self.counts["taken"] += 1
         return True
 
--- a/thistleshore/contracts/ledger.py
+++ b/thistleshore/contracts/ledger.py
@@ -310,7 +310,8 @@
             # All instances see the same free slots, and late, and none sees what the others are about to send.
             share = KEPT_BACK + KEPT_BESIDE * (self.agreements.instances - 1)
             kept = [max(1.0, share * slots) for slots in self.slots]
-            self._free = [(room - back) / self.agreements.instances for room, back in zip(self.room(), kept, strict=True)]
+            free = zip(self.room(), kept, strict=True)
+            self._free = [(room - back) / self.agreements.instances for room, back in free]
             self._summed = now
         return self._free[service] - self._wanting >= 1.0
 
--- a/thistleshore/contracts/model.py
+++ b/thistleshore/contracts/model.py
@@ -34,7 +34,7 @@
     share: float
     ceiling: float | None = None
     burst: float = 0.5
-    jobs: float = 12.0
+    jobs: float = 24.0
     retries: Retries = Retries()
     weights: dict[str, float] = field(default_factory=dict)
 
