--- a/benchmarks/contracts_real.py
+++ b/benchmarks/contracts_real.py
@@ -92,9 +92,10 @@
     async def client(self, member: str, job_class: int, run: float, counted: bool) -> None:
         rule, begun = CLASSES[job_class], trio.current_time()
         self.number += 1
+        name = f"{self.number:x}"
         async with await trio.open_tcp_stream("127.0.0.1", self.port) as stream:
             body = b"%.4f" % run
-            head = f"POST /{NAMES[job_class]} HTTP/1.1\r\nHost: s\r\nX-Txn: {self.number:x}\r\nX-Org: {member}\r\n"
+            head = f"POST /{NAMES[job_class]} HTTP/1.1\r\nHost: s\r\nX-Txn: {name}\r\nX-Org: {member}\r\n"
             await stream.send_all(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
             status, headers = await Lines(stream).head()
         self.answers += 1
