Begin the load generator; leave a pool of which nothing is known to the module

The state machine of the ledger found two faults: a stream beyond share, met before any host had reported, raised an IndexError and would have been left without an answer; and weights as small as floats can be made water-filling hand out more than the room.

--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -64,6 +64,11 @@
     assert all(level[n] >= max(level) - 1e-6 for n in short)
 
 
+def test_weights_as_small_as_floats_can_be() -> None:
+    assert fill(0.002, [0.5, 0.5], [2e-311, 2e-311]) == pytest.approx([0.001, 0.001])
+    assert lend(0.002, [4e-314], [0.17], [inf]) == pytest.approx([0.002])
+
+
 def test_unused_share_is_lent_by_weight_and_ceilings_hold() -> None:
     assert lend(10, [5, 3, 2], [0, 9, 9], [inf] * 3) == pytest.approx([0, 6, 4])
     assert lend(10, [5, 3, 2], [9, 9, 9], [inf] * 3) == pytest.approx([5, 3, 2])
@@ -90,6 +95,12 @@
     assert standings(ledger(MemberTerms("a", 0.0)), "a", 2, 1.0) == [True, True]
 
 
+def test_a_pool_of_which_nothing_is_known_yet_is_left_to_the_module() -> None:
+    at = ledger(MemberTerms("a", 0.0), slots=0.0, free=0.0)
+    standings(at, "stranger", 3, 0.0)
+    assert [(offer.stream, offer.spare) for offer in at.due(0.0)] == [(1, 1.0), (2, 1.0), (3, 1.0)] and at.waiting == 0
+
+
 def test_share_is_kept_by_work_and_a_giant_is_settled_when_it_ends() -> None:
     at = ledger(MemberTerms("heavy", 0.5, jobs=6), MemberTerms("light", 0.5, jobs=6))
     for n in range(40):  # the same count, twenty times the work
--- a/thistleshore/cli/__init__.py
+++ b/thistleshore/cli/__init__.py
@@ -46,6 +46,7 @@
     "check": Later("check", "Name everything that is wrong with an operator's file."),
     "expr": Later("expr", "Check, evaluate, explain, cost and time expressions."),
     "contracts": Later("contracts", "Show the agreements of an operator's file and their shares."),
+    "load": Later("load", "Send open-loop load, and tell what came of it."),
     "import": Later("imports", "Turn another program's configuration into an operator's file."),
     "completion": Later("completion", "Print the completion script of a shell."),
 }
--- a/thistleshore/contracts/ledger.py
+++ b/thistleshore/contracts/ledger.py
@@ -300,7 +300,8 @@
             elif self._lendable(found.leaf.contract.service, now):
                 heappop(self._line)
                 self._virtual = max(self._virtual, rank if rank < REPEAT_LAST else 0.0)
-                self._free[found.leaf.contract.service] -= 1.0
+                if self._slots(found.leaf.contract.service):  # else nothing is known that could be taken off
+                    self._free[found.leaf.contract.service] -= 1.0
                 self._offer(stream)
             elif self.agreements.services > 1:
                 kept.append(heappop(self._line))  # another service may have room
--- a/thistleshore/contracts/sharing.py
+++ b/thistleshore/contracts/sharing.py
@@ -11,6 +11,9 @@
     Weighted max-min: no part can grow without one that is smaller by weight shrinking.  Parts sum to the room, or to
     all demands where these are less.
     """
+    # Weights matter only among themselves: as small as floats can be, they would make the level infinite.
+    most = max(weights, default=0.0)
+    weights = [weight / most for weight in weights] if most > 0.0 else weights
     parts = [0.0] * len(demands)
     asking = [n for n in range(len(demands)) if demands[n] > 0.0 and weights[n] > 0.0]
     # Who is content with the least by weight is filled first; the level rises for the others.
