Read the pool in one place for program and benchmark, and drop what nothing reads

Read again, the change held twins: the broker and the benchmark each summed slots and free slots and each made a report of what peers have out, and the benchmark's forgot shunned hosts; the exchange set up its leaves twice; a text became a literal in two ways; the number of a plain rule's contract was read back out of its name; the broker had the ledger's step again. Each is one piece now (contracts/pool.py, Exchange.report, Exchange._begin, plain.quoted). figures() worked out lending that nobody read; unused fields and names are gone.

--- a/benchmarks/check_exchange.py
+++ b/benchmarks/check_exchange.py
@@ -75,7 +75,7 @@
             nodes[restart] = kind(restart, count, (LEAF,), TERMS, lives[restart], now)
         sent: list[tuple[int, bytes]] = []
         for number, node in enumerate(nodes):
-            node.on_demand({LEAF: 1.0 if number == hungry else 0.0}, now)
+            node.on_demand({LEAF: 1.0 if number == hungry else 0.0})
             sent += node.due(now)
         for fates in itertools.product(FATES, repeat=len(sent)):
             after = copy.deepcopy(nodes)
@@ -144,7 +144,7 @@
             told = []
             arriving, late = late, []
             for n, node in enumerate(nodes):
-                node.on_demand({LEAF: 1.0 if n == hungry else 0.0}, now)
+                node.on_demand({LEAF: 1.0 if n == hungry else 0.0})
                 for to, data in node.due(now):
                     mine = fate if at.random() < 0.7 else at.choice(FATES)
                     told.append(mine)
--- a/benchmarks/contracts.py
+++ b/benchmarks/contracts.py
@@ -27,7 +27,7 @@
     NEVER_RAN, Action, AttemptBudget, Cancel, Effect, Entry, Fail, Group, JobClass, ListKind, Outcome, Refuse,
     Report, Reports, Request, Send, Settings, State, Status, Timer,
 )  # fmt: skip
-from thistleshore.contracts import Agreements, ContractTerms, Leaf, Ledger, MemberTerms, Retries
+from thistleshore.contracts import Agreements, ContractTerms, Leaf, Ledger, MemberTerms, Retries, pool
 from thistleshore.contracts.exchange import Exchange, Terms
 from thistleshore.contracts.ledger import STEP
 
@@ -149,12 +149,10 @@
         self.count: Counter[int] = Counter()
 
     def slots(self) -> list[float]:
-        ready = [w for w in self.brain.workers.values() if w.entry.state is State.READY]
-        return [sum(max(w.size, float(w.out)) for w in ready)]
+        return pool.slots(self.brain.workers.values(), 1, self.world.now)
 
     def room(self) -> list[float]:
-        ready = [w for w in self.brain.workers.values() if w.entry.state is State.READY]
-        return [sum((min(w.size, w.room) if self.world.now < w.report_until else w.size) - w.out for w in ready)]
+        return pool.room(self.brain.workers.values(), 1, self.world.now)
 
     def open(self, job: Job, repeat: bool) -> None:
         world, now = self.world, self.world.now
@@ -229,10 +227,9 @@
         now = self.world.now
         if self.exchange.on_datagram(data, now):
             for name, worker in self.brain.workers.items():
-                beside = self.exchange.beside(name, now)
-                if beside is not None and worker.size:
-                    free = max(0.0, worker.size - worker.out - beside)
-                    self.carry_out(self.brain.on_report(name, Report(free, 0.0, float(worker.out + beside)), now))
+                report = self.exchange.report(name, worker.size, worker.out, now)
+                if report is not None:
+                    self.carry_out(self.brain.on_report(name, report, now))
 
     def reported(self, host: Host) -> None:
         self.carry_out(self.brain.on_report(host.name, host.report(), self.world.now))
@@ -454,7 +451,7 @@
 
     def beat(self, node: Node) -> None:
         assert node.exchange is not None and node.ledger is not None
-        node.exchange.on_demand(node.ledger.demands(self.now), self.now)
+        node.exchange.on_demand(node.ledger.demands(self.now))
         if self.plan.front == "http":  # elsewhere a host's slots are one dispatcher's
             node.exchange.on_out({name: worker.out for name, worker in node.brain.workers.items()})
         for peer, data in node.exchange.due(self.now):
--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -431,7 +431,7 @@
 
 def talk(nodes: list[Exchange], now: float, demands: list[float], lost: float = 0.0) -> None:
     for node, demand in zip(nodes, demands, strict=True):
-        node.on_demand(dict.fromkeys(LEAVES, demand), now)
+        node.on_demand(dict.fromkeys(LEAVES, demand))
     for node in nodes:
         for to, data in node.due(now):
             assert len(data) <= BYTES_MOST
@@ -493,7 +493,7 @@
     nodes = [Exchange(n, 2, leaves, Terms(), 1, -9.0) for n in range(2)]
     hosts = {b"host-%d" % n: n for n in range(100)}
     for step in range(20):
-        nodes[0].on_demand(dict.fromkeys(leaves, 2.0), step / 10)
+        nodes[0].on_demand(dict.fromkeys(leaves, 2.0))
         nodes[0].on_out(hosts)
         for node in nodes:
             for to, data in node.due(step / 10):
--- a/thistleshore/contracts/exchange.py
+++ b/thistleshore/contracts/exchange.py
@@ -8,9 +8,9 @@
 - The owner counts as ceded the most that any message of the last lease ceded, whether it arrived or not.
 
 So the parts in use never sum to more than the whole: whatever is lost, repeated, reordered or late, with clocks that
-agree on nothing but their rate (`drift` is taken off).  After a lease of silence a receiver
-uses nothing of it any more, and after two its owner has its equal part again.  An
-instance that starts does not know what it had ceded: for one lease it uses only what it can never have ceded.
+agree on nothing but their rate (`drift` is taken off).  After a lease of silence a receiver uses nothing of it any
+more, and after two its owner has its equal part again.  An instance that starts does not know what it had ceded: for
+one lease it uses only what it can never have ceded.
 
 Beside the leases a message tells how many attempts its sender has out at each host: free slots that hosts report come
 late, and two instances that go by the same report would meet at the same slot.
@@ -28,6 +28,7 @@
 from typing import NamedTuple
 from zlib import crc32
 
+from oxbowarch.interface import Report
 from thistleshore.contracts.model import Leaf
 from thistleshore.contracts.sharing import fill
 
@@ -89,30 +90,30 @@
     ) -> None:
         if not 0 <= me < instances <= 255:
             raise ValueError("an instance is numbered among at most 255")
-        self.me, self.instances, self.leaves, self.terms = me, instances, tuple(leaves), terms
-        self.numbers = {leaf: n for n, leaf in enumerate(self.leaves)}
+        self.me, self.instances, self.terms = me, instances, terms
         self.counts: Counter[str] = Counter()
-        self._born, self._number, self._turn = now, life * LIFE, 0
-        self._print = crc32(names.encode()) & 0xFFFF
-        self._demand = [0.0] * len(self.leaves)
+        self._number = life * LIFE
         self._out: list[tuple[int, int]] = []  # our attempts out, by host
         self._host_turn = 0
-        self._peers = {n: _Peer(len(self.leaves)) for n in range(instances) if n != me}
+        self._peers: dict[int, _Peer] = {n: _Peer(0) for n in range(instances) if n != me}
+        self._begin(leaves, names, now)
+
+    def _begin(self, leaves: Sequence[Leaf], names: str, now: float) -> None:
+        """Know nothing of any leaf; what was heard of each peer last is kept, so that old messages stay old."""
+        self.leaves, self._print, self._born, self._turn = tuple(leaves), crc32(names.encode()) & 0xFFFF, now, 0
+        self.numbers = {leaf: n for n, leaf in enumerate(self.leaves)}
+        self._demand = [0.0] * len(self.leaves)
+        for number, before in self._peers.items():
+            self._peers[number] = peer = _Peer(len(self.leaves))
+            peer.heard = before.heard
 
     def adopt(self, leaves: Sequence[Leaf], names: str, now: float) -> None:
         """Other agreements: leaves mean something else from now on, and what was ceded of the old ones lapses.
 
-        Until the others have them too, their messages are of strangers, and each has its equal part.
+        Until the others have them too, their messages are of strangers, and each comes to its equal part.
         """
-        if crc32(names.encode()) & 0xFFFF == self._print and tuple(leaves) == self.leaves:
-            return
-        self.leaves, self._print, self._born, self._turn = tuple(leaves), crc32(names.encode()) & 0xFFFF, now, 0
-        self.numbers = {leaf: n for n, leaf in enumerate(self.leaves)}
-        self._demand = [0.0] * len(self.leaves)
-        heard = {n: peer.heard for n, peer in self._peers.items()}
-        self._peers = {n: _Peer(len(self.leaves)) for n in heard}
-        for n, number in heard.items():
-            self._peers[n].heard = number
+        if crc32(names.encode()) & 0xFFFF != self._print or tuple(leaves) != self.leaves:
+            self._begin(leaves, names, now)
 
     # -- what is in use -------------------------------------------------------------------------
 
@@ -152,7 +153,7 @@
 
     # -- messages out ---------------------------------------------------------------------------
 
-    def on_demand(self, demands: Mapping[Leaf, float], now: float) -> None:
+    def on_demand(self, demands: Mapping[Leaf, float]) -> None:
         """What is asked for here, as parts of each leaf's whole guarantee."""
         for leaf, demand in demands.items():
             if leaf in self.numbers:
@@ -172,6 +173,13 @@
             total += count
         return total
 
+    def report(self, host: bytes, size: float, out: int, now: float) -> Report | None:
+        """What that says of a host of so many slots where so many attempts are ours; None where nothing is known."""
+        beside = self.beside(host, now)
+        if beside is None or not size:
+            return None
+        return Report(max(0.0, size - out - beside), 0.0, float(out + beside))
+
     def due(self, now: float) -> list[tuple[int, bytes]]:
         """The messages to send now, one for each peer; where leaves do not fit one, they take turns."""
         first = self._turn if self._turn < len(self.leaves) else 0
--- a/thistleshore/contracts/ledger.py
+++ b/thistleshore/contracts/ledger.py
@@ -35,9 +35,7 @@
 RUN_PART = 0.1  # of a job's work in the estimate of the next one's
 LONG_FADE = log(2) / 8.0  # the same for what other instances are told: parts must not follow chance
 DEMAND_MARGIN = 1.25  # what a contract seems to need is rounded up so, before its siblings share the rest
-DEBT_MOST = (
-    5.0  # s of its guarantee that settling may leave a bucket in debt: one giant must not bar its member for good
-)
+DEBT_MOST = 5.0  # s of its guarantee that a bucket may be in debt: one giant must not bar its member for good
 LEAST_WEIGHT = 0.01  # by which a member without a share borrows
 KEPT_BACK, KEPT_BESIDE = 0.08, 0.08  # of a service's slots that are not lent, and more for each instance beside
 ROOM_AGE = 0.01  # s for which a sum of free slots counts; what is offered meanwhile is taken off it
@@ -48,7 +46,7 @@
 class _Leaf:
     """One member under one contract."""
 
-    __slots__ = ("allotment", "born", "bucket", "contract", "counts", "demand", "demand_at", "fill", "lately", "member",
+    __slots__ = ("born", "bucket", "contract", "counts", "demand", "demand_at", "fill", "lately", "member",
                  "over", "retries", "run", "turned", "usual", "waiting")  # fmt: skip
 
     def __init__(self, member: _Member, contract: ContractTerms, now: float) -> None:
@@ -60,7 +58,6 @@
         self.usual = contract.run  # the same of the contract's middle member: heavy jobs must not mean a larger burst
         self.lately, self.born = 0.0, now  # as `demand`, for longer
         self.run = contract.run  # s that a job is expected to take
-        self.allotment = 0.0
         self.over = inf  # since when it has been beyond its share
         self.waiting: dict[int, int] = {}  # streams that wait, and their bytes, the latest last
         self.retries = Account(member.terms.retries, now)
@@ -113,10 +110,10 @@
 class _Open:
     """A stream that has no final answer yet, or attempts out."""
 
-    __slots__ = ("charged", "leaf", "offered", "opened", "sent", "size", "stamp", "until", "worked")
+    __slots__ = ("charged", "leaf", "offered", "opened", "sent", "stamp", "until", "worked")
 
-    def __init__(self, leaf: _Leaf, stamp: Stamp, charged: float, opened: float, until: float, size: int) -> None:
-        self.leaf, self.stamp, self.charged, self.opened, self.size = leaf, stamp, charged, opened, size
+    def __init__(self, leaf: _Leaf, stamp: Stamp, charged: float, opened: float, until: float) -> None:
+        self.leaf, self.stamp, self.charged, self.opened = leaf, stamp, charged, opened
         self.until = until  # it waits here no longer than that
         self.offered = False
         self.sent = 0  # attempts
@@ -131,6 +128,8 @@
     `part(leaf)` is the part of a leaf's guarantee that this instance has, 0 to 1.
     """
 
+    step = STEP
+
     def __init__(self, agreements: Agreements, now: float, capacity: Callable[[], Sequence[float]],
                  room: Callable[[], Sequence[float]],
                  part: Callable[[Leaf], float] = lambda leaf: 1.0) -> None:  # fmt: skip
@@ -206,9 +205,8 @@
 
     def _refill(self, leaf: _Leaf, now: float) -> None:
         # A clock that jumped back fills nothing; one that jumped ahead fills a burst, which is all a bucket holds.
-        leaf.bucket = (
-            min(leaf.cap(), leaf.bucket + leaf.fill * max(0.0, now - leaf.turned)) if leaf.fill else leaf.bucket
-        )
+        if leaf.fill:
+            leaf.bucket = min(leaf.cap(), leaf.bucket + leaf.fill * max(0.0, now - leaf.turned))
         leaf.turned = now
 
     def _ceiling(self, member: _Member, service: int, work: float, now: float) -> bool:
@@ -269,7 +267,7 @@
         stamp = Stamp(Leaf(number, contract), not within, rank, barred)
         # Offered for refusal well before its client gives up, so that the answer is in time.
         until = now + min(leaf.contract.aim, 0.8 * patience)
-        self._open[stream] = _Open(leaf, stamp, charged, now, until, size)
+        self._open[stream] = _Open(leaf, stamp, charged, now, until)
         if within or barred:
             self._offer(stream, 0.0 if barred else 1.0)
         else:
@@ -446,13 +444,12 @@
                         for leaf in here]  # fmt: skip
             lent = lend(self._slots(service), [state.fill for state in states], asked, ceilings)
             for leaf, state, allotted, demand in zip(here, states, lent, asked, strict=True):
-                state.allotment = allotted
                 told.append(Guarantee(leaf, state.member.terms.name, state.contract.name, state.fill, allotted, demand))
         return told
 
     def figures(self, now: float) -> list[LeafFigures]:
         """Counts and state of every member under every contract that has had a stream."""
-        self.tree(now)
+        self._turn(now)
         return [
             LeafFigures(
                 state.member.terms.name, state.contract.name, **state.counts, retries_paid=state.retries.spent,
--- a/thistleshore/core/broker.py
+++ b/thistleshore/core/broker.py
@@ -12,7 +12,7 @@
 
 from oxbowarch.brain import Brain
 from oxbowarch.interface import NEVER_RAN, Action, Cancel, CloseIdle, Fail, Log, ListKind, Outcome, Refuse, Request
-from oxbowarch.interface import Report, Send, State, Status, Timer, Watch
+from oxbowarch.interface import Send, State, Status, Timer, Watch
 from thistleshore.core import model
 from thistleshore.invariants import invariant
 
@@ -26,15 +26,16 @@
 ANSWER_LEAD = 0.01  # s before a deadline at which an upstream request times out, so that the answer is in time
 FIGURES_EVERY = 10.0  # s between two lines of figures in the log
 ANSWERS = {model.Served: "served", model.LocalReply: "refused", model.Failed: "failed"}  # as a ledger calls them
-LOOK, LOOK_EVERY = -1, 0.02  # the token of the timer while something waits beyond its share, and s between two
+LOOK = -1  # the token of the timer while something waits beyond its share
 FIGURES = 0  # the token of that timer: the module's tokens are those of streams, numbered from 1
 
 
 class Broker:
     """Hands events to the module in order and carries out its actions in order."""
 
-    def __init__(self, brain: Brain, ledger: Ledger | None = None) -> None:
-        self.brain, self.ledger = brain, ledger
+    def __init__(self, brain: Brain) -> None:
+        self.brain = brain
+        self.ledger: Ledger | None = None
         self.exchange: Exchange | None = None
         self.carriers: dict[type, model.UpstreamFront] = {}  # by what a host's `dial` is
         self.inbox, self._events = trio.open_memory_channel[model.Event](QUEUE)
@@ -139,7 +140,7 @@
                     self._carry_out(self.brain.on_request(left, now), now)
         if ledger.waiting and not self._looking:
             self._looking = True
-            heappush(self._timers, (now + LOOK_EVERY, LOOK))
+            heappush(self._timers, (now + ledger.step, LOOK))
 
     def _withdrawn(self, stream: model.Stream, now: float) -> list[Action]:
         if stream.over:
@@ -175,28 +176,11 @@
             return 0.0
         return now - event.request.started if event.request.started else event.took
 
-    def slots(self, services: int) -> list[float]:
-        """Slots of the ready hosts of each service, as far as seen; a host that is shunned has none."""
-        found, now = [0.0] * services, trio.current_time()
-        for worker in self.brain.workers.values():
-            if worker.entry.state is State.READY and now >= worker.shunned_until and worker.entry.kind < services:
-                found[worker.entry.kind] += max(worker.size, float(worker.out))
-        return found
-
-    def room(self, services: int) -> list[float]:
-        """Those of the slots that are free, as far as reports and our own attempts tell."""
-        found, now = [0.0] * services, trio.current_time()
-        for worker in self.brain.workers.values():
-            if worker.entry.state is State.READY and now >= worker.shunned_until and worker.entry.kind < services:
-                held = min(worker.size, worker.room) if now < worker.report_until else worker.size
-                found[worker.entry.kind] += held - worker.out
-        return found
-
     def beat(self, now: float) -> list[tuple[int, bytes]]:
         """The datagrams to send to the other instances now, by their numbers."""
         if self.ledger is None or self.exchange is None:
             return []
-        self.exchange.on_demand(self.ledger.demands(now), now)
+        self.exchange.on_demand(self.ledger.demands(now))
         # A host that reserves is one instance's alone: only of those that are dialled do others need to know.
         out = {host.id: self.brain.workers[host.id].out for host in self.hosts.values()
                if isinstance(host.dial, tuple) and host.id in self.brain.workers}  # fmt: skip
@@ -208,10 +192,9 @@
         actions: list[Action] = []
         if self.exchange is not None and self.exchange.on_datagram(data, now):
             for name, worker in self.brain.workers.items():
-                beside = self.exchange.beside(name, now)
-                if beside is not None and worker.size and name in self.hosts:
-                    free = max(0.0, worker.size - worker.out - beside)
-                    actions += self.brain.on_report(name, Report(free, 0.0, float(worker.out + beside)), now)
+                report = self.exchange.report(name, worker.size, worker.out, now) if name in self.hosts else None
+                if report is not None:
+                    actions += self.brain.on_report(name, report, now)
         return actions
 
     def _told(self, event: model.HostsTold, now: float) -> list[Action]:
--- a/thistleshore/dispatcher.py
+++ b/thistleshore/dispatcher.py
@@ -80,7 +80,7 @@
 def _keep_shares(broker: Broker, plan: config.Plan) -> None:
     """Give the broker the ledger of its members, and their exchange with other instances."""
     # Imported here: the platform keeps no shares.
-    from thistleshore.contracts import Ledger
+    from thistleshore.contracts import Ledger, pool
     from thistleshore.contracts.exchange import Exchange
 
     agreements, now = plan.agreements, trio.current_time()
@@ -94,7 +94,8 @@
                                    agreements.names)  # fmt: skip
     services, exchange, alone = agreements.services, broker.exchange, 1.0 / agreements.instances
     broker.ledger = Ledger(
-        agreements, now, lambda: broker.slots(services), lambda: broker.room(services),
+        agreements, now, lambda: pool.slots(broker.brain.workers.values(), services, trio.current_time()),
+        lambda: pool.room(broker.brain.workers.values(), services, trio.current_time()),
         (lambda leaf: alone) if exchange is None else (lambda leaf: exchange.part(leaf, trio.current_time())),
     )  # fmt: skip
 
--- a/thistleshore/expressions/check.py
+++ b/thistleshore/expressions/check.py
@@ -27,7 +27,6 @@
 ENTRIES_MOST = 1 << 20
 BUCKETS_MOST = 1_000_000
 MACROS = ("exists", "all", "exists_one")
-HARMLESS = ("and", "or", "cond", "not", "const", "var", "bound")  # never folded by running them
 ORDER = {"<": "lt", "<=": "le", ">": "gt", ">=": "ge"}
 CALLED: Mapping[type[Any], str] = {Bool: "bool", Int: "int", Double: "double", Str: "string", Ip: "ip", List: "list",
                                    Map: "map", Optional: "optional"}  # fmt: skip
--- a/thistleshore/expressions/plain.py
+++ b/thistleshore/expressions/plain.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-import json
-
 from thistleshore.expressions.syntax import Syntax
 
 
@@ -29,7 +27,7 @@
         case "bool":
             return "true" if tree.value else "false"
         case "string":
-            return _string(tree.value)
+            return quoted(tree.value)
         case "name":
             return str(tree.value)
         case "list":
@@ -57,6 +55,7 @@
     raise ValueError(f"{kind} has no plain form")
 
 
-def _string(text: str) -> str:
-    return json.dumps(text, ensure_ascii=False) if text.isprintable() and "\\" not in text else '"' + "".join(
-        c if c.isprintable() and c not in '"\\' else f"\\U{ord(c):08x}" for c in text) + '"'  # fmt: skip
+def quoted(text: str) -> str:
+    """A text as a literal."""
+    safe = "".join(c if c.isprintable() and c not in '"\\' else f"\\U{ord(c):08x}" for c in text)
+    return f'"{safe}"'
--- a/thistleshore/expressions/rules.py
+++ b/thistleshore/expressions/rules.py
@@ -12,7 +12,7 @@
 from thistleshore.expressions.check import Checker
 from thistleshore.expressions.compiler import CheckedRule, Compiled, compile_rules
 from thistleshore.expressions.diagnostics import ExpressionError, Source, Span
-from thistleshore.expressions.evaluate import Evaluator, Step
+from thistleshore.expressions.evaluate import Evaluator
 from thistleshore.expressions.model import Environment, Limits, Node
 from thistleshore.expressions.types import Bool, Int, Str
 
@@ -124,4 +124,4 @@
 
 
 KEY_TYPES = (Str, Int)
-__all__ = ["KEY_TYPES", "Kind", "Looked", "Rule", "RuleErrors", "RuleSet", "Step"]
+__all__ = ["KEY_TYPES", "Kind", "Looked", "Rule", "RuleErrors", "RuleSet"]
--- a/thistleshore/routing/table.py
+++ b/thistleshore/routing/table.py
@@ -14,6 +14,7 @@
 from thistleshore.expressions.diagnostics import ExpressionError, Span
 from thistleshore.expressions.functions import hash64
 from thistleshore.expressions.model import Environment, Node
+from thistleshore.expressions.plain import quoted
 from thistleshore.expressions.rules import KEY_TYPES, Looked
 from thistleshore.expressions.types import Str
 
@@ -84,7 +85,7 @@
             by_class[terms.job_class] = (*by_class.get(terms.job_class, ()), number)
             by_team.setdefault((terms.job_class, terms.team), number)
         self._classes = _Classes(by_class, by_team)
-        plain = _plain_rules(contracts)
+        self._plain_contracts, plain = _plain_rules(contracts)
         try:
             self.rules = RuleSet((*rules, *plain), KINDS, environment, limits)
             # A rule that names no contract leaves that to the paths and tubes.
@@ -152,39 +153,34 @@
             number = self._classes.find(found[CLASS], member)
         else:
             plain = self.plain.decide(request)
-            number = None if plain is None else self.names_of_plain(plain[0])
+            number = None if plain is None else self._plain_contracts[plain[0]]
         if number is None:
             return None
         return Routed(number, self.contracts[number].deadline, member, key_number(found[KEY]),
                       self.rules.rules[found[0]].name)  # fmt: skip
 
-    def names_of_plain(self, number: int) -> int:
-        """The contract of the path or tube rule of that number."""
-        return int(self.plain.rules[number].name.partition("[")[2].partition("]")[0])
-
     def explain(self, request: Request) -> tuple[list[Looked], Routed | None]:
         """Each rule up to the one that decides, and what comes of it."""
         return self.rules.explain(request.read), self.route(request)
 
 
-def _plain_rules(contracts: Sequence[Terms]) -> list[Rule]:
-    """The `path` and `tube` keys as rules; the longest path is asked first."""
-    rules = []
+def _plain_rules(contracts: Sequence[Terms]) -> tuple[list[int], list[Rule]]:
+    """The `path` and `tube` keys as rules, and whose each is; the longest path is asked first."""
+    numbers: list[int] = []
+    rules: list[Rule] = []
+
+    def add(number: int, key: str, when: str) -> None:
+        name = f"contract[{number}].{key}"
+        numbers.append(number)
+        rules.append(Rule(name, Source(when, "", name)))
+
     paths = [(terms.path, n) for n, terms in enumerate(contracts) if terms.path]
     for path, number in sorted(paths, key=lambda item: (-len(item[0]), item[1])):
-        when = f'request.front == "http" && request.path.startsWith({quoted(path)})'
-        rules.append(Rule(f"contract[{number}].path", Source(when, "", f"contract[{number}].path")))
+        add(number, "path", f'request.front == "http" && request.path.startsWith({quoted(path)})')
     for number, terms in enumerate(contracts):
         if terms.tube:
-            when = f'request.front == "beanstalkd" && request.tube == {quoted(terms.tube)}'
-            rules.append(Rule(f"contract[{number}].tube", Source(when, "", f"contract[{number}].tube")))
-    return rules
-
-
-def quoted(text: str) -> str:
-    """A text as a literal."""
-    safe = "".join(c if c.isprintable() and c not in '"\\' else f"\\U{ord(c):08x}" for c in text)
-    return f'"{safe}"'
+            add(number, "tube", f'request.front == "beanstalkd" && request.tube == {quoted(terms.tube)}')
+    return numbers, rules
 
 
 class Live:
