Spread and back off calls for the list, so that a killed fleet gets it back

Each call for the list ended as 503 after 2 s in discovery's own queue.

Checked and ruled out: CPU at start (ready in 0.2 s, most 0.2 s of CPU in a second); a backoff alone (0.5 s doubled to 8 s, first calls still at once): 1 of 28 regained. The lines at fault: discovery.py AGAIN = 0.1 s flat, WAIT = 5 s (40 renewals in 5 s), and the first call at once in run().

Change: first calls spread over 0.1 s a dispatcher (4 s at most) where a list is in hand, failed ones again after 2 s doubled to 8 s with jitter from the seed, watches of 10 s.

--- a/thistleshore/platform/discovery.py
+++ b/thistleshore/platform/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from random import Random
 
 import h11
 import trio
@@ -12,17 +13,27 @@
 
 log = logging.getLogger("thistleshore")
 
-WAIT = 5.0  # s that discovery may hold a call; short, so that a call lost in an outage is soon made again
+WAIT = 10.0  # s that discovery may hold a call: each one, with an empty answer too, is work for what serves all
 SILENCE = 0.5  # s beyond that after which the call counts as lost
-AGAIN = 0.1  # s before a call that failed is made again; a watch goes on only within 0.2 s
+AGAIN, AGAIN_MOST = 2.0, 8.0  # s before a call that failed is made again: doubled up to this, half to one and a half
+FIRST_EACH, FIRST_MOST = 0.1, 4.0  # s in which a start with a list in hand makes its first call: a peer, at most
 ANSWER_WITHIN = 1.0  # s for the whole list, which the agent has at hand
 CONNECT_WITHIN = 0.5
 LIST_MOST = 8 * 1024 * 1024  # bytes of a list; more would endanger the memory
 
 
+def first_within(balancers: int) -> float:
+    """Seconds over which that many dispatchers that start together, with a list in hand, spread their first calls."""
+    return min(FIRST_MOST, FIRST_EACH * (balancers - 1))
+
+
 class Discovery:
-    def __init__(self, address: tuple[str, int], names: ListNames, epoch: float, seq: int) -> None:
+    def __init__(self, address: tuple[str, int], names: ListNames, epoch: float, seq: int,
+                 seed: int = 0, spread: float = 0.0) -> None:  # fmt: skip
         self.address, self.names, self.epoch = address, names, epoch
+        self._random = Random(seed)
+        self._first = spread * self._random.random()  # s to wait before the first call
+        self._again = AGAIN
         self.seq: int | None = seq  # None: the next call asks for the whole list
         self._peer: Peer | None = None
         self._at = address  # where that peer is
@@ -35,6 +46,8 @@
         self._scope.cancel()
 
     async def run(self, events: trio.MemorySendChannel[Event]) -> None:
+        # Herd: a fleet that was killed at once starts at once; its first calls must not come at once as well.
+        await trio.sleep(self._first)
         try:
             while True:
                 seq, told = None, None
@@ -47,7 +60,7 @@
                 self.seq = seq
                 if self._lost:
                     log.info("discovery regained at version %d", seq)
-                self._lost = False
+                self._lost, self._again = False, AGAIN
                 await events.send(told)
         finally:
             self._hang_up()
@@ -63,7 +76,9 @@
                 log.warning("discovery lost: %s: %s", type(problem).__name__, problem)
             self._lost = True
             self._hang_up()
-            await trio.sleep(AGAIN)
+            # A fleet of dispatchers that ask on would keep a discovery down that is overbooked.
+            wait, self._again = self._again * (0.5 + self._random.random()), min(2.0 * self._again, AGAIN_MOST)
+            await trio.sleep(wait)
             return None, None
 
     def _hang_up(self) -> None:
@@ -90,7 +105,8 @@
                 if len(body) > LIST_MOST:
                     raise Malformed("the list is too long")
         if not isinstance(response, h11.Response) or response.status_code != 200:
-            raise Malformed("the answer is no list")
+            status = getattr(response, "status_code", "no answer")
+            raise Malformed(f"the answer is no list: {status}")
         seq, kind, lines = read_hosts(bytes(body), self.names, self.epoch)
         if peer.reusable:
             peer.http.start_next_cycle()
