--- a/thistleshore/dispatcher.py
+++ b/thistleshore/dispatcher.py
@@ -15,7 +15,7 @@
 from thistleshore.core.broker import Broker
 from thistleshore.core.model import HostsTold
 from thistleshore.gate import Gate
-from thistleshore.platform.discovery import Discovery, first_within
+from thistleshore.platform.discovery import Discovery
 from thistleshore.platform.downstream import Downstream
 from thistleshore.platform.upstream import Upstreams, Ways
 
@@ -53,9 +53,8 @@
             downstream = Downstream(plan.http.routes, broker.listed, broker.inbox, plan.downstream_most)
             fronts.append((downstream, plan.http.listen))
             if plan.http.discovery is not None:
-                spread = first_within(plan.settings.balancers) if plan.known else 0.0
                 watch = Discovery(plan.http.discovery, plan.http.names, plan.epoch, plan.http.known_seq, plan.seed,
-                                  spread)  # fmt: skip
+                                  plan.settings.balancers, bool(plan.known))  # fmt: skip
                 nursery.start_soon(watch.run, broker.inbox)
         if plan.beanstalkd is not None:
             # Imported here: the platform has no such front, and little memory.
--- a/thistleshore/platform/discovery.py
+++ b/thistleshore/platform/discovery.py
@@ -15,25 +15,23 @@
 
 WAIT = 10.0  # s that discovery may hold a call: each one, with an empty answer too, is work for what serves all
 SILENCE = 0.5  # s beyond that after which the call counts as lost
-AGAIN, AGAIN_MOST = 2.0, 8.0  # s before a call that failed is made again: doubled up to this, half to one and a half
-FIRST_EACH, FIRST_MOST = 0.1, 4.0  # s in which a start with a list in hand makes its first call: a peer, at most
+# s before a call that failed is made again: first for each dispatcher that may ask at the same time, and at least;
+# doubled with each failure up to the last; half to one and a half of it by chance.
+AGAIN_EACH, AGAIN_LEAST, AGAIN_MOST = 0.05, 0.1, 8.0
+FIRST_EACH, FIRST_MOST = 0.1, 4.0  # s in which a start with a list in hand makes its first call: each peer, at most
 ANSWER_WITHIN = 1.0  # s for the whole list, which the agent has at hand
 CONNECT_WITHIN = 0.5
 LIST_MOST = 8 * 1024 * 1024  # bytes of a list; more would endanger the memory
 
 
-def first_within(balancers: int) -> float:
-    """Seconds over which that many dispatchers that start together, with a list in hand, spread their first calls."""
-    return min(FIRST_MOST, FIRST_EACH * (balancers - 1))
-
-
 class Discovery:
     def __init__(self, address: tuple[str, int], names: ListNames, epoch: float, seq: int,
-                 seed: int = 0, spread: float = 0.0) -> None:  # fmt: skip
+                 seed: int = 0, balancers: int = 1, listed: bool = False) -> None:  # fmt: skip
         self.address, self.names, self.epoch = address, names, epoch
         self._random = Random(seed)
+        spread = min(FIRST_MOST, FIRST_EACH * (balancers - 1)) if listed else 0.0
         self._first = spread * self._random.random()  # s to wait before the first call
-        self._again = AGAIN
+        self._again_first = self._again = max(AGAIN_LEAST, AGAIN_EACH * balancers)
         self.seq: int | None = seq  # None: the next call asks for the whole list
         self._peer: Peer | None = None
         self._at = address  # where that peer is
@@ -60,7 +58,7 @@
                 self.seq = seq
                 if self._lost:
                     log.info("discovery regained at version %d", seq)
-                self._lost, self._again = False, AGAIN
+                self._lost, self._again = False, self._again_first
                 await events.send(told)
         finally:
             self._hang_up()
