Tell the other dispatchers what is out at each worker, and give each its own few first

A worker's report is 1.5 s good, but with 5 requests a second over 60 workers one comes every 12 s: each dispatcher draws blind and leaves one attempt waiting at a worker, and forty are a queue of forty.

Lines at fault: brain._weight (free = None without a fresh report, worker.waiting of own attempts alone), CloseIdle in _judge, earn() by own rate, which left a cold successor 5 sends in 19 s (fleet of 40 in virtual time).

Change: typed notes (attempts out, pace or failure of the last one) go at once to the dispatchers at home at that worker and once a second to all; homes are equal stripes of the workers, six a dispatcher; a full worker gets nothing and the job waits here; cold workers are filled by those at home. Probes near the decision went: no front of this product can probe. notes.py is the codec, platform/peers.py the socket.

--- a/oxbowarch/brain.py
+++ b/oxbowarch/brain.py
@@ -10,9 +10,10 @@
 from random import Random
 
 from oxbowarch.interface import NEVER_RAN, Action, Cancel, CloseIdle, Effect, Entry, Fail, Group, ListKind
-from oxbowarch.interface import Log, Outcome, Places, Probe, Refuse, Report, Reports, Request, Send, Settings
-from oxbowarch.interface import State, Status, Timer, Watch, WorkerId
-from oxbowarch.records import Attempt, Decayed, Job, KeyRing, RateTable, Smoothed, MeanTable, Window, Worker
+from oxbowarch.interface import Log, Note, Outcome, Places, Refuse, Report, Request, Send, Settings
+from oxbowarch.interface import State, Status, Tell, Timer, Watch, WorkerId
+from oxbowarch.records import Attempt, Decayed, Homes, Job, KeyRing, MeanTable, RateTable, Smoothed, Window
+from oxbowarch.records import Worker
 
 HALF_LIFE = 10.0  # s; the source's own value: long enough to remember, short enough to forgive
 DECAY = log(2) / HALF_LIFE
@@ -31,14 +32,11 @@
 KEY_PATIENCE = 0.5  # share of the aim that a keyed job waits for room at its homes
 KEY_PLACES = 8  # workers remembered as having served a key
 KEY_QUEUE = 0.25  # share of a worker's slots that a keyed job may queue behind, to spare a fetch elsewhere
-PROBE_SAMPLE, PROBE_WAIT = 3, 0.03  # workers probed near a decision, and s that a job waits for them
-OWN_ROUNDS, PROBE_ROUNDS = 2, 3  # samples taken for one job in its own zone, and in all, before it waits
-PROBES_PER_REQUEST, PROBE_EVERY = 0.25, 1.0  # budget for fresh reports, and s between two of one worker
 FAILURES, COMMON_FAILURE = (Status.ERROR, Status.RESET, Status.TIMEOUT, Status.CONNECT_FAILED), 4.0
 STRIKES_MOST, SHUN_BASE = 6, 0.25  # each strike halves the weight and doubles the s without sends
 WATCH_BACKOFF = 0.5  # s, first wait after a failed call; doubled up to ask_within
 ZONE_SLACK, LOAD_MOST = 0.1, 3.0  # load, in slots' worth, by which the own zone may exceed others; cap of it
-HOLD_STEP = 0.05  # s between two looks for a held job
+HOLD_STEP, HOLD_MORE = 0.05, 0.7  # s between two looks for a held job; part of a usual run's grace it waits
 COPY_AFTER, COPY_STEP = 1.0, 0.2  # s without a start before a second copy, and between two looks for one
 COPY_SHARE, COPY_MOST, COPY_WON = 0.02, 6.0, 2.0  # copies earned by a job, at most, and by a faster one
 LONG_RUN, COPY_FADE = 1.2, 1 / 10.0  # logged excess of a run that calls for one; 1/s
@@ -46,7 +44,10 @@
 SLOW_FADE, SLOW_STEEP = 1 / 3.0, 3.0  # 1/s; power of a worker's slowness by which its weight falls
 KEEP_CONNECTION = 5.0  # s; an idle connection is kept if another send is expected within this
 ANYWHERE: Places = (None, None)  # the places of a class that is bound to none
-DEADLINE, HOLD, PROBED, LIST = range(4)  # what a timer is for: the low bits of its token
+NOTE_AGE, NOTE_AGAIN, NOTE_EVERY = 3.0, 1.0, 1.0  # s one counts, is repeated after, is told all after
+HOME_OF, AWAY_LEFT = 4.0, 0.5  # dispatchers at home at a worker, and slots there that others leave to them
+COLD_MORE, COUNT_EVERY = 3.0, 0.1  # times the least warmth that a cold one gets; s between two counts
+DEADLINE, HOLD, NOTES, LIST = range(4)  # what a timer is for: the low bits of its token
 
 
 class Brain:
@@ -55,7 +56,6 @@
     def __init__(self, settings: Settings, seed: int, now: float) -> None:
         self.set, self.born, self.random = settings, now, Random(seed)
         self.margin = 3 * settings.tick  # s before a deadline at which an answer still leaves in time
-        self.by_probe = settings.reports is Reports.BY_PROBE and settings.can_probe
         # Where it is no proof, 'full' may come for work begun: sent again, an unsafe job could run twice.
         self.proof = NEVER_RAN if settings.full_proves else NEVER_RAN - {Status.FULL}
         # Share of slots in use: at the workers open to each class, in the own zone, and in the others.
@@ -77,9 +77,11 @@
         self.failing = Smoothed(now, PRESSURE_FADE)  # share of attempts
         self.usual = MeanTable(now, PRESSURE_FADE)  # free slots that a kind of machine reports
         self.runs = MeanTable(now, DECAY)  # logged run time of a class, where workers tell starts
-        self.most = 1.0  # most free slots seen on a worker
+        self.most, self.counted_at = 1.0, now  # most free slots seen on a worker; when all was counted
         self.pressed, self.watching, self.watch_wait = False, False, WATCH_BACKOFF
-        self.probe_credit, self.probe_turn = 0.0, 0
+        self.telling = settings.can_tell and settings.balancers > 1
+        self.news: dict[WorkerId, Note] = {}  # what the others are to be told next
+        self.homes = Homes([], settings.balancers, HOME_OF)
         self.copy_credit, self.won = COPY_MOST, Smoothed(now, COPY_FADE)  # and the share that were faster
         self.do: list[Action] = []
 
@@ -100,12 +102,15 @@
                 worker.forget(self.random.random(), now)
             worker.entry = entry
         self.pools, self.rings = {}, {}
+        self.homes = Homes(self._pool(ANYWHERE, -1), self.set.balancers, HOME_OF)
         if kind is not ListKind.CACHED:
             if self.watch_wait > WATCH_BACKOFF:
                 self.do.append(Log("worker list regained"))
             self.watching, self.watch_wait = True, WATCH_BACKOFF
         elif self.set.must_ask:
             self.do.append(Timer(now + self.set.ask_within / 2 * self.random.random(), LIST))
+        if kind is ListKind.CACHED and self.telling:
+            self._tell_all(now)
         return self.do
 
     def _list_lost(self, now: float) -> list[Action]:
@@ -146,14 +151,14 @@
         flood = count * sum(self.set.limits) > DOMINANT * self.offered.count * self.set.limits[tenant]
         return 1.0 - limit / estimate if estimate > limit else 0.0, flood
 
-    def _between(self, places: Places, span: tuple[float, float]) -> float:
+    def _between(self, places: Places, low: float, high: float) -> float:
         """How far the smoothed busy share of the workers has come through the span, 0 to 1."""
-        return min(1.0, max(0.0, (self.busy[places].mean() - span[0]) / (span[1] - span[0])))
+        return min(1.0, max(0.0, (self.busy[places].mean() - low) / (high - low)))
 
     def _refused(self, ask: Request, now: float) -> bool:
         """Refuse by chance what lies beyond the tenant's limit, as far as there is pressure."""
         places = self.set.classes[ask.job_class].places
-        (excess, flood), pressure = self._claim(ask.tenant, ask.repeat, now), self._between(places, PRESSURE)
+        (excess, flood), pressure = self._claim(ask.tenant, ask.repeat, now), self._between(places, *PRESSURE)
         if flood:
             # Where workers queue, slots tell too late that one tenant's flood makes everyone late.  Lateness
             # may have other causes, and clients crowd at some balancers: only a flood pays for it.
@@ -167,7 +172,7 @@
         early = SHED_EARLY * (1.0 - self._yield(ask.job_class) / best) if best else 0.0
         if ask.spare < (SPARE_LEFT if not early else 1.0):
             return self._refuse(ask)  # held, it would take the last means by which any client is answered
-        overload = self._between(places, (OVERLOAD[0] - early, OVERLOAD[1] - early))
+        overload = self._between(places, OVERLOAD[0] - early, OVERLOAD[1] - early)
         passed = (1.0 - pressure * excess) * (1.0 - overload)
         return ask.beyond is None and self.random.random() >= passed and self._refuse(ask, excess)
 
@@ -189,22 +194,18 @@
             return self.do
         self.offered.add(1.0, DECAY, now)
         self.taken.add(now)
+        if self.telling and now - self.counted_at >= COUNT_EVERY:
+            self._count(now)
         if self._refused(ask, now):
             return self.do
         self.admitted.add(1.0, DECAY, now)
         self.copy_credit = min(COPY_MOST, self.copy_credit + COPY_SHARE)
         job = self.jobs[ask.id] = Job(ask, self.set.classes[ask.job_class], now)
-        self._probe_in_turn(now)
         self._seek(job, now)
         return self.do
 
     def _seek(self, job: Job, now: float) -> None:
-        """Find a worker for the job: by probes near the decision, or by the reports at hand."""
-        job.rounds = 0
-        # Own traffic may be too thin to keep any worker's report fresh: then probe near the decision.
-        if self.by_probe and self._rate(self.admitted.count, now) * REPORT_AGE < len(self.workers):
-            self._sample(job, now)
-        elif not self._place(job, now):
+        if not self._place(job, now):
             self._hold(job, now)
 
     def _place(self, job: Job, now: float) -> bool:
@@ -218,7 +219,6 @@
 
     def _send(self, job: Job, worker: Worker, now: float) -> None:
         self.held.pop(job.id, None)
-        job.answers = None
         if job.attempts:
             self.further.add(now)
             job.ask.purse.pay(now)
@@ -227,6 +227,7 @@
         worker.count_out(1, REPORT_FADE, now)
         worker.credit -= 1.0
         self.do.append(Send(job.id, worker.id))
+        self._note(worker, now)
         if self.set.second_copies and self.set.tells_start and len(job.attempts) == 1:
             self.do.append(Timer(now + COPY_STEP, job.id * 4 + DEADLINE))
 
@@ -256,8 +257,10 @@
     def _hold(self, job: Job, now: float) -> None:
         """Keep a job for which no worker has room: brief waiting beats both a queue and a refusal."""
         until = job.since + job.rule.aim
+        usual = exp(self.runs[job.ask.job_class].mean())
+        until += self.telling * max(0.0, job.rule.stretch - 1.0) * usual * HOLD_MORE
         if job.ask.beyond is False:  # within its share it may wait as long as it can still be in time
-            until = max(until, job.ask.rank - exp(self.runs[job.ask.job_class].mean()))
+            until = max(until, job.ask.rank - usual)
         if not self._may_try(job, now):
             self._answer(job)  # nothing can go out for it any more: the client must not wait for that
         elif now < min(until, job.deadline - self.margin):
@@ -357,16 +360,22 @@
         if now < worker.shunned_until or worker.entry.state is not State.READY or worker.waiting > queue:
             return 0.0
         free = worker.room - worker.out if now < worker.report_until else None
+        home = self.homes.has(worker, self.set.me)
+        if self.telling:
+            free = self._size(worker, now) - worker.in_work(now)
+            # The last slot is left to those at home there: others would meet at it before they hear of it.
+            free -= 0.0 if home else AWAY_LEFT
         if free is not None and job.ask.beyond is not None:
             free = min(free, worker.size - worker.out)  # what a late report may promise is not there
         if free is not None and free < 0.5 - queue:
-            if job.ask.beyond is not None or now < worker.no_room_until:
+            if job.ask.beyond is not None or now < worker.no_room_until or self.telling:
                 return 0.0  # by contract it had better wait here, where who goes next can still be chosen
-        warmth = self._warmth(worker, now)
-        if warmth < 1.0:
+        if (warmth := self._warmth(worker, now)) < (1.0 / COLD_MORE if self.telling else 1.0):
             # Fail back safely: no more than a cold worker's part of what a warm one gets from here.
             # The first credit is random, so that many dispatchers of little traffic share the part.
             rate = self.admitted.count * DECAY / max(1, len(self._pool(ANYWHERE, -1)))
+            # Where all tell, those at home there share what the whole fleet may send.
+            rate *= COLD_MORE * home * self.set.balancers / HOME_OF if self.telling else 1.0
             if worker.earn(rate * warmth, now) < 1.0:
                 return 0.0
         # A worker may turn one class or tenant away though it has room: that is no news of the worker.
@@ -380,6 +389,9 @@
 
     def _draw(self, job: Job, now: float) -> Worker | None:
         """Rejection draw by weight among ready workers: own zone first, then all."""
+        for worker in self.homes.of(self.set.me) if self.telling else ():
+            if self.random.random() < self._weight(job, worker, now) and self._may_send(job, worker, now):
+                return worker
         # Crossings are priced, but where clients crowd into one zone, keeping to it would queue their jobs.
         crowded = self.near.mean() > self.away.mean() + ZONE_SLACK
         for zone in (-1,) if crowded else (self.set.zone, -1):
@@ -423,57 +435,46 @@
                 return worker
         return None
 
-    def _probe_in_turn(self, now: float) -> None:
-        """Spread a fixed budget of probes, a share of the requests, evenly over the workers."""
-        self.probe_credit = min(2.0, self.probe_credit + PROBES_PER_REQUEST)
-        pool = self._pool(ANYWHERE, -1)
-        if self.by_probe and self.probe_credit >= 1.0 and pool:
-            self.probe_turn = (self.probe_turn + 1) % len(pool)
-            worker = pool[self.probe_turn]
-            if now - worker.probed_at >= PROBE_EVERY:
-                worker.probed_at = now
-                self.probe_credit -= 1.0
-                self.do.append(Probe(worker.id))
-
-    def _sample(self, job: Job, now: float) -> None:
-        """Ask a few random workers, own zone first, and decide on their answers."""
-        pool = self._pool(job.rule.places, self.set.zone if job.rounds < OWN_ROUNDS else -1)
-        pool = pool or self._pool(job.rule.places, -1)
-        picks = self.random.sample(pool, min(2 * PROBE_SAMPLE, len(pool)))
-        picks = [worker for worker in picks if self._weight(job, worker, now, inf) > 0.0][:PROBE_SAMPLE]
-        if job.rounds >= PROBE_ROUNDS or not picks:
-            self._hold(job, now)
-            return
-        job.rounds += 1
-        job.answers, job.asked = [], len(picks)
-        self._keep(job)
-        for worker in picks:
-            worker.asking.append(job.id)
-            self.do.append(Probe(worker.id))
-        self.do.append(Timer(now + PROBE_WAIT, job.id * 4 + PROBED))
-
-    def on_probed(self, at: WorkerId, status: Status, report: Report | None, now: float) -> list[Action]:
+    def _note(self, worker: Worker, now: float, pace: float | None = None, failed: bool = False) -> None:
+        """Tell those at home there at once: of little traffic each, all alone would learn too late."""
+        if self.telling:
+            note = self.news[worker.id] = Note(worker.id, worker.out, pace, failed)
+            self.do.append(Tell((note,), self.homes.others(worker, self.set.me)))
+
+    def _tell_all(self, now: float) -> None:
+        """All hear all, later; what is out for long is told again, as notes grow old and may be lost."""
+        old = (w for w in self.workers.values() if w.out and now - w.told_at > NOTE_AGAIN)
+        self.news = {w.id: Note(w.id, w.out) for w in old} | self.news
+        for told in self.news:
+            self.workers[told].told_at = now
+        self.do.append(Tell(tuple(self.news.values())))
+        self.do.append(Timer(now + NOTE_EVERY * (0.5 + self.random.random()), NOTES))
+        self.news = {}
+
+    def on_told(self, peer: int, notes: tuple[Note, ...], now: float) -> list[Action]:
+        """Another dispatcher tells what it has out, and how what it had out ended."""
         self.do = []
-        worker = self.workers.get(at)
-        if worker is None:
-            return self.do
-        asking, worker.asking = worker.asking, []
-        self._heard(worker, report, now) if status is Status.OK else self._strike(worker, now)
-        for job in [self.jobs[n] for n in asking if n in self.jobs]:
-            if job.answers is not None:
-                job.answers.append(worker)
-                if len(job.answers) >= job.asked:
-                    self._choose(job, now)
+        for note in notes:
+            worker = self.workers.get(note.worker)  # none: its list is newer or older than ours
+            if worker is not None:
+                worker.others[peer] = note.out, now + NOTE_AGE
+                if note.failed:
+                    self._strike(worker, now)
+                if note.pace is not None:
+                    worker.strikes = 0
+                    worker.see_pace(note.pace, SLOW_FADE, now)
         return self.do
 
-    def _choose(self, job: Job, now: float) -> None:
-        """Draw by weight among the workers that answered; without room there, look further."""
-        answers, job.answers = job.answers or [], None
-        weights = [self._weight(job, w, now) if self._may_send(job, w, now) else 0.0 for w in answers]
-        if any(weights):
-            self._send(job, self.random.choices(answers, weights)[0], now)
-        else:
-            self._sample(job, now)
+    def _count(self, now: float) -> None:
+        """The share of slots busy, by what all dispatchers have in work."""
+        self.counted_at = now
+        for places, busy in self.busy.items():
+            pool = self._pool(places, -1)
+            size = max(1.0, sum(self._size(worker, now) for worker in pool))
+            busy.see(min(1.0, sum(worker.in_work(now) for worker in pool) / size), now)
+
+    def _size(self, worker: Worker, now: float) -> float:  # a cold one has fewer slots than it says
+        return max(1.0, (worker.size or self.most) * min(1.0, COLD_MORE * self._warmth(worker, now)))
 
     def _heard(self, worker: Worker, report: Report | None, now: float) -> None:
         """A sign of life, and what the worker says of its load."""
@@ -496,7 +497,7 @@
         self.most = max(self.most, min(report.free, 1000.0))
         self.usual[worker.entry.kind].see(report.free, now)
         for places, busy in self.busy.items():
-            if self._open(places, worker.entry):
+            if not self.telling and self._open(places, worker.entry):
                 busy.see(1.0 - min(1.0, report.free / worker.size), now)
         load = min(LOAD_MOST, 1.0 + (queued - report.free) / worker.size)
         (self.near if worker.entry.zone == self.set.zone else self.away).see(load, now)
@@ -512,9 +513,8 @@
 
     def _use_room(self, now: float) -> None:
         """Room may have come up: first by contract, then by what a class earns, then by how long it waits."""
-        waiting = [held for held in self.held.values() if held.answers is None]
-        if waiting:
-            self._place(max(waiting, key=lambda held: (not held.ask.beyond, -held.ask.rank,
+        if self.held:
+            self._place(max(self.held.values(), key=lambda held: (not held.ask.beyond, -held.ask.rank,
                                                        self._yield(held.ask.job_class))), now)
 
     def _strike(self, worker: Worker, now: float) -> None:
@@ -547,13 +547,13 @@
 
     def _judge(self, job: Job, attempt: Attempt, event: Outcome, now: float) -> None:
         """What an attempt's end tells of the worker."""
-        worker, full = attempt.worker, event.status is Status.FULL
+        worker, full, pace = attempt.worker, event.status is Status.FULL, None
         worker.count_out(-1, REPORT_FADE, now)
         self.full.see(float(full), now)
         if event.status is not Status.CANCELLED:
             self.failing.see(float(event.status in FAILURES), now)
         rate = self._rate(self.admitted.count, now) / max(1, len(self.workers))
-        if worker.out == 0 and rate * KEEP_CONNECTION < 1.0:
+        if worker.out == 0 and rate * KEEP_CONNECTION < 1.0 and not self.telling:
             # Many dispatchers of little traffic would fill a worker's connection table with idle ones.
             self.do.append(CloseIdle(worker.id))
         report = event.report or (Report(0.0) if full else None)
@@ -568,8 +568,8 @@
                 worker.turned.halve(door)
             if attempt.started:
                 usual, run = self.runs[job.ask.job_class], log(max(1e-3, now - attempt.started))
-                worker.pace.add(run - usual.mean(), SLOW_FADE, now)
-                worker.paces.add(1.0, SLOW_FADE, now)
+                pace = run - usual.mean()
+                worker.see_pace(pace, SLOW_FADE, now)
                 usual.see(run, now)
                 aim = job.rule.aim + job.rule.stretch * (now - attempt.started)
                 self.late.see(float(now - job.since > aim), now)
@@ -581,6 +581,7 @@
             worker.room, worker.no_room_until = worker.out, now + FULL_AGE
         elif event.status in FAILURES:
             self._strike(worker, now)
+        self._note(worker, now, pace, event.status in FAILURES)
 
     def on_started(self, job_id: int, attempt: int, now: float) -> list[Action]:
         """The worker has begun to run an attempt: what came before was its queue."""
@@ -598,8 +599,10 @@
             self._answer(job)
         elif purpose == DEADLINE and token >> 2 in self.jobs:
             self._look(self.jobs[token >> 2], now)
-        elif job is not None and purpose == (HOLD if job.answers is None else PROBED):
-            self._choose(job, now) if purpose == PROBED else self._seek(job, now)
+        elif job is not None and purpose == HOLD:
+            self._seek(job, now)
+        elif purpose == NOTES:
+            self._tell_all(now)
         return self.do
 
     def on_accepted(self, job_id: int, attempt: int, now: float) -> list[Action]:
--- a/oxbowarch/interface.py
+++ b/oxbowarch/interface.py
@@ -5,9 +5,9 @@
 set, or `on_withdrawn` names it.  Order: events go in as they arrive; the actions returned are to be
 carried out in the order given, before the next event.  Restart: make a new Brain and hand it the
 last list first; it remembers nothing.  Where workers tell that a job starts, hand it to `on_started`; a load
-report that comes outside any outcome goes to `on_report`.  Where contracts are kept, `Request` tells each job's
-standing and rank; a job for which no room to wait is left is handed in with no `spare`, and refused.
-Late, repeated or unknown ids are ignored.
+report that comes outside any outcome goes to `on_report`, and what another dispatcher tells to `on_told`.  Where
+contracts are kept, `Request` tells each job's standing and rank; a job for which no room to wait is left is handed in
+with no `spare`, and refused.  Late, repeated or unknown ids are ignored.
 """
 
 from __future__ import annotations
@@ -117,7 +117,8 @@
     classes: tuple[JobClass, ...]
     limits: tuple[float, ...] = ()
     reports: Reports = Reports.NONE
-    can_probe: bool = False
+    me: int = 0  # which of the balancers this is
+    can_tell: bool = False  # dispatchers may send one another notes
     must_ask: bool = False  # the list comes only when asked for
     ask_within: float = 10.0
     can_cancel: bool = False
@@ -237,10 +238,6 @@
     attempt: int
 
 
-class Probe(NamedTuple):
-    worker: WorkerId
-
-
 class CloseIdle(NamedTuple):
     """Close the idle connections to a worker."""
 
@@ -256,8 +253,24 @@
     """Subscribe to changes of the list."""
 
 
+class Note(NamedTuple):
+    """What one dispatcher tells the others of a worker; it stands until the next one, or until it is old."""
+
+    worker: WorkerId
+    out: int  # attempts that the teller has out there now
+    pace: float | None = None  # of one that has just ended there: its logged run time over the usual of its class
+    failed: bool = False  # one has just failed there
+
+
+class Tell(NamedTuple):
+    """Tell some other dispatchers, or all; it may come late, out of order, twice or not at all."""
+
+    notes: tuple[Note, ...]
+    to: tuple[int, ...] | None = None  # their numbers; None: all
+
+
 class Log(NamedTuple):
     text: str
 
 
-Action = Send | Refuse | Fail | Cancel | Probe | CloseIdle | Timer | Watch | Log
+Action = Send | Refuse | Fail | Cancel | CloseIdle | Timer | Watch | Tell | Log
--- /dev/null
+++ b/oxbowarch/notes.py
@@ -0,0 +1,91 @@
+"""The datagrams in which dispatchers tell one another notes: bytes in, bytes out, no socket and no clock.
+
+Two bytes of version (four bits) and number (twelve), then three bytes a note: two of the worker's name, hashed; one
+of the attempts out there (four bits) and of how the last one ended (four bits).  Each datagram delivered is priced.
+A note says how things stand, so that one that is lost, repeated or late is put right by the next; what is malformed,
+of another version, out of order or of nobody known changes nothing, and is counted.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Sequence
+from math import floor
+from struct import Struct
+from zlib import crc32
+
+from oxbowarch.interface import Note, WorkerId
+
+VERSION = 1
+BYTES_MOST = 256  # of a datagram; a longer one is not allowed
+HEAD = Struct("<H")
+NOTE = Struct("<HB")
+NOTES_MOST = (BYTES_MOST - HEAD.size) // NOTE.size
+NUMBERS = 4096  # of datagrams, counted round
+ORDER_KEPT = 0.5  # s after which any number of a sender counts as newer: it may have started again
+OUT_MOST = 15
+FAILED = 15  # how an attempt ended: 0 nothing to say, 1 to 14 its pace, or this
+PACE_STEP, PACE_LOW = 0.25, -1.0  # logged run time over the usual, of a step and of pace 1
+PACES = 14
+
+
+def short(worker: WorkerId) -> int:
+    """What stands for a worker's name: sixteen bits; of two hosts that share them, the one listed last counts."""
+    return crc32(worker) & 0xFFFF
+
+
+def _ending(note: Note) -> int:
+    if note.failed or note.pace is None:
+        return FAILED if note.failed else 0
+    return min(PACES, max(1, 1 + floor((note.pace - PACE_LOW) / PACE_STEP + 0.5)))
+
+
+class Notebook:
+    """One dispatcher's side of the exchange."""
+
+    def __init__(self) -> None:
+        self.counts: Counter[str] = Counter()
+        self._number = 0
+        self._names: dict[int, WorkerId] = {}
+        self._last: dict[int, tuple[int, float]] = {}  # number of each sender's last datagram, and when it came
+
+    def list_names(self, workers: Iterable[WorkerId], afresh: bool = False) -> None:
+        """Workers that notes may be about; `afresh`: these alone."""
+        if afresh:
+            self._names = {}
+        self._names.update((short(worker), worker) for worker in workers)
+
+    def write(self, notes: Sequence[Note]) -> list[bytes]:
+        """The datagrams, of at most 256 bytes each, that tell these notes."""
+        made = []
+        for at in range(0, len(notes), NOTES_MOST):
+            self._number = (self._number + 1) % NUMBERS
+            parts = [HEAD.pack(VERSION << 12 | self._number)]
+            parts += [NOTE.pack(short(note.worker), min(OUT_MOST, note.out) << 4 | _ending(note))
+                      for note in notes[at : at + NOTES_MOST]]  # fmt: skip
+            made.append(b"".join(parts))
+        return made
+
+    def read(self, sender: int, data: bytes, now: float) -> tuple[Note, ...]:
+        """The notes of a datagram; none, and a count, where it is no good.  `now` in seconds."""
+        if len(data) > BYTES_MOST or len(data) <= HEAD.size or (len(data) - HEAD.size) % NOTE.size:
+            self.counts["malformed"] += 1
+            return ()
+        (head,) = HEAD.unpack_from(data)
+        if head >> 12 != VERSION:
+            self.counts["other_version"] += 1
+            return ()
+        number, (last, at) = head % NUMBERS, self._last.get(sender, (0, -1e9))
+        if now - at < ORDER_KEPT and not 0 < (number - last) % NUMBERS <= NUMBERS // 2:
+            self.counts["out_of_order"] += 1
+            return ()
+        self._last[sender] = number, now
+        notes = []
+        for hashed, state in NOTE.iter_unpack(data[HEAD.size :]):
+            worker, ending = self._names.get(hashed), state & 0x0F
+            if worker is None:
+                self.counts["unknown_worker"] += 1
+                continue
+            pace = PACE_LOW + (ending - 1) * PACE_STEP if 0 < ending < FAILED else None
+            notes.append(Note(worker, state >> 4, pace, ending == FAILED))
+        return tuple(notes)
--- a/oxbowarch/records.py
+++ b/oxbowarch/records.py
@@ -5,7 +5,7 @@
 from bisect import bisect_left
 from collections import OrderedDict, deque
 from collections.abc import Hashable
-from math import exp, inf
+from math import ceil, exp, inf
 from zlib import crc32
 
 from oxbowarch.interface import Entry, JobClass, Request
@@ -93,8 +93,8 @@
     """What this dispatcher knows of one worker."""
 
     __slots__ = ("id", "entry", "room", "size", "report_until", "no_room_until", "waiting", "turned", "lag_out",
-                 "lag_at", "out", "running", "pace", "paces", "strikes", "shunned_until", "probed_at", "credit",
-                 "credit_at", "asking")  # fmt: skip
+                 "lag_at", "out", "running", "pace", "paces", "strikes", "shunned_until", "credit",
+                 "credit_at", "others", "told_at")  # fmt: skip
 
     def __init__(self, entry: Entry, credit: float, now: float) -> None:
         self.id = entry.worker
@@ -115,10 +115,10 @@
         self.lag_out, self.lag_at = 0.0, now  # own attempts out as a late report shows them
         self.strikes = 0  # failures since the last success
         self.shunned_until = -inf
-        self.probed_at = -inf
         self.credit = credit  # sends that a cold worker may still get from here
         self.credit_at = now
-        self.asking: list[int] = []  # jobs that wait for this worker's probe
+        self.told_at = -inf  # when the others were last told of it
+        self.others: dict[int, tuple[int, float]] = {}  # attempts out of others, and until when that counts
 
     def count_out(self, change: int, fade: float, now: float) -> float:
         """Change the number of own attempts out; returns how many were out a moment ago."""
@@ -127,6 +127,15 @@
         self.out = max(0, self.out + change)
         return self.lag_out
 
+    def in_work(self, now: float) -> int:
+        """Attempts out there, of this dispatcher and of all others as far as they tell."""
+        return self.out + sum(out for out, until in self.others.values() if now < until)
+
+    def see_pace(self, pace: float, fade: float, now: float) -> None:
+        """One job ended here; `pace` is its logged run time over the usual."""
+        self.pace.add(pace, fade, now)
+        self.paces.add(1.0, fade, now)
+
     def earn(self, rate: float, now: float) -> float:
         """Credit for sends while cold, earned at `rate` since last asked."""
         self.credit = min(2.0, self.credit + (now - self.credit_at) * rate)
@@ -189,8 +198,7 @@
 class Job:
     """A request that this dispatcher owes an answer."""
 
-    __slots__ = ("id", "ask", "rule", "since", "deadline", "attempts", "out", "rounds", "answers", "asked",
-                 "timed", "doors", "ended")  # fmt: skip
+    __slots__ = ("id", "ask", "rule", "since", "deadline", "attempts", "out", "timed", "doors", "ended")  # fmt: skip
 
     def __init__(self, ask: Request, rule: JobClass, now: float) -> None:
         self.id = ask.id
@@ -200,9 +208,6 @@
         self.deadline = now + ask.budget
         self.attempts: list[Attempt] = []
         self.out = 0  # attempts that are out
-        self.rounds = 0  # samples of workers probed for it
-        self.answers: list[Worker] | None = None  # workers that answered, while it waits for probes
-        self.asked = 0  # workers probed in this round
         self.timed = False  # its answering timer is set
         self.doors = ("class", ask.job_class), ("tenant", ask.tenant)  # whom a worker may turn away
         self.ended = False  # answered; kept only until the last attempt has come back
@@ -227,3 +232,30 @@
         """Who owns the point that many steps after the key's own place."""
         start = bisect_left(self.points, crc32(key.to_bytes(8, "little")))
         return self.owners[(start + step) % len(self.owners)]
+
+
+class Homes:
+    """Which dispatchers go to which workers first: equal stripes of the workers, in the order of their hashes.  A
+    change of the list moves each stripe by little."""
+
+    FEWEST = 2  # workers of one dispatcher
+
+    def __init__(self, workers: list[Worker], dispatchers: int, of: float) -> None:
+        """Each worker is home to about `of` dispatchers."""
+        order, size = sorted(workers, key=lambda worker: crc32(worker.id)), len(workers)
+        many = min(size, max(self.FEWEST, ceil(of * size / dispatchers)))
+        self._of = [[order[(n * size // dispatchers + k) % size] for k in range(many)] for n in range(dispatchers)]
+        self._at: dict[bytes, list[int]] = {}
+        for n, homes in enumerate(self._of):
+            for worker in homes:
+                self._at.setdefault(worker.id, []).append(n)
+
+    def of(self, dispatcher: int) -> list[Worker]:
+        return self._of[dispatcher] if dispatcher < len(self._of) else []
+
+    def has(self, worker: Worker, dispatcher: int) -> bool:
+        return dispatcher in self._at.get(worker.id, ())
+
+    def others(self, worker: Worker, dispatcher: int) -> tuple[int, ...]:
+        """The other dispatchers at home there."""
+        return tuple(n for n in self._at.get(worker.id, ()) if n != dispatcher)
--- a/oxbowarch/simhost.py
+++ b/oxbowarch/simhost.py
@@ -9,7 +9,8 @@
 
 from oxbowarch import wire
 from oxbowarch.brain import Brain
-from oxbowarch.interface import Outcome, Request
+from oxbowarch.interface import ListKind, Outcome, Request, Tell
+from oxbowarch.notes import Notebook
 
 
 class Host:
@@ -19,6 +20,7 @@
         self.codec = wire.Codec()
         self.brains: dict[int, Brain] = {}
         self.dead: set[int] = set()
+        self.notebooks: dict[int, Notebook] = {}
 
     def reply(self, body: bytes) -> bytes:
         """The reply frame to one batch."""
@@ -27,7 +29,12 @@
         for instance, event in events:
             try:
                 for action in self.deliver(instance, event, now):
-                    records.append(wire.encode(instance, action))
+                    if isinstance(action, Tell):
+                        notes = self.notebooks[instance].write(action.notes)
+                        to = (wire.EVERYONE,) if action.to is None else action.to
+                        records += [wire.broadcast(instance, peer, data) for data in notes for peer in to]
+                    else:
+                        records.append(wire.encode(instance, action))
             except wire.WireError:
                 raise
             except Exception as problem:
@@ -47,6 +54,7 @@
             settings, names = wire.parse_settings(event.settings)
             self.codec.place(instance, names)
             self.brains[instance] = Brain(settings, event.seed, now)
+            self.notebooks[instance] = Notebook()
             return ()
         if kind is wire.Shutdown:
             self.brains.pop(instance, None)
@@ -60,11 +68,14 @@
             return brain.on_request(event, now)
         if kind is wire.Notice:
             return brain.on_started(event.id, event.attempt, now) if event.started else ()
-        if kind is wire.Checked:
-            return brain.on_probed(event.worker, event.status, event.report, now)
         if kind is wire.Fired:
             return brain.on_timer(event.token, now)
+        if kind is wire.Mail:
+            notes = self.notebooks[instance].read(event.sender, event.data, now)
+            return brain.on_told(event.sender, notes, now) if notes else ()
         if kind is wire.Update:
+            self.notebooks[instance].list_names((entry.worker for entry in event.entries),
+                                                event.kind in (ListKind.FULL, ListKind.CACHED))  # fmt: skip
             return brain.on_list(event.kind, event.entries, now)
         if kind is wire.Accepted:
             return brain.on_accepted(event.id, event.attempt, now)
--- a/oxbowarch/wire.py
+++ b/oxbowarch/wire.py
@@ -260,7 +260,9 @@
     7: _fired, 8: _checked, 9: _mail, 10: _shutdown, 11: _page, 12: _notice,
 }  # fmt: skip
 
-PROBE_OUT = Struct("<BIH6s")
+CLOSE_OUT = Struct("<BIH6s")
+BROADCAST_OUT = Struct("<BIHHH")
+EVERYONE = 0xFFFF
 LOG_OUT = Struct("<BIHH")
 CANCEL_OUT = Struct("<BIHQH")
 WATCH_OUT = Struct("<BIHB")
@@ -285,14 +287,18 @@
     api.Refuse: lambda i, a: REFUSE_OUT.pack(10, 18, i, a.id, a.retry_after),
     api.Fail: lambda i, a: FAIL_OUT.pack(8, 10, i, a.id),
     api.Cancel: lambda i, a: CANCEL_OUT.pack(5, 12, i, a.id, a.attempt),
-    api.Probe: lambda i, a: PROBE_OUT.pack(1, 8, i, a.worker),
-    api.CloseIdle: lambda i, a: PROBE_OUT.pack(3, 8, i, a.worker),
+    api.CloseIdle: lambda i, a: CLOSE_OUT.pack(3, 8, i, a.worker),
     api.Timer: lambda i, a: TIMER_OUT.pack(11, 18, i, a.at, a.token),
     api.Watch: lambda i, a: WATCH_OUT.pack(6, 3, i, 1),
     api.Log: lambda i, a: text_record(2, i, a.text),
 }
 
 
+def broadcast(instance: int, peer: int, data: bytes) -> bytes:
+    """The record that sends a datagram to another instance, or to every one."""
+    return BROADCAST_OUT.pack(4, 6 + len(data), instance, peer, len(data)) + data
+
+
 def encode(instance: int, action: api.Action) -> bytes:
     return ENCODERS[type(action)](instance, action)
 
@@ -396,7 +402,8 @@
         classes=classes,
         limits=tuple(float(need(tenant, "quotaPerS")) for tenant in conf.get("tenants", [])),
         reports=how,
-        can_probe=bool(limits.get("probes", False)),
+        me=int(conf.get("me", 0)),
+        can_tell=bool(limits.get("peers", False)),
         must_ask=discovery,
         ask_within=float(rules.get("askWithin", 10.0)),
         can_cancel=bool(limits.get("cancelling", False)),
--- a/thistleshore/config/platform.py
+++ b/thistleshore/config/platform.py
@@ -72,6 +72,15 @@
     terms: ExchangeTerms
 
 
+@dataclass(frozen=True, slots=True)
+class PeersPlan:
+    """Where datagrams of the other dispatchers of the tier come in, from where, and the address of all of them."""
+
+    listen: Address
+    peers: tuple[Address, ...]
+    everyone: Address
+
+
 @dataclass(frozen=True, slots=True)
 class Plan:
     """All that the program is told, checked."""
@@ -91,6 +100,7 @@
     agreements: Agreements | None = None  # None: no shares are kept
     exchange: ExchangePlan | None = None
     metrics: Address | None = None
+    peers: PeersPlan | None = None  # None: dispatchers tell one another nothing
     log_format: str = "plain"
     told: Mapping[str, Any] = field(default_factory=dict, repr=False)  # as the file words it
 
@@ -161,8 +171,7 @@
     raw = dict(table(conf, "settings", "settings"))
     _check_figures(raw)
     try:
-        # The platform's protocol has no probe: a module that asked for one would wait in vain.
-        settings = replace(wire.settings(raw), can_probe=False)
+        settings = wire.settings(raw)
     except (ValueError, TypeError, AttributeError, KeyError) as problem:
         raise ConfigError(f"settings: {str(problem).removeprefix('settings: ')}") from None
     zones, kinds = (named(raw.get(key, []), f"settings.{key}") for key in ("localities", "kinds"))
@@ -175,6 +184,8 @@
             seq, _, known = read_hosts(conf["known"], names, epoch)
         except Malformed as problem:
             raise ConfigError(f"known: {problem}") from None
+    peers = _peers(conf) if settings.can_tell else None
+    settings = replace(settings, can_tell=peers is not None)
     discovery = environ.get("PROXY_DISCOVERY") or conf.get("discovery")
     where = "PROXY_DISCOVERY" if environ.get("PROXY_DISCOVERY") else "discovery"
     routes = Routes(
@@ -199,10 +210,19 @@
         connect_within=number(limits, "connectTimeout", "settings.limits", 0.2, 0.001),
         idle_most=IDLE_SHARE * number(limits, "connIdle", "settings.limits", 15.0, 0.1),
         sockets=sockets,
+        peers=peers,
         told=conf,
     )
 
 
+def _peers(conf: Mapping[str, Any]) -> PeersPlan | None:
+    """How the dispatchers of the tier reach one another; None where the platform names no such addresses."""
+    if not (conf.get("peer_listen") and conf.get("peers_all") and isinstance(conf.get("peers"), list)):
+        return None
+    peers = tuple(address(peer, f"peers[{n}]") for n, peer in enumerate(conf["peers"]))
+    return PeersPlan(address(conf["peer_listen"], "peer_listen"), peers, address(conf["peers_all"], "peers_all"))
+
+
 def _check_figures(raw: Mapping[str, Any]) -> None:
     """Name a figure that is none by its key: the adapter, which takes the settings over, does not."""
     wanted = {"lanes": ("aim", "giveUp", "lateShare", "worth", "repeatWindow", "aimStretch"), "tenants": ("quotaPerS",)}
--- a/thistleshore/core/broker.py
+++ b/thistleshore/core/broker.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections import Counter
+from collections.abc import Callable
 from heapq import heappop, heappush
 from itertools import count
 from typing import TYPE_CHECKING
@@ -12,7 +13,8 @@
 
 from oxbowarch.brain import Brain
 from oxbowarch.interface import NEVER_RAN, Action, Cancel, CloseIdle, Fail, Log, ListKind, Outcome, Refuse, Request
-from oxbowarch.interface import Send, State, Status, Timer, Watch
+from oxbowarch.interface import Send, State, Status, Tell, Timer, Watch
+from oxbowarch.notes import Notebook
 from thistleshore.core import model
 from thistleshore.invariants import invariant
 
@@ -38,6 +40,8 @@
         self.ledger: Ledger | None = None
         self.exchange: Exchange | None = None
         self.carriers: dict[type, model.UpstreamFront] = {}  # by what a host's `dial` is
+        self.notebook = Notebook()
+        self.tell: Callable[[bytes, tuple[int, ...] | None], None] | None = None  # to some dispatchers, or to all
         self.inbox, self._events = trio.open_memory_channel[model.Event](QUEUE)
         self.hosts: dict[bytes, model.UpstreamHost] = {}
         self.listed = trio.Event()  # a list of upstream hosts is in the module
@@ -87,7 +91,8 @@
             return []  # what waits is offered after every event
         if token == FIGURES:
             heappush(self._timers, (now + FIGURES_EVERY, FIGURES))
-            log.info("figures: open=%d %s", len(self._streams), " ".join(f"{k}={n}" for k, n in self.figures.items()))
+            figures = self.figures + self.notebook.counts
+            log.info("figures: open=%d %s", len(self._streams), " ".join(f"{k}={n}" for k, n in figures.items()))
             return []
         return self.brain.on_timer(token, now)
 
@@ -110,6 +115,9 @@
             return self.brain.on_started(event.request.stream.id, event.request.number, now)
         if isinstance(event, model.StreamWithdrawn):
             return self._withdrawn(event.stream, now)
+        if isinstance(event, model.NotesHeard):
+            notes = self.notebook.read(event.peer, event.data, now)
+            return self.brain.on_told(event.peer, notes, now) if notes else []
         if isinstance(event, model.PeerHeard):
             return self._heard(event.data, now)
         if isinstance(event, model.HostReported):
@@ -221,6 +229,7 @@
             ready = sum(host.ready for host in self.hosts.values())
             log.info("hosts told: %s list, %d hosts, %d ready", event.kind.value, len(states), ready)
         self._states = states
+        self.notebook.list_names(named, event.kind is not ListKind.CHANGES)
         actions = self.brain.on_list(event.kind, tuple(line.entry for line in event.lines), now)
         # Hosts that are gone are forgotten, or a year of deploys would fill the memory; the module keeps its own.
         self.hosts = {name: host for name, host in self.hosts.items() if host.entry.state is not State.GONE}
@@ -242,10 +251,14 @@
             elif isinstance(action, CloseIdle):
                 if (host := self.hosts.get(action.worker)) is not None:
                     self._close_idle(host)
+            elif isinstance(action, Tell):
+                if self.tell is not None:
+                    for data in self.notebook.write(action.notes):
+                        self.tell(data, action.to)
             elif isinstance(action, Log):
                 log.info("module: %s", self._named(action.text))
-            else:  # discovery watches by itself; config.py forbids probes, which the protocol lacks
-                invariant(isinstance(action, Watch), "no probe is asked for")
+            else:  # discovery watches by itself
+                invariant(isinstance(action, Watch), "every action is known")
 
     def _named(self, text: str) -> str:
         """The module names hosts by their bytes; who reads the log wants the list's name."""
--- a/thistleshore/core/model.py
+++ b/thistleshore/core/model.py
@@ -123,13 +123,21 @@
     report: Report
 
 
+class NotesHeard(NamedTuple):
+    """A datagram of notes, of another dispatcher of the tier."""
+
+    peer: int
+    data: bytes
+
+
 class PeerHeard(NamedTuple):
     """A datagram of another instance."""
 
     data: bytes
 
 
-Event = PeerHeard | StreamOpened | StreamWithdrawn | UpstreamStarted | UpstreamEnded | HostsTold | HostReported
+Event = (NotesHeard | PeerHeard | StreamOpened | StreamWithdrawn | UpstreamStarted | UpstreamEnded | HostsTold
+         | HostReported)  # fmt: skip
 
 
 class UpstreamFront(Protocol):
--- a/thistleshore/dispatcher.py
+++ b/thistleshore/dispatcher.py
@@ -17,6 +17,7 @@
 from thistleshore.gate import Gate
 from thistleshore.platform.discovery import Discovery
 from thistleshore.platform.downstream import Downstream
+from thistleshore.platform.peers import Peers
 from thistleshore.platform.upstream import Upstreams, Ways
 
 if TYPE_CHECKING:  # an operator's; the platform keeps no shares
@@ -48,6 +49,10 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(broker.run)
         nursery.start_soon(upstreams.run)
+        if plan.peers is not None:
+            peers = Peers(plan.peers.listen, plan.peers.peers, plan.peers.everyone, broker.notebook.counts)
+            broker.tell = peers.send
+            nursery.start_soon(peers.run, broker.inbox)
         await broker.inbox.send(HostsTold(ListKind.CACHED, plan.known))
         if plan.http is not None:
             downstream = Downstream(plan.http.routes, broker.listed, broker.inbox, plan.downstream_most)
--- /dev/null
+++ b/thistleshore/platform/peers.py
@@ -0,0 +1,57 @@
+"""The datagrams to and from the other dispatchers of the tier: one UDP socket, nothing kept."""
+
+from __future__ import annotations
+
+import logging
+import socket
+from collections import Counter
+from collections.abc import Sequence
+
+import trio
+
+from oxbowarch.notes import BYTES_MOST
+from thistleshore.core.model import Event, NotesHeard
+
+log = logging.getLogger("thistleshore")
+
+AGAIN = 0.05  # s after an answer of the network that says a peer is down
+
+
+class Peers:
+    """Sends to all peers by one address; hands on what comes from an address that is a peer's."""
+
+    def __init__(self, listen: tuple[str, int], peers: Sequence[tuple[str, int]], everyone: tuple[str, int],
+                 counts: Counter[str]) -> None:  # fmt: skip
+        self.everyone, self.counts, self._peers = everyone, counts, tuple(peers)
+        self._numbers = {address: number for number, address in enumerate(peers) if address != listen}
+        family = socket.AF_INET6 if ":" in listen[0] else socket.AF_INET
+        self._socket = socket.socket(family, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
+        self._socket.bind(listen)
+
+    def send(self, data: bytes, to: tuple[int, ...] | None) -> None:
+        """To the peers of these numbers, or to all; at once or not at all: a note that waits is out of date."""
+        for address in (self.everyone,) if to is None else [self._peers[n] for n in to if n < len(self._peers)]:
+            try:
+                self._socket.sendto(data, address)
+                self.counts["told"] += 1
+            except OSError:
+                self.counts["untold"] += 1
+
+    async def run(self, inbox: trio.MemorySendChannel[Event]) -> None:
+        with trio.socket.from_stdlib_socket(self._socket) as incoming:
+            while True:
+                try:
+                    # One byte more than is allowed, so that what is longer is seen to be.
+                    data, sender = await incoming.recvfrom(BYTES_MOST + 1)
+                except OSError:  # the network's answer to a datagram of ours: a peer is down
+                    self.counts["unreachable"] += 1
+                    await trio.sleep(AGAIN)
+                    continue
+                number = self._numbers.get(tuple(sender[:2]))
+                if number is None:
+                    # Whoever can reach the port could shut out every host by telling of failures there.
+                    self.counts["stranger"] += 1
+                    continue
+                self.counts["heard"] += 1
+                await inbox.send(NotesHeard(number, data))
