Fill cold workers from home only, keep others off busy ones, serve repeats last

Ruled out: late answers by queues at workers (mean 0.05 s); the list; CPU. Lines at fault: brain._weight (the age gate, AWAY_LEFT flat), Notebook.read (order by sender alone).

Change: a worker that is cold is used by the dispatchers at home there alone, up to its slots; away from home as many slots are left as the fleet is busy (2 at most); notes are in order for each worker; under overload a client's marked repeat, late by its first try, earns late_share and gives way first.

--- a/oxbowarch/brain.py
+++ b/oxbowarch/brain.py
@@ -24,13 +24,11 @@
 OVERLOAD = (0.9, 1.1)  # the same within the limits: never full, as what is held may find room
 SHED_EARLY = 0.1  # by how much sooner than the best class one that earns nothing gives way
 SPARE_LEFT = 0.5  # share of the means to answer by that is left to the class that earns most
-PRESSURE_FADE = 1 / 2.0  # 1/s; smooths the busy share, so that late reports don't flip refusal on and off
-REPORT_FADE = 1 / 0.5  # 1/s; how fast own attempts come to show in a worker's reports
+PRESSURE_FADE, REPORT_FADE = 1 / 2.0, 1 / 0.5  # 1/s; of the busy share; of own attempts in reports
 REPORT_AGE, FULL_AGE = 1.5, 0.2  # s for which a report counts, and for which an answer of 'full' does
 NO_ROOM_PART, FULL_PART = 0.5, 5.0  # part of that for which no room counts, and more for each attempt full
 DRAWS = 12  # tries of the rejection draw before the best one seen is taken
-KEY_PATIENCE = 0.5  # share of the aim that a keyed job waits for room at its homes
-KEY_PLACES = 8  # workers remembered as having served a key
+KEY_PATIENCE, KEY_PLACES = 0.5, 8  # share of the aim a keyed job waits for a home; servers noted
 KEY_QUEUE = 0.25  # share of a worker's slots that a keyed job may queue behind, to spare a fetch elsewhere
 FAILURES, COMMON_FAILURE = (Status.ERROR, Status.RESET, Status.TIMEOUT, Status.CONNECT_FAILED), 4.0
 STRIKES_MOST, SHUN_BASE = 6, 0.25  # each strike halves the weight and doubles the s without sends
@@ -45,8 +43,8 @@
 KEEP_CONNECTION = 5.0  # s; an idle connection is kept if another send is expected within this
 ANYWHERE: Places = (None, None)  # the places of a class that is bound to none
 NOTE_AGE, NOTE_AGAIN, NOTE_EVERY = 3.0, 1.0, 1.0  # s one counts, is repeated after, is told all after
-HOME_OF, AWAY_LEFT = 4.0, 0.5  # dispatchers at home at a worker, and slots there that others leave to them
-COLD_MORE, COUNT_EVERY = 3.0, 0.1  # times the least warmth that a cold one gets; s between two counts
+HOME_OF, AWAY_LEFT = 4.0, 2.0  # dispatchers at home at a worker; slots left to them where all are busy
+COLD_MORE, COUNT_EVERY = 6.0, 0.1  # times the least warmth that a cold one gets; s between two counts
 DEADLINE, HOLD, NOTES, LIST = range(4)  # what a timer is for: the low bits of its token
 
 
@@ -169,16 +167,17 @@
         # Where even what lies within the limits is too much, all tenants give way alike, the class that
         # earns least by a slot first: a queue makes everyone late.
         best = max(map(self._yield, range(len(self.set.classes))))
-        early = SHED_EARLY * (1.0 - self._yield(ask.job_class) / best) if best else 0.0
+        early = SHED_EARLY * (1.0 - self._yield(ask.job_class, ask.repeat) / best) if best else 0.0
         if ask.spare < (SPARE_LEFT if not early else 1.0):
             return self._refuse(ask)  # held, it would take the last means by which any client is answered
         overload = self._between(places, OVERLOAD[0] - early, OVERLOAD[1] - early)
         passed = (1.0 - pressure * excess) * (1.0 - overload)
         return ask.beyond is None and self.random.random() >= passed and self._refuse(ask, excess)
 
-    def _yield(self, job_class: int) -> float:
-        """Worth earned by a second of a worker's slot, as far as workers tell when jobs start."""
-        return self.set.classes[job_class].worth / exp(self.runs[job_class].mean())
+    def _yield(self, job_class: int, repeat: bool = False) -> float:
+        """Worth earned by a worker's second; a repeat is late by now, as its first try had to wait."""
+        rule, usual = self.set.classes[job_class], exp(self.runs[job_class].mean())
+        return rule.worth * (rule.late_share if repeat and self.telling else 1.0) / usual
 
     def _refuse(self, ask: Request, excess: float = 0.0) -> bool:
         """Tell the client when to come back: once overload can have faded, and its tenant's estimate."""
@@ -363,19 +362,20 @@
         home = self.homes.has(worker, self.set.me)
         if self.telling:
             free = self._size(worker, now) - worker.in_work(now)
-            # The last slot is left to those at home there: others would meet at it before they hear of it.
-            free -= 0.0 if home else AWAY_LEFT
+            # What is left is for those at home there: others would all meet at it before they hear so.
+            free -= 0.0 if home else AWAY_LEFT * self.busy[job.rule.places].mean()
         if free is not None and job.ask.beyond is not None:
             free = min(free, worker.size - worker.out)  # what a late report may promise is not there
         if free is not None and free < 0.5 - queue:
             if job.ask.beyond is not None or now < worker.no_room_until or self.telling:
                 return 0.0  # by contract it had better wait here, where who goes next can still be chosen
-        if (warmth := self._warmth(worker, now)) < (1.0 / COLD_MORE if self.telling else 1.0):
+        if (warmth := self._warmth(worker, now)) < 1.0 and self.telling and not home:
+            return 0.0  # all would meet there, at its start and whenever it is warm enough for more
+        if warmth < (1.0 / COLD_MORE if self.telling else 1.0):
             # Fail back safely: no more than a cold worker's part of what a warm one gets from here.
-            # The first credit is random, so that many dispatchers of little traffic share the part.
+            # The first credit is random, so that dispatchers of little traffic share the part.
             rate = self.admitted.count * DECAY / max(1, len(self._pool(ANYWHERE, -1)))
-            # Where all tell, those at home there share what the whole fleet may send.
-            rate *= COLD_MORE * home * self.set.balancers / HOME_OF if self.telling else 1.0
+            rate *= COLD_MORE * self.set.balancers / HOME_OF if self.telling else 1.0
             if worker.earn(rate * warmth, now) < 1.0:
                 return 0.0
         # A worker may turn one class or tenant away though it has room: that is no news of the worker.
@@ -515,7 +515,7 @@
         """Room may have come up: first by contract, then by what a class earns, then by how long it waits."""
         if self.held:
             self._place(max(self.held.values(), key=lambda held: (not held.ask.beyond, -held.ask.rank,
-                                                       self._yield(held.ask.job_class))), now)
+                                                   self._yield(held.ask.job_class, held.ask.repeat))), now)
 
     def _strike(self, worker: Worker, now: float) -> None:
         """A fast failer must not attract work; a silent one must lose weight and be retried gently."""
--- a/oxbowarch/notes.py
+++ b/oxbowarch/notes.py
@@ -47,12 +47,14 @@
         self.counts: Counter[str] = Counter()
         self._number = 0
         self._names: dict[int, WorkerId] = {}
-        self._last: dict[int, tuple[int, float]] = {}  # number of each sender's last datagram, and when it came
+        # Number of the last note of each sender about each worker, and when it came: those to some dispatchers and
+        # those to all overtake one another, and what one says of a worker is no older for news of another.
+        self._last: dict[tuple[int, int], tuple[int, float]] = {}
 
     def list_names(self, workers: Iterable[WorkerId], afresh: bool = False) -> None:
         """Workers that notes may be about; `afresh`: these alone."""
         if afresh:
-            self._names = {}
+            self._names, self._last = {}, {}
         self._names.update((short(worker), worker) for worker in workers)
 
     def write(self, notes: Sequence[Note]) -> list[bytes]:
@@ -75,17 +77,17 @@
         if head >> 12 != VERSION:
             self.counts["other_version"] += 1
             return ()
-        number, (last, at) = head % NUMBERS, self._last.get(sender, (0, -1e9))
-        if now - at < ORDER_KEPT and not 0 < (number - last) % NUMBERS <= NUMBERS // 2:
-            self.counts["out_of_order"] += 1
-            return ()
-        self._last[sender] = number, now
-        notes = []
+        number, notes = head % NUMBERS, []
         for hashed, state in NOTE.iter_unpack(data[HEAD.size :]):
             worker, ending = self._names.get(hashed), state & 0x0F
             if worker is None:
                 self.counts["unknown_worker"] += 1
                 continue
+            last, at = self._last.get((sender, hashed), (0, -1e9))
+            if now - at < ORDER_KEPT and not 0 < (number - last) % NUMBERS <= NUMBERS // 2:
+                self.counts["out_of_order"] += 1
+                continue
+            self._last[sender, hashed] = number, now
             pace = PACE_LOW + (ending - 1) * PACE_STEP if 0 < ending < FAILED else None
             notes.append(Note(worker, state >> 4, pace, ending == FAILED))
         return tuple(notes)
