Refuse repeats that are late before first tries, and end idle connections by age alone

Ruled out: queues at workers (mean 0.03 to 0.1 s) and waiting here among served (0.3 s). Lines at fault: brain._refused, which let repeats pass as first tries do (SHED_EARLY 0.1 at most), and self.most = 1.0.

--- a/oxbowarch/brain.py
+++ b/oxbowarch/brain.py
@@ -9,7 +9,7 @@
 from math import exp, inf, log, sqrt
 from random import Random
 
-from oxbowarch.interface import NEVER_RAN, Action, Cancel, CloseIdle, Effect, Entry, Fail, Group, ListKind
+from oxbowarch.interface import NEVER_RAN, Action, Cancel, Effect, Entry, Fail, Group, ListKind
 from oxbowarch.interface import Log, Note, Outcome, Places, Refuse, Report, Request, Send, Settings
 from oxbowarch.interface import State, Status, Tell, Timer, Watch, WorkerId
 from oxbowarch.records import Attempt, Decayed, Homes, Job, KeyRing, MeanTable, RateTable, Smoothed, Window
@@ -22,7 +22,7 @@
 PRESSURE = (0.65, 0.85)  # share of slots busy at which refusal beyond the limits begins, and is full
 LATE_SHARE, DOMINANT = 0.1, 1.5  # share of late answers that presses fully; times its part that is a flood
 OVERLOAD = (0.9, 1.1)  # the same within the limits: never full, as what is held may find room
-SHED_EARLY = 0.1  # by how much sooner than the best class one that earns nothing gives way
+SHED_EARLY, SHED_LATE = 0.1, 0.35  # how much sooner than the best what earns nothing gives way; late repeats
 SPARE_LEFT = 0.5  # share of the means to answer by that is left to the class that earns most
 PRESSURE_FADE, REPORT_FADE = 1 / 2.0, 1 / 0.5  # 1/s; of the busy share; of own attempts in reports
 REPORT_AGE, FULL_AGE = 1.5, 0.2  # s for which a report counts, and for which an answer of 'full' does
@@ -40,7 +40,6 @@
 LONG_RUN, COPY_FADE = 1.2, 1 / 10.0  # logged excess of a run that calls for one; 1/s
 COPY_ROOM = 0.75  # share of slots busy from which a copy would take the place of another job
 SLOW_FADE, SLOW_STEEP = 1 / 3.0, 3.0  # 1/s; power of a worker's slowness by which its weight falls
-KEEP_CONNECTION = 5.0  # s; an idle connection is kept if another send is expected within this
 ANYWHERE: Places = (None, None)  # the places of a class that is bound to none
 NOTE_AGE, NOTE_AGAIN, NOTE_EVERY = 3.0, 1.0, 1.0  # s one counts, is repeated after, is told all after
 HOME_OF, AWAY_LEFT = 4.0, 2.0  # dispatchers at home at a worker; slots left to them where all are busy
@@ -53,6 +52,7 @@
 
     def __init__(self, settings: Settings, seed: int, now: float) -> None:
         self.set, self.born, self.random = settings, now, Random(seed)
+        self.telling = settings.can_tell and settings.balancers > 1
         self.margin = 3 * settings.tick  # s before a deadline at which an answer still leaves in time
         # Where it is no proof, 'full' may come for work begun: sent again, an unsafe job could run twice.
         self.proof = NEVER_RAN if settings.full_proves else NEVER_RAN - {Status.FULL}
@@ -75,9 +75,8 @@
         self.failing = Smoothed(now, PRESSURE_FADE)  # share of attempts
         self.usual = MeanTable(now, PRESSURE_FADE)  # free slots that a kind of machine reports
         self.runs = MeanTable(now, DECAY)  # logged run time of a class, where workers tell starts
-        self.most, self.counted_at = 1.0, now  # most free slots seen on a worker; when all was counted
+        self.most, self.counted_at = 1.0 + self.telling, now  # most free slots seen on a worker; last count
         self.pressed, self.watching, self.watch_wait = False, False, WATCH_BACKOFF
-        self.telling = settings.can_tell and settings.balancers > 1
         self.news: dict[WorkerId, Note] = {}  # what the others are to be told next
         self.homes = Homes([], settings.balancers, HOME_OF)
         self.copy_credit, self.won = COPY_MOST, Smoothed(now, COPY_FADE)  # and the share that were faster
@@ -167,17 +166,23 @@
         # Where even what lies within the limits is too much, all tenants give way alike, the class that
         # earns least by a slot first: a queue makes everyone late.
         best = max(map(self._yield, range(len(self.set.classes))))
-        early = SHED_EARLY * (1.0 - self._yield(ask.job_class, ask.repeat) / best) if best else 0.0
+        step = SHED_LATE if self._late(ask) else SHED_EARLY
+        early = step * (1.0 - self._yield(ask.job_class, self._late(ask)) / best) if best else 0.0
         if ask.spare < (SPARE_LEFT if not early else 1.0):
             return self._refuse(ask)  # held, it would take the last means by which any client is answered
         overload = self._between(places, OVERLOAD[0] - early, OVERLOAD[1] - early)
         passed = (1.0 - pressure * excess) * (1.0 - overload)
         return ask.beyond is None and self.random.random() >= passed and self._refuse(ask, excess)
 
-    def _yield(self, job_class: int, repeat: bool = False) -> float:
-        """Worth earned by a worker's second; a repeat is late by now, as its first try had to wait."""
-        rule, usual = self.set.classes[job_class], exp(self.runs[job_class].mean())
-        return rule.worth * (rule.late_share if repeat and self.telling else 1.0) / usual
+    def _late(self, ask: Request) -> bool:
+        """Is it a repeat of what has waited past its aim?  It would take the room of what is in time."""
+        rule = self.set.classes[ask.job_class]
+        return self.telling and ask.repeat and rule.give_up - ask.budget > rule.aim
+
+    def _yield(self, job_class: int, late: bool = False) -> float:
+        """Worth earned by a second of a worker's slot, as far as workers tell when jobs start."""
+        rule = self.set.classes[job_class]
+        return rule.worth * (rule.late_share if late else 1.0) / exp(self.runs[job_class].mean())
 
     def _refuse(self, ask: Request, excess: float = 0.0) -> bool:
         """Tell the client when to come back: once overload can have faded, and its tenant's estimate."""
@@ -515,7 +520,7 @@
         """Room may have come up: first by contract, then by what a class earns, then by how long it waits."""
         if self.held:
             self._place(max(self.held.values(), key=lambda held: (not held.ask.beyond, -held.ask.rank,
-                                                   self._yield(held.ask.job_class, held.ask.repeat))), now)
+                                          self._yield(held.ask.job_class, self._late(held.ask)))), now)
 
     def _strike(self, worker: Worker, now: float) -> None:
         """A fast failer must not attract work; a silent one must lose weight and be retried gently."""
@@ -552,10 +557,6 @@
         self.full.see(float(full), now)
         if event.status is not Status.CANCELLED:
             self.failing.see(float(event.status in FAILURES), now)
-        rate = self._rate(self.admitted.count, now) / max(1, len(self.workers))
-        if worker.out == 0 and rate * KEEP_CONNECTION < 1.0 and not self.telling:
-            # Many dispatchers of little traffic would fill a worker's connection table with idle ones.
-            self.do.append(CloseIdle(worker.id))
         report = event.report or (Report(0.0) if full else None)
         if event.status is Status.OK or report and event.status is not Status.ERROR:
             self._heard(worker, report, now)
--- a/oxbowarch/interface.py
+++ b/oxbowarch/interface.py
@@ -238,12 +238,6 @@
     attempt: int
 
 
-class CloseIdle(NamedTuple):
-    """Close the idle connections to a worker."""
-
-    worker: WorkerId
-
-
 class Timer(NamedTuple):
     at: float  # clock time
     token: int
@@ -273,4 +267,4 @@
     text: str
 
 
-Action = Send | Refuse | Fail | Cancel | CloseIdle | Timer | Watch | Tell | Log
+Action = Send | Refuse | Fail | Cancel | Timer | Watch | Tell | Log
--- a/oxbowarch/wire.py
+++ b/oxbowarch/wire.py
@@ -260,7 +260,6 @@
     7: _fired, 8: _checked, 9: _mail, 10: _shutdown, 11: _page, 12: _notice,
 }  # fmt: skip
 
-CLOSE_OUT = Struct("<BIH6s")
 BROADCAST_OUT = Struct("<BIHHH")
 EVERYONE = 0xFFFF
 LOG_OUT = Struct("<BIHH")
@@ -287,7 +286,6 @@
     api.Refuse: lambda i, a: REFUSE_OUT.pack(10, 18, i, a.id, a.retry_after),
     api.Fail: lambda i, a: FAIL_OUT.pack(8, 10, i, a.id),
     api.Cancel: lambda i, a: CANCEL_OUT.pack(5, 12, i, a.id, a.attempt),
-    api.CloseIdle: lambda i, a: CLOSE_OUT.pack(3, 8, i, a.worker),
     api.Timer: lambda i, a: TIMER_OUT.pack(11, 18, i, a.at, a.token),
     api.Watch: lambda i, a: WATCH_OUT.pack(6, 3, i, 1),
     api.Log: lambda i, a: text_record(2, i, a.text),
--- a/thistleshore/core/broker.py
+++ b/thistleshore/core/broker.py
@@ -12,7 +12,7 @@
 import trio
 
 from oxbowarch.brain import Brain
-from oxbowarch.interface import NEVER_RAN, Action, Cancel, CloseIdle, Fail, Log, ListKind, Outcome, Refuse, Request
+from oxbowarch.interface import NEVER_RAN, Action, Cancel, Fail, Log, ListKind, Outcome, Refuse, Request
 from oxbowarch.interface import Send, State, Status, Tell, Timer, Watch
 from oxbowarch.notes import Notebook
 from thistleshore.core import model
@@ -248,9 +248,6 @@
                 self._answer(action.id, model.Failed("no upstream host served it"))
             elif isinstance(action, Cancel):
                 self._cancel(action)
-            elif isinstance(action, CloseIdle):
-                if (host := self.hosts.get(action.worker)) is not None:
-                    self._close_idle(host)
             elif isinstance(action, Tell):
                 if self.tell is not None:
                     for data in self.notebook.write(action.notes):
