Keep the last good list when discovery goes back a version or names no host

Need: a regressing or empty list from a discovery that is overbooked or restored would bring back hosts that are gone, or refuse every stream while the hosts serve. Seen: read_hosts took both; malformed and cut-off answers were refused already.

A test plays empty, regressing, odd and cut-off lists between good ones; another sends datagrams of a stranger and of 300 bytes to the peers' socket.

--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import time
+from collections import Counter
 from contextlib import suppress
 from functools import partial
 from pathlib import Path
@@ -20,6 +21,7 @@
 
 from oxbowarch.brain import Brain
 from oxbowarch.interface import Effect, Entry, JobClass, ListKind, Settings, State, Status
+from oxbowarch.notes import Notebook
 from tests.standins import Http, Told
 from tests.support import ROOT, Lines, free_port, play, program, read_all, socket_pair
 from tests.test_config import PLATFORM
@@ -29,6 +31,7 @@
 from thistleshore.gate import Gate
 from thistleshore.platform import discovery, upstream
 from thistleshore.platform.messages import Ask, ListNames, Malformed, Peer
+from thistleshore.platform.peers import Peers
 
 ANSWER = b'{"id":"t","state":"done","result":"ok"}\n'
 
@@ -228,6 +231,73 @@
     assert sum(at - begun < 0.3 for at in listed.values()) <= 4  # the first calls are spread
 
 
+def test_a_bad_list_leaves_the_last_good_one_in_force_and_the_log_says_why(caplog: pytest.LogCaptureFixture) -> None:
+    def told(seq: int, whole: bool, *names: str) -> bytes:
+        lines = [{"host": name, "dial": "127.0.0.1:9", "health": "active"} for name in names]
+        text = json.dumps({"seq": seq, "whole": whole, "hosts": lines}).encode()
+        return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(text), text)
+
+    empty, back, odd = told(43, True), told(40, True, "gone"), b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{]}"
+    cut = told(44, True, "h")[:-9]
+    answers = [told(42, True, "h"), empty, told(43, False), back, told(44, False), odd, told(45, False), cut,
+               told(46, False, "i")]  # fmt: skip
+
+    async def handle(stream: trio.SocketStream) -> None:
+        lines = Lines(stream)
+        with suppress(EOFError):
+            while answers:
+                await lines.head()
+                answer = answers.pop(0)
+                await stream.send_all(answer)
+                if answer is cut:
+                    return
+
+    async def scenario() -> list[model.Event]:
+        inbox, events = trio.open_memory_channel[model.Event](99)
+        async with trio.open_nursery() as nursery:
+            port = await listening(nursery, handle)
+            watch = discovery.Discovery(("127.0.0.1", port), ListNames({}, {}), 0.0, 41, listed=True)
+            nursery.start_soon(watch.run, inbox)
+            found = [await events.receive() for _ in range(5)]
+            nursery.cancel_scope.cancel()
+        return found
+
+    heard = [tuple(line.entry.worker for line in event.lines) for event in play(scenario)]
+    assert heard == [(b"h",), (), (), (), (b"i",)]
+    reasons = [record.getMessage() for record in caplog.records if "discovery lost" in record.getMessage()]
+    assert "no host" in reasons[0] and "version 40 after version 43" in reasons[1] and "JSON" in reasons[2]
+    assert len(reasons) == 4
+
+
+def test_datagrams_of_strangers_and_of_the_wrong_size_change_nothing() -> None:
+    async def scenario() -> tuple[list[model.Event], Counter[str]]:
+        counts, inbox = Counter[str](), trio.open_memory_channel[model.Event](9)
+        ends = [trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM) for _ in range(2)]
+        for end in ends:
+            await end.bind(("127.0.0.1", 0))
+        peer, stranger = [end.getsockname() for end in ends]
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+            probe.bind(("127.0.0.1", 0))
+            here = probe.getsockname()
+        peers = Peers(here, (here, peer), peer, counts)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(peers.run, inbox[0])
+            await ends[1].sendto(b"bad", here)
+            await ends[0].sendto(b"x" * 300, here)
+            await ends[0].sendto(b"good", here)
+            found = [await inbox[1].receive() for _ in range(2)]
+            peers.send(b"to one", (1, 7))
+            peers.send(b"to all", None)
+            assert [(await ends[0].recvfrom(99))[0] for _ in range(2)] == [b"to one", b"to all"]
+            nursery.cancel_scope.cancel()
+        return found, counts
+
+    found, counts = trio.run(scenario)
+    assert found == [model.NotesHeard(1, b"x" * 257), model.NotesHeard(1, b"good")]
+    assert counts == {"stranger": 1, "heard": 2, "told": 2}
+    assert Notebook().read(1, found[0].data, 0.0) == ()  # type: ignore[union-attr]
+
+
 def test_the_gate_survives_a_lack_of_descriptors_and_bounds_its_connections() -> None:
     class Listener:
         def __init__(self) -> None:
--- a/thistleshore/platform/discovery.py
+++ b/thistleshore/platform/discovery.py
@@ -8,6 +8,7 @@
 import h11
 import trio
 
+from oxbowarch.interface import ListKind
 from thistleshore.core.model import Event, HostsTold
 from thistleshore.platform.messages import ListNames, Malformed, Peer, read_hosts
 
@@ -31,6 +32,7 @@
         self._random = Random(seed)
         spread = min(FIRST_MOST, FIRST_EACH * (balancers - 1)) if listed else 0.0
         self._first = spread * self._random.random()  # s to wait before the first call
+        self._listed = listed  # hosts are known
         self._again_first = self._again = max(AGAIN_LEAST, AGAIN_EACH * balancers)
         self.seq: int | None = seq  # None: the next call asks for the whole list
         self._peer: Peer | None = None
@@ -106,6 +108,11 @@
             status = getattr(response, "status_code", "no answer")
             raise Malformed(f"the answer is no list: {status}")
         seq, kind, lines = read_hosts(bytes(body), self.names, self.epoch)
+        if self.seq is not None and seq < self.seq:
+            raise Malformed(f"version {seq} after version {self.seq}")  # it would bring back hosts that are gone
+        if kind is ListKind.FULL and not lines and self._listed:
+            raise Malformed("a whole list of no host")  # it would refuse every stream while the hosts serve
+        self._listed = self._listed or bool(lines)
         if peer.reusable:
             peer.http.start_next_cycle()
         else:
