--- a/oxbowarch/brain.py
+++ b/oxbowarch/brain.py
@@ -78,7 +78,7 @@
         self.most, self.counted_at = 1.0 + self.telling, now  # most free slots seen on a worker; last count
         self.pressed, self.watching, self.watch_wait = False, False, WATCH_BACKOFF
         self.news: dict[WorkerId, Note] = {}  # what the others are to be told next
-        self.homes = Homes([], settings.balancers, HOME_OF)
+        self.homes = Homes([], settings.balancers, HOME_OF)  # none where nothing is told
         self.copy_credit, self.won = COPY_MOST, Smoothed(now, COPY_FADE)  # and the share that were faster
         self.do: list[Action] = []
 
@@ -99,7 +99,8 @@
                 worker.forget(self.random.random(), now)
             worker.entry = entry
         self.pools, self.rings = {}, {}
-        self.homes = Homes(self._pool(ANYWHERE, -1), self.set.balancers, HOME_OF)
+        if self.telling:
+            self.homes = Homes(self._pool(ANYWHERE, -1), self.set.balancers, HOME_OF)
         if kind is not ListKind.CACHED:
             if self.watch_wait > WATCH_BACKOFF:
                 self.do.append(Log("worker list regained"))
@@ -165,9 +166,9 @@
             self.do.append(Log("pressure on: refusing beyond the limits" if self.pressed else "pressure off"))
         # Where even what lies within the limits is too much, all tenants give way alike, the class that
         # earns least by a slot first: a queue makes everyone late.
-        best = max(map(self._yield, range(len(self.set.classes))))
-        step = SHED_LATE if self._late(ask) else SHED_EARLY
-        early = step * (1.0 - self._yield(ask.job_class, self._late(ask)) / best) if best else 0.0
+        late, best = self._late(ask), max(map(self._yield, range(len(self.set.classes))))
+        part = 1.0 - self._yield(ask.job_class, late) / best if best else 0.0
+        early = part * (SHED_LATE if late else SHED_EARLY)
         if ask.spare < (SPARE_LEFT if not early else 1.0):
             return self._refuse(ask)  # held, it would take the last means by which any client is answered
         overload = self._between(places, OVERLOAD[0] - early, OVERLOAD[1] - early)
@@ -260,9 +261,9 @@
 
     def _hold(self, job: Job, now: float) -> None:
         """Keep a job for which no worker has room: brief waiting beats both a queue and a refusal."""
-        until = job.since + job.rule.aim
         usual = exp(self.runs[job.ask.job_class].mean())
-        until += self.telling * max(0.0, job.rule.stretch - 1.0) * usual * HOLD_MORE
+        grace = max(0.0, job.rule.stretch - 1.0) * usual * HOLD_MORE if self.telling else 0.0
+        until = job.since + job.rule.aim + grace
         if job.ask.beyond is False:  # within its share it may wait as long as it can still be in time
             until = max(until, job.ask.rank - usual)
         if not self._may_try(job, now):
@@ -385,16 +386,15 @@
                 return 0.0
         # A worker may turn one class or tenant away though it has room: that is no news of the worker.
         shut = worker.strikes + sum(worker.turned.read(door, DECAY, now) for door in job.doors)
-        # Without news of room it counts as its kind does; a thin dispatcher must not double up there.
-        usual = self.usual[worker.entry.kind].mean()
         shut += SLOW_STEEP / log(2) * self._slowness(worker, now)
+        # Without news of room it counts as its kind does; a thin dispatcher must not double up there.
+        free = self.usual[worker.entry.kind].mean() if free is None else max(0.0, free)
         # Reports are late, own attempts out are known: two must not meet by a stale report.
-        free = usual if free is None else max(0.0, free)
         return float((1.0 + free) / (1.0 + worker.out) * 0.5**shut)
 
     def _draw(self, job: Job, now: float) -> Worker | None:
         """Rejection draw by weight among ready workers: own zone first, then all."""
-        for worker in self.homes.of(self.set.me) if self.telling else ():
+        for worker in self.homes.of(self.set.me):
             if self.random.random() < self._weight(job, worker, now) and self._may_send(job, worker, now):
                 return worker
         # Crossings are priced, but where clients crowd into one zone, keeping to it would queue their jobs.
@@ -462,7 +462,7 @@
         for note in notes:
             worker = self.workers.get(note.worker)  # none: its list is newer or older than ours
             if worker is not None:
-                worker.others[peer] = note.out, now + NOTE_AGE
+                worker.hear(peer, note.out, now + NOTE_AGE)
                 if note.failed:
                     self._strike(worker, now)
                 if note.pace is not None:
--- a/oxbowarch/interface.py
+++ b/oxbowarch/interface.py
@@ -38,7 +38,7 @@
 
 
 class Status(Enum):
-    """How an attempt or a probe ended."""
+    """How an attempt ended."""
 
     OK = "ok"
     ERROR = "error"
--- a/oxbowarch/records.py
+++ b/oxbowarch/records.py
@@ -127,6 +127,12 @@
         self.out = max(0, self.out + change)
         return self.lag_out
 
+    def hear(self, peer: int, out: int, until: float) -> None:
+        """What another dispatcher has out here; who has nothing is not kept, as all that is kept is added up often."""
+        self.others.pop(peer, None)
+        if out:
+            self.others[peer] = out, until
+
     def in_work(self, now: float) -> int:
         """Attempts out there, of this dispatcher and of all others as far as they tell."""
         return self.out + sum(out for out, until in self.others.values() if now < until)
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -55,6 +55,12 @@
     return int(listener.socket.getsockname()[1])
 
 
+def list_of(seq: int, *hosts: str, whole: bool = True) -> bytes:
+    lines = [{"host": name, "dial": "127.0.0.1:9", "health": "active"} for name in hosts]
+    text = json.dumps({"seq": seq, "whole": whole, "hosts": lines}).encode()
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(text), text)
+
+
 async def with_host(scenario: Any, answers: list[bytes], hang_up: bool = False) -> tuple[Any, list[bytes]]:
     """Run the scenario against one host that gives these answers; returns what it was sent, too."""
     seen: list[bytes] = []
@@ -232,15 +238,10 @@
 
 
 def test_a_bad_list_leaves_the_last_good_one_in_force_and_the_log_says_why(caplog: pytest.LogCaptureFixture) -> None:
-    def told(seq: int, whole: bool, *names: str) -> bytes:
-        lines = [{"host": name, "dial": "127.0.0.1:9", "health": "active"} for name in names]
-        text = json.dumps({"seq": seq, "whole": whole, "hosts": lines}).encode()
-        return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(text), text)
-
-    empty, back, odd = told(43, True), told(40, True, "gone"), b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{]}"
-    cut = told(44, True, "h")[:-9]
-    answers = [told(42, True, "h"), empty, told(43, False), back, told(44, False), odd, told(45, False), cut,
-               told(46, False, "i")]  # fmt: skip
+    empty, back, odd = list_of(43), list_of(40, "gone"), b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{]}"
+    cut = list_of(44, "h")[:-9]
+    answers = [list_of(42, "h"), empty, list_of(43, whole=False), back, list_of(44, whole=False), odd,
+               list_of(45, whole=False), cut, list_of(46, "i", whole=False)]  # fmt: skip
 
     async def handle(stream: trio.SocketStream) -> None:
         lines = Lines(stream)
@@ -400,12 +401,6 @@
     assert len(at.runs[b"job"]) == 1
 
 
-def list_of(seq: int, *hosts: str) -> bytes:
-    lines = [{"host": name, "dial": "127.0.0.1:9", "health": "active"} for name in hosts]
-    text = json.dumps({"seq": seq, "whole": True, "hosts": lines}).encode()
-    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(text), text)
-
-
 def test_a_move_of_discovery_drops_the_old_watch_and_begins_with_a_whole_list_at_once() -> None:
     calls: dict[str, list[tuple[float, bytes]]] = {"old": [], "new": []}
 
--- a/thistleshore/config/operator.py
+++ b/thistleshore/config/operator.py
@@ -205,8 +205,8 @@
         if self.faults:
             raise ConfigError(*dict.fromkeys(self.faults))
         return Plan(name, int.from_bytes(os.urandom(8), "big"), settings, http, tubes, tuple(known), epoch,
-                    connect_within, IDLE_SHARE * idle, sockets, streams, live, agreements, exchange, metrics, None,
-                    form, self.conf)  # fmt: skip
+                    connect_within, IDLE_SHARE * idle, sockets, streams, live, agreements, exchange, metrics, form,
+                    self.conf)  # fmt: skip
 
     def _services(self) -> dict[str, int]:
         services: dict[str, int] = {}
--- a/thistleshore/config/platform.py
+++ b/thistleshore/config/platform.py
@@ -100,9 +100,9 @@
     agreements: Agreements | None = None  # None: no shares are kept
     exchange: ExchangePlan | None = None
     metrics: Address | None = None
-    peers: PeersPlan | None = None  # None: dispatchers tell one another nothing
     log_format: str = "plain"
     told: Mapping[str, Any] = field(default_factory=dict, repr=False)  # as the file words it
+    peers: PeersPlan | None = None  # None: dispatchers tell one another nothing
 
     def changed(self, other: Plan) -> list[str]:
         """The keys in which another reading of the file differs and which hold until a restart."""
