Hot restart: hand over list, bans, estimates and the listening socket to a second process

Cause: the second process of an upgrade ended with status 1, as the clients' address was taken, and would have known nothing. A frame with version, length and checksum goes over a Unix socket in $TMPDIR, with the listening and the datagram socket; the old process accepts no more once the newcomer serves, and accepts again if it dies; bans called at either hold at both. Anything wrong: it starts cold, with a log line.

--- /dev/null
+++ b/tests/test_restart.py
@@ -0,0 +1,266 @@
+"""Hot restart: the frame, what a module leaves, and the real program started twice."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections import defaultdict
+from collections.abc import Iterator
+from contextlib import contextmanager
+from http.client import HTTPConnection, HTTPException
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+
+from oxbowarch import handover
+from oxbowarch.brain import Brain
+from oxbowarch.interface import Effect, Entry, JobClass, ListKind, Request, Settings, State
+from tests.support import CUTS, GARBAGE, ROOT, free_port, steady
+from thistleshore.restart import frame
+
+# -- the frame
+
+
+@steady
+@given(CUTS)
+def test_a_frame_is_read_whole_or_not_at_all(cuts: list[int]) -> None:
+    data = frame.framed({"banned": ["s-1"], "age": 2.5})
+    for cut in cuts:
+        part = data[: min(cut, len(data) - 1)]
+        assert frame.read_frame(part) is None
+    assert frame.read_frame(data) == {"banned": ["s-1"], "age": 2.5}
+
+
+@steady
+@given(GARBAGE, CUTS)
+def test_garbage_is_never_taken_for_a_hand_over(data: bytes, cuts: list[int]) -> None:
+    whole = bytearray(frame.framed({"age": 1}))
+    for cut in cuts:
+        whole[cut % len(whole)] ^= 1
+    for text in (data, bytes(whole), bytes(whole) + b"x"):
+        try:
+            found = frame.read_frame(text)
+        except frame.Spoilt:
+            continue
+        assert found is None or found == {"age": 1} and text == frame.framed({"age": 1})
+
+
+def test_another_version_and_a_flood_are_refused() -> None:
+    for data in (b"2 2 00000000\n{}", b"1 99999999999 00000000\n", b"1" * 99):
+        with pytest.raises(frame.Spoilt):
+            frame.read_frame(data)
+    with pytest.raises(frame.Spoilt):
+        frame.Lines().feed(b"x" * 5000)
+
+
+# -- the module's memory
+
+RULES = (JobClass(Effect.SAFE, aim=1.0, give_up=5.0),)
+
+
+def module() -> Brain:
+    brain = Brain(Settings(1, 0, RULES, limits=(5.0, 5.0)), 1, 0.0)
+    brain.on_list(ListKind.CACHED, tuple(Entry(b"h%d" % n, State.READY) for n in range(3)), 0.0)
+    return brain
+
+
+def test_the_next_module_remembers_offenders_bans_and_hosts() -> None:
+    old = module()
+    for n in range(100):
+        old.on_request(Request(n, 0, 5.0, tenant=1), n / 20)
+    old.on_ban(b"h1", True, 5.0)
+    old.workers[b"h2"].strikes = 4
+    memory = json.loads(json.dumps(handover.take(old, ("search",), {"acme": 0, "zulu": 1}, 5.0)))
+    new = module()
+    # Names keep their meaning where the next process numbers them anew.
+    handover.give(new, memory, ("other", "search"), {"zulu": 0, "acme": 1}, 1005.0)
+    assert new.rates[0].read(0.1, 1005.0) == pytest.approx(old.rates[1].read(0.1, 5.0)) and 1 not in new.rates
+    assert new.banned == {b"h1"} and new.workers[b"h2"].strikes == 4 and new.born == pytest.approx(1000.0)
+
+
+@pytest.mark.parametrize("path", ["age", "rates", "smoothed", "workers", "banned", "taken"])
+def test_a_memory_that_is_no_good_is_told_apart(path: str) -> None:
+    memory = handover.take(module(), ("search",), {}, 5.0)
+    for value in (None, "x", float("nan"), [["x"]], {"h1": 3}):
+        with pytest.raises((KeyError, TypeError, ValueError, AttributeError, IndexError)):
+            handover.give(module(), {**memory, path: value}, ("search",), {"h1": 0}, 9.0)
+
+
+# -- the program, twice
+
+
+class Host(ThreadingHTTPServer):
+    """A ticket worker that serves in 50 ms and keeps a record."""
+
+    daemon_threads = True
+    request_queue_size = 64  # a full queue would be a host that is down
+
+    def __init__(self, name: str) -> None:
+        self.name, self.runs = name, list[tuple[str, float]]()
+        super().__init__(("127.0.0.1", 0), Answer)
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+
+class Answer(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def do_POST(self) -> None:
+        assert isinstance(self.server, Host)
+        job = self.rfile.read(int(self.headers["content-length"])).decode()
+        self.server.runs.append((job, time.monotonic()))
+        time.sleep(0.05)
+        text = json.dumps({"id": self.headers["x-txn"], "state": "done", "result": "R" + job}).encode() + b"\n"
+        self.send_response(200)
+        self.send_header("content-length", str(len(text)))
+        self.end_headers()
+        self.wfile.write(text)
+
+    def log_message(self, *_: Any) -> None:
+        pass
+
+
+class Site:
+    """One dispatcher's machine: its folder, its file, its hosts, and the processes that serve there."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder, self.port, self.controls = folder, free_port(), list[int]()
+        self.hosts = [Host(f"h{n}") for n in range(3)]
+
+    def conf(self, control: int) -> dict[str, Any]:
+        hosts = [{"host": host.name, "dial": f"127.0.0.1:{host.server_address[1]}", "health": "active"}
+                 for host in self.hosts]  # fmt: skip
+        settings = {"balancers": 1, "quantum": 0.005, "localities": [], "kinds": [], "rules": {}, "tenants": [],
+                    "lanes": [{"name": "pay", "effect": "fragile", "aim": 1.0, "giveUp": 5.0}],
+                    "limits": {"maxAttempts": 2, "connectTimeout": 0.2, "connIdle": 15.0}}  # fmt: skip
+        return {"listen": f"127.0.0.1:{self.port}", "control": f"127.0.0.1:{control}", "seed": 7,
+                "known": {"seq": 1, "whole": True, "hosts": hosts}, "settings": settings}  # fmt: skip
+
+    @contextmanager
+    def process(self) -> Iterator[subprocess.Popen[bytes]]:
+        """One process, once it says that it serves."""
+        control = free_port()
+        self.controls.append(control)
+        file = self.folder / f"{control}.json"
+        file.write_text(json.dumps(self.conf(control)))
+        environ = {**os.environ, "PROXY_CONFIG": str(file), "TMPDIR": str(self.folder)}
+        found = subprocess.Popen([sys.executable, "-O", "-m", "thistleshore"], env=environ, cwd=ROOT,
+                                 stderr=(self.folder / f"{control}.log").open("wb"))  # fmt: skip
+        try:
+            for _ in range(100):
+                if self.call(b"PING") == b"OK\n":
+                    break
+                time.sleep(0.05)
+            yield found
+        finally:
+            found.kill()
+            found.wait()
+
+    def call(self, line: bytes, number: int = -1) -> bytes:
+        try:
+            with socket.create_connection(("127.0.0.1", self.controls[number]), 1.0) as made:
+                made.sendall(line + b"\n")
+                return b"".join(iter(lambda: made.recv(4096), b""))
+        except OSError:
+            return b""
+
+    def log(self, number: int) -> str:
+        return (self.folder / f"{self.controls[number]}.log").read_text()
+
+
+class Clients:
+    """Threads that hand in jobs one after the other, by connections that they keep."""
+
+    def __init__(self, site: Site, many: int) -> None:
+        self.site, self.on, self.told = site, True, defaultdict[str, list[str]](list)
+        self.threads = [threading.Thread(target=self._run, args=(n,), daemon=True) for n in range(many)]
+        for thread in self.threads:
+            thread.start()
+
+    def _run(self, number: int) -> None:
+        made, count = HTTPConnection("127.0.0.1", self.site.port, timeout=5), 0
+        while self.on:
+            count += 1
+            job = f"{number}-{count}"
+            try:
+                made.request("POST", "/pay", job, {"X-Txn": job, "X-Lane": "pay"})
+                answer = made.getresponse()
+                text = answer.read().decode()
+                self.told[job].append("served" if (answer.status, text) == (200, "R" + job) else str(answer.status))
+            except (OSError, HTTPException) as problem:
+                self.told[job].append(type(problem).__name__)
+                made.close()
+
+    def stop(self) -> None:
+        self.on = False
+        for thread in self.threads:
+            thread.join(10)
+
+
+def test_a_second_process_takes_over_under_load_and_nothing_is_lost_or_doubled(tmp_path: Path) -> None:
+    site = Site(tmp_path)
+    with site.process() as first:
+        clients = Clients(site, 8)
+        assert site.call(b"DETACH h1") == b"OK\n"
+        time.sleep(0.5)
+        with site.process() as second:
+            assert "inherited: 3 hosts, 1 of them out by hand" in site.log(1)
+            assert json.loads(site.call(b"INFO").split(b"\n")[0])["ejected"] == 1  # the ban holds over the upgrade
+            assert site.call(b"DETACH h2") == b"OK\n"  # and one called at the second holds at the first
+            banned = time.monotonic() + 0.1
+            time.sleep(0.5)
+            first.send_signal(signal.SIGTERM)
+            assert first.wait(5) == 0
+            time.sleep(0.3)
+            assert b"OK" in site.call(b"PING") and second.poll() is None
+            clients.stop()
+    assert {outcome for told in clients.told.values() for outcome in told} == {"served"}
+    runs = [job for host in site.hosts for job, _ in host.runs]
+    assert len(runs) == len(set(runs)) == len(clients.told) > 50
+    assert not site.hosts[1].runs or max(at for _, at in site.hosts[1].runs) < banned
+    assert all(at < banned for _, at in site.hosts[2].runs)
+
+
+def test_without_one_before_or_with_a_spoilt_or_killed_one_the_program_starts_cold(tmp_path: Path) -> None:
+    site = Site(tmp_path)
+    meeting = tmp_path / f"thistleshore-127.0.0.1-{site.port}.sock"
+    with site.process() as first:
+        first.kill()
+        first.wait()
+        assert meeting.exists()  # a stale socket
+        with site.process() as second:
+            assert second.poll() is None and "starting cold" in site.log(1)
+            meeting.unlink()
+            with socket.socket(socket.AF_UNIX) as liar:
+                liar.bind(str(meeting))
+                liar.listen()
+
+                def lie() -> None:
+                    made, _ = liar.accept()
+                    made.sendall(b"1 3 00000000\n{}}")
+                    time.sleep(2)
+
+                threading.Thread(target=lie, daemon=True).start()
+                with site.process() as third:
+                    assert third.poll() is None and "its checksum is wrong" in site.log(2)
+
+
+def test_the_first_accepts_again_where_the_second_dies(tmp_path: Path) -> None:
+    site = Site(tmp_path)
+    with site.process():
+        with site.process() as second:
+            second.kill()
+            second.wait()
+        time.sleep(0.2)
+        clients = Clients(site, 2)
+        time.sleep(0.5)
+        clients.stop()
+    assert {outcome for told in clients.told.values() for outcome in told} == {"served"} and len(clients.told) > 5
--- /dev/null
+++ b/thistleshore/restart/carrier.py
@@ -0,0 +1,241 @@
+"""The Unix socket between the two processes of a hot restart: one leaves, one takes over, and both tell of bans."""
+
+from __future__ import annotations
+
+import array
+import logging
+import os
+import socket
+import struct
+from collections.abc import AsyncIterator, Mapping, Sequence
+from contextlib import suppress
+from typing import Any, NamedTuple, Protocol
+
+import trio
+
+from thistleshore.gate import NO_SOCKET_PAUSE
+from thistleshore.restart import frame
+
+log = logging.getLogger("thistleshore")
+
+ASK_WITHIN = 1.5  # s for the whole hand-over: the newcomer has 6 s to be ready, and can start without it
+SAY_WITHIN = 0.5  # s for a line to be taken
+RECEIVE = 65536
+FDS_MOST = 4
+PATH_MOST = 100  # bytes of a Unix socket's path
+CHILDREN_MOST = 4
+
+
+class Inherited(NamedTuple):
+    """What the process before leaves: values, sockets by name, and the line to it."""
+
+    values: Mapping[str, Any]
+    sockets: Mapping[str, socket.socket]
+    link: Link
+
+
+class Link:
+    """The line between two processes while both live."""
+
+    def __init__(self, sock: trio.socket.SocketType) -> None:
+        self.sock = sock
+
+    async def say(self, **values: Any) -> None:
+        """Say one line; whoever does not listen hears nothing."""
+        with trio.move_on_after(SAY_WITHIN), suppress(OSError, trio.ClosedResourceError):
+            await _send_all(self.sock, frame.said(**values))
+
+    async def heard(self) -> AsyncIterator[dict[str, Any]]:
+        """What the other says, until it is gone or says what is none."""
+        lines = frame.Lines()
+        with suppress(OSError, trio.ClosedResourceError, frame.Spoilt):
+            while data := await self.sock.recv(RECEIVE):
+                for values in lines.feed(data):
+                    yield values
+
+
+async def ask(path: str) -> Inherited | None:
+    """Ask the process that serves; None, and a line in the log, where none does or its answer is no good."""
+    if not os.path.exists(path):
+        log.info("no process before this one: starting cold")
+        return None
+    sock: trio.socket.SocketType | None = None
+    passed: list[int] = []
+    try:
+        sock = trio.socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        with trio.fail_after(ASK_WITHIN):
+            await sock.connect(_reachable(path))
+            _check_owner(sock)
+            await _send_all(sock, frame.GREETING)
+            data, values = b"", None
+            while values is None:
+                part, more, _, _ = await sock.recvmsg(RECEIVE, socket.CMSG_LEN(FDS_MOST * 4))
+                passed += _descriptors(more)
+                if not part:
+                    raise frame.Spoilt("it was cut off")
+                data += part
+                values = frame.read_frame(data)
+        names = values.get("sockets", [])
+        if not isinstance(names, list) or len(names) != len(passed):
+            raise frame.Spoilt("its sockets are not those it names")
+        taken = {str(name): socket.socket(fileno=fd) for name, fd in zip(names, passed, strict=True)}
+        return Inherited(values, taken, Link(sock))
+    except (OSError, trio.TooSlowError, frame.Spoilt) as problem:
+        log.warning("nothing inherited, starting cold: %s: %s", type(problem).__name__, problem)
+        for fd in passed:
+            with suppress(OSError):
+                os.close(fd)
+        if sock is not None:
+            sock.close()
+        return None
+
+
+class HasFile(Protocol):
+    def fileno(self) -> int: ...
+
+
+class Heirs(Protocol):
+    """What the process that serves does about those that take over."""
+
+    def leave(self) -> tuple[Mapping[str, Any], Sequence[tuple[str, HasFile]]]: ...
+
+    def step_aside(self, aside: bool) -> None: ...
+
+    async def ban(self, host: str, out: bool, source: Link) -> None: ...
+
+
+class Succession:
+    """One process's end of all such lines: to the one before it, and to those that come after."""
+
+    def __init__(self, path: str, heirs: Heirs) -> None:
+        self.path, self.heirs = path, heirs
+        self.links: list[Link] = []
+
+    async def tell_ban(self, host: str, out: bool, source: Link | None = None) -> None:
+        """Tell all others that live; those beyond hear it from them."""
+        for link in list(self.links):
+            if link is not source:
+                await link.say(ban=host, out=out)
+
+    async def follow(self, link: Link, serving: trio.Event) -> None:
+        """Say that this process serves once it does, and hear of bans until the one before has gone."""
+        self.links.append(link)
+        try:
+            await serving.wait()
+            await link.say(ready=True)
+            await self._hear(link)
+        finally:
+            self.links.remove(link)
+            link.sock.close()
+
+    async def _hear(self, link: Link) -> bool:
+        """Whether the other has said that it serves, once it is gone."""
+        serves = False
+        async for values in link.heard():
+            if values.get("ready") is True and not serves:
+                serves = True
+                self.heirs.step_aside(True)
+            if isinstance(values.get("ban"), str):
+                await self.heirs.ban(values["ban"], values.get("out") is True, link)
+        return serves
+
+    async def run(self) -> None:
+        """Hand over to those that come, until cancelled."""
+        with trio.socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as listener:
+            try:
+                await self._bind(listener)
+            except OSError as problem:
+                log.warning("no hot restart: %s", problem)
+                return
+            try:
+                async with trio.open_nursery() as nursery:
+                    while True:
+                        try:
+                            sock, _ = await listener.accept()
+                        except OSError:
+                            await trio.sleep(NO_SOCKET_PAUSE)
+                            continue
+                        if len(nursery.child_tasks) < CHILDREN_MOST:
+                            nursery.start_soon(self._hand_over, sock)
+                        else:
+                            sock.close()
+            finally:
+                self._unbind()
+
+    async def _bind(self, listener: trio.socket.SocketType) -> None:
+        """Take the path over in one step: there is always a process behind it, or nobody."""
+        mine = f"{self.path}.{os.getpid()}"
+        with suppress(FileNotFoundError):
+            os.unlink(mine)
+        await listener.bind(_reachable(mine))
+        os.chmod(mine, 0o600)
+        listener.listen(CHILDREN_MOST)
+        os.rename(mine, self.path)
+        self._inode = os.stat(self.path).st_ino
+
+    def _unbind(self) -> None:
+        with suppress(OSError):
+            if os.stat(self.path).st_ino == self._inode:  # else it is the successor's already
+                os.unlink(self.path)
+
+    async def _hand_over(self, sock: trio.socket.SocketType) -> None:
+        link = Link(sock)
+        serves = False
+        try:
+            with trio.fail_after(ASK_WITHIN):
+                _check_owner(sock)
+                greeting = b""
+                while not greeting.endswith(b"\n") and len(greeting) < frame.HEAD_MOST:
+                    if not (part := await sock.recv(frame.HEAD_MOST)):
+                        return
+                    greeting += part
+                if greeting != frame.GREETING:
+                    raise frame.Spoilt("the greeting is of another version")
+                values, sockets = self.heirs.leave()
+                data = frame.framed({**values, "sockets": [name for name, _ in sockets]})
+                fds = array.array("i", [kept.fileno() for _, kept in sockets])
+                more = [(socket.SOL_SOCKET, socket.SCM_RIGHTS, fds)] if fds else []
+                sent = await sock.sendmsg([data], more)
+                await _send_all(sock, data[sent:])
+            log.info("handed over to the next process: %d bytes, %d sockets", len(data), len(sockets))
+            self.links.append(link)
+            serves = await self._hear(link)
+        except (OSError, trio.TooSlowError, frame.Spoilt) as problem:
+            log.warning("hand-over not done: %s: %s", type(problem).__name__, problem)
+        except Exception:
+            # A fault here must not end the process that serves.
+            log.exception("fault in a hand-over")
+        finally:
+            if link in self.links:
+                self.links.remove(link)
+            sock.close()
+        if serves:
+            self.heirs.step_aside(False)
+
+
+def _reachable(path: str) -> str:
+    """The same file by a path that fits a socket's address, however deep its folder is."""
+    if len(os.fsencode(path)) <= PATH_MOST:
+        return path
+    folder = os.open(os.path.dirname(path), os.O_PATH | os.O_DIRECTORY)  # open as long as the process lives
+    return f"/proc/self/fd/{folder}/{os.path.basename(path)}"
+
+
+def _check_owner(sock: trio.socket.SocketType) -> None:
+    """Whoever else can reach the folder must not be handed the clients, nor pass for the one who serves them."""
+    _, user, _ = struct.unpack("3i", sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, struct.calcsize("3i")))
+    if user != os.getuid():
+        raise frame.Spoilt("the other process is another user's")
+
+
+def _descriptors(ancillary: Sequence[tuple[int, int, bytes]]) -> list[int]:
+    found = array.array("i")
+    for level, kind, data in ancillary:
+        if level == socket.SOL_SOCKET and kind == socket.SCM_RIGHTS:
+            found.frombytes(data[: len(data) - len(data) % found.itemsize])
+    return list(found)
+
+
+async def _send_all(sock: trio.socket.SocketType, data: bytes) -> None:
+    while data:
+        data = data[await sock.send(data) :]
--- /dev/null
+++ b/thistleshore/restart/estate.py
@@ -0,0 +1,139 @@
+"""What a dispatcher leaves to the process that replaces it, and what it takes from the one before."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Mapping, Sequence
+from dataclasses import replace
+from typing import Any
+
+import trio
+
+from oxbowarch import handover
+from oxbowarch.brain import Brain
+from oxbowarch.interface import ListKind, State
+from oxbowarch.notes import NUMBERS
+from thistleshore.config import Plan
+from thistleshore.core.broker import Broker
+from thistleshore.core.model import BanAsked, HostLine, SettingsTold, UpstreamHost
+from thistleshore.platform.discovery import Discovery
+from thistleshore.platform.downstream import Downstream
+from thistleshore.platform.messages import STATES, ListNames, Malformed, read_hosts
+from thistleshore.platform.peers import Peers
+from thistleshore.platform.upstream import Upstreams
+from thistleshore.restart.carrier import HasFile, Inherited, Link, Succession
+
+log = logging.getLogger("thistleshore")
+
+HEALTH = {state: health for health, state in STATES.items()}
+SPOILT = (Malformed, KeyError, IndexError, TypeError, ValueError, AttributeError, OverflowError)
+
+
+def written(host: UpstreamHost, names: ListNames, epoch: float) -> dict[str, Any]:
+    """A host as discovery's list words it."""
+    entry, dial = host.entry, host.dial
+    made = {"host": host.id.decode(), "site": _name(names.zones, entry.zone), "class": _name(names.kinds, entry.kind),
+            "block": entry.cell, "health": HEALTH[entry.state], "share": entry.weight,
+            "born_ms": (entry.started_at - epoch) * 1000 if entry.started_at else 0}  # fmt: skip
+    if isinstance(dial, tuple):
+        made["dial"] = f"[{dial[0]}]:{dial[1]}" if ":" in dial[0] else f"{dial[0]}:{dial[1]}"
+    return made
+
+
+def _name(numbers: Mapping[str, int], number: int) -> str:
+    return next((name for name, n in numbers.items() if n == number), "")
+
+
+def begin(plan: Plan, inherited: Inherited | None) -> tuple[Brain, tuple[HostLine, ...], int]:
+    """The module at a start, the list and its version: with what is inherited, or cold where that is no good."""
+    now, http = trio.current_time(), plan.http
+    brain = Brain(plan.settings, plan.seed, now)
+    if inherited is not None and http is not None:
+        try:
+            seq, _, lines = read_hosts(inherited.values["list"], http.names, plan.epoch)
+            brain.on_list(ListKind.CACHED, tuple(line.entry for line in lines), now)
+            handover.give(brain, inherited.values["memory"], plan.class_names, http.routes.tenants or {}, now)
+            log.info("inherited: %d hosts, %d of them out by hand", len(lines), len(brain.banned))
+            return brain, lines, seq
+        except SPOILT as problem:
+            log.warning("nothing inherited, starting cold: %s: %s", type(problem).__name__, problem)
+            brain = Brain(plan.settings, plan.seed, now)
+    return brain, plan.known, http.known_seq if http is not None else 0
+
+
+class Estate:
+    """The parts of a dispatcher that a hot restart is about."""
+
+    def __init__(self, plan: Plan, broker: Broker, downstream: Downstream, upstreams: Upstreams, peers: Peers | None,
+                 watch: Discovery | None) -> None:  # fmt: skip
+        self.plan, self.broker, self.downstream, self.upstreams = plan, broker, downstream, upstreams
+        self.peers, self.watch = peers, watch
+        self.succession: Succession | None = None
+
+    def leave(self) -> tuple[dict[str, Any], Sequence[tuple[str, HasFile]]]:
+        """All that the next process is to know, and the sockets that both use."""
+        http, now = self.plan.http, trio.current_time()
+        assert http is not None
+        hosts = [written(host, http.names, self.plan.epoch) for host in self.broker.hosts.values()
+                 if host.entry.state is not State.GONE]  # fmt: skip
+        values = {
+            "list": {"seq": (self.watch.seq if self.watch is not None else 0) or 0, "whole": True, "hosts": hosts},
+            "memory": handover.take(self.broker.brain, self.plan.class_names, http.routes.tenants or {}, now),
+            "names": self.downstream.known_names(),
+            "number": self.broker.notebook.number,
+            "held": [self.downstream.gate.connections, self.upstreams.open],
+        }
+        sockets: list[tuple[str, HasFile]] = []
+        if self.downstream.gate.listener is not None:
+            sockets.append(("listener", self.downstream.gate.listener.socket))
+        if self.peers is not None:
+            sockets.append(("peers", self.peers.socket))
+        return values, sockets
+
+    def step_aside(self, aside: bool) -> None:
+        """The next process serves: it alone accepts, and tells the others; or it has gone, and all is as before."""
+        if not aside and self.downstream.gate.draining.is_set():
+            return  # it was ended after this one
+        log.info("the next process serves: no more is accepted here" if aside else "the next process has gone")
+        self.downstream.gate.step_aside(aside)
+        if self.peers is not None:
+            self.peers.step_aside(aside)
+        settings = self.plan.settings
+        if settings.budget is not None:
+            # What is free in any span of time is the next process's now: together they must not spend it twice.
+            if aside:
+                handover.step_aside(self.broker.brain)
+                settings = replace(settings, budget=settings.budget._replace(free=0.0))
+            self.broker.inbox.send_nowait(SettingsTold(settings, self.plan.class_names))
+
+    async def ban(self, host: str, out: bool, source: Link) -> None:
+        """An operator has called it at another process."""
+        await self.broker.inbox.send(BanAsked(host.encode(), out, known=True))
+        if self.succession is not None:
+            await self.succession.tell_ban(host, out, source)
+
+    def inherit(self, inherited: Inherited) -> None:
+        """What the fronts are to know of the process before."""
+        names, number = inherited.values.get("names"), inherited.values.get("number")
+        if isinstance(names, list):
+            self.downstream.know_names([name for name in names if isinstance(name, str)])
+        if isinstance(number, int):
+            self.broker.notebook.number = number % NUMBERS
+
+    async def live_beside(self, inherited: Inherited, serving: trio.Event) -> None:
+        """Keep to what the process before leaves of the means until it is gone."""
+        assert self.succession is not None
+        try:
+            below, above = (max(0, int(n)) for n in inherited.values["held"])
+        except SPOILT:
+            below, above = 0, 0
+        gate, ways = self.downstream.gate, self.upstreams.ways
+        below, above = min(below, gate.most // 2), min(above, ways.sockets_most // 2)
+        gate.most -= below
+        self.upstreams.ways = ways._replace(sockets_most=ways.sockets_most - above)
+        try:
+            await self.succession.follow(inherited.link, serving)
+            log.info("the process before has gone")
+        finally:
+            gate.most += below
+            self.upstreams.ways = self.upstreams.ways._replace(sockets_most=ways.sockets_most)
