--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -91,7 +91,7 @@
             await trio.sleep(0.05)
             assert (await info(at))["outstanding"] == 1
         told = await info(at)
-        assert told["outstanding"] == 0 and (told["discovered"], told["ejected"]) == (4, 0)
+        assert told["forwards"] == 5 and told["outstanding"] == 0 and (told["discovered"], told["ejected"]) == (4, 0)
         assert told["results"]["seat-search"] == {"succeeded": 2, "declined": 0, "aborted": 0, "forwards": 3}
         assert told["results"]["pay-out"] == {"succeeded": 0, "declined": 0, "aborted": 1, "forwards": 1}
         assert told["results"]["ticket-issue"] == {"succeeded": 1, "declined": 0, "aborted": 0, "forwards": 1}
@@ -138,6 +138,8 @@
         at.attempts = 1
         found = await at.reread(before)
         assert (await at.submit("refund", b"a")).kind == "served"
+        assert (await at.submit("seat-search", b"b")).kind == "served"  # its clients hear of it later than we
+        await trio.sleep(2.0)
         assert (await at.submit("seat-search", b"b")).kind == "failed"
         await at.rereads[0].send(None)
         assert (await at.submit("refund", b"c")).kind == "served"
--- a/thistleshore/core/figures.py
+++ b/thistleshore/core/figures.py
@@ -33,6 +33,7 @@
         """As the admin interface tells them; what is known of hosts is the broker's to say."""
         return {
             "results": {name: asdict(counts) for name, counts in self.results.items()},
+            "forwards": sum(counts.forwards for counts in self.results.values()),
             "outstanding": self.outstanding,
             "discovered": discovered,
             "ejected": ejected,
--- a/thistleshore/dispatcher.py
+++ b/thistleshore/dispatcher.py
@@ -18,6 +18,7 @@
 from thistleshore.gate import Gate
 from thistleshore.platform.discovery import Discovery
 from thistleshore.platform.downstream import Downstream
+from thistleshore.platform.messages import Routes
 from thistleshore.platform.peers import Peers
 from thistleshore.platform.upstream import Upstreams, Ways
 
@@ -28,6 +29,7 @@
 log = logging.getLogger("thistleshore")
 
 Address = tuple[str, int]
+DROPPED_FOR = 2.0  # s in which a class that new settings leave out is still taken: clients hear of it later than we
 SHARES_EVERY = 10.0  # s between two events of each contract in the log
 
 
@@ -191,36 +193,49 @@
     def __init__(self, broker: Broker, upstreams: Upstreams, fronts: Sequence[tuple[Front, Address]],
                  watch: Discovery | None, plan: config.Plan) -> None:  # fmt: skip
         self.broker, self.upstreams, self.watch, self.plan = broker, upstreams, watch, plan
+        self._newest: Routes | None = None
         self.estate: Estate | None = None  # what the next process is to know of new settings
         self.downstreams = [front for front, _ in fronts if isinstance(front, Downstream)]
 
     async def run(self, rereads: trio.MemoryReceiveChannel[config.Plan | None]) -> None:
         """Each reading in its turn; None is one of a file that was turned down."""
-        async for found in rereads:
-            if found is None:
-                self.broker.record.sighup_rejected += 1
-                continue
-            if changed := self.plan.changed(found):
-                log.warning("configuration reread: a restart is needed for %s", ", ".join(changed))
-            if found.numbered:
-                await self._settle(found)
-            self._route(found, changed)
-            self._move(found)
-            self.broker.record.sighup_applied += 1
-
-    async def _settle(self, found: config.Plan) -> None:
+        async with trio.open_nursery() as nursery:
+            async for found in rereads:
+                if found is None:
+                    self.broker.record.sighup_rejected += 1
+                    continue
+                if changed := self.plan.changed(found):
+                    log.warning("configuration reread: a restart is needed for %s", ", ".join(changed))
+                if found.numbered:
+                    await self._settle(found, nursery)
+                self._route(found, changed)
+                self._move(found)
+                self.broker.record.sighup_applied += 1
+
+    async def _settle(self, found: config.Plan, nursery: trio.Nursery) -> None:
         """New settings: the module's before the fronts', which name classes by its numbers."""
         await self.broker.inbox.send(SettingsTold(found.settings, found.class_names))
         self.upstreams.ways = _ways(found)
         assert found.http is not None
+        routes = found.http.routes
         for downstream in self.downstreams:
-            downstream.routes = found.http.routes
+            # What was in force a moment ago is known for a while; each class by its newest rules.
+            downstream.routes = routes._replace(classes={**downstream.routes.classes, **routes.classes})
+        nursery.start_soon(self._drop, routes)
         if self.watch is not None:
             self.watch.names = found.http.names
         if self.estate is not None:
             self.estate.plan = found
         log.info("configuration reread: settings with %d classes in force", len(found.http.routes.classes))
 
+    async def _drop(self, routes: Routes) -> None:
+        """Know only the classes of these settings, unless newer ones have come."""
+        self._newest = routes
+        await trio.sleep(DROPPED_FOR)
+        if self._newest is routes:
+            for downstream in self.downstreams:
+                downstream.routes = routes
+
     def _route(self, found: config.Plan, changed: Sequence[str]) -> None:
         live = self.plan.live
         if live is None or found.live is None:
