--- a/oxbowarch/brain.py
+++ b/oxbowarch/brain.py
@@ -100,7 +100,7 @@
         """An operator takes a worker out, whatever the list says of it, or calls it back as a new process."""
         worker = self.workers.get(name)
         if not out and name in self.banned and worker is not None:
-            worker.forget(1.0, now, worker.out)
+            worker.forget(self.random.random(), now, worker.out)
             worker.back_at = now  # restarted meanwhile, and the list may tell that late
         (self.banned.add if out else self.banned.discard)(name)
         return self._repool()
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -7,7 +7,9 @@
 
 import pytest
 import trio
+from click.testing import CliRunner
 from hypothesis import given, strategies as st
+from prometheus_client import generate_latest
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule, run_state_machine_as_test
 
 from oxbowarch.brain import Brain
@@ -18,7 +20,9 @@
 from thistleshore import config
 from thistleshore.admin import codec
 from thistleshore.admin.listener import CALLERS_MOST
+from thistleshore.cli import commands
 from thistleshore.config.errors import ConfigError
+from thistleshore.metrics import Page, Results
 
 
 def read(parts: list[bytes]) -> codec.Call | str:
@@ -73,6 +77,27 @@
     play(at.run, scenario)
 
 
+def test_the_command_line_asks_and_ends_with_a_status_for_scripts() -> None:
+    def run(at: Platform, *args: str) -> tuple[int, str]:
+        found = CliRunner().invoke(commands, ["admin", *args, "--address", f"127.0.0.1:{at.admin}"])
+        return found.exit_code, found.output
+
+    async def scenario(at: Platform) -> None:
+        async def ask(*args: str) -> tuple[int, str]:
+            return await trio.to_thread.run_sync(run, at, *args)
+
+        assert await ask("ping") == (0, "")
+        assert await ask("detach", "h1", "--json") == (0, '{"ok": true, "reason": ""}\n')
+        assert await ask("attach", "nobody") == (1, "no ticket worker has that ID\n")
+        assert "ejected: 1\n" in (await ask("info"))[1]
+        assert json.loads((await ask("info", "--json"))[1])["discovered"] == 4
+        assert (await ask("detach", "a b"))[0] == 2
+        at.admin = 1
+        assert (await ask("ping"))[0] == 2
+
+    trio.run(Platform().run, scenario)
+
+
 async def info(at: Platform) -> dict[str, Any]:
     text, end, rest = (await at.call(b"INFO")).split(b"\n")
     assert (end, rest) == (b"END", b"")
@@ -93,6 +118,9 @@
         told = await info(at)
         assert told["forwards"] == 5 and told["outstanding"] == 0 and (told["discovered"], told["ejected"]) == (4, 0)
         assert told["results"]["seat-search"] == {"succeeded": 2, "declined": 0, "aborted": 0, "forwards": 3}
+        page = generate_latest(Page(Results(lambda: told)).registry).decode()
+        assert 'thistleshore_streams_total{class="seat-search",end="succeeded"} 2.0' in page
+        assert "thistleshore_discovered 4.0" in page
         assert told["results"]["pay-out"] == {"succeeded": 0, "declined": 0, "aborted": 1, "forwards": 1}
         assert told["results"]["ticket-issue"] == {"succeeded": 1, "declined": 0, "aborted": 0, "forwards": 1}
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -261,3 +261,21 @@
     assert dict(book.counts) == {"out_of_order": 2, "malformed": 3, "other_version": 1, "unknown_worker": 1}
     assert [note.out for note in book.read(0, first, 9.0)] == [1]  # a peer that started again counts from anew
     assert FAILED == 15
+
+
+def test_a_host_out_by_hand_at_all_forty_gets_nothing_and_comes_back_as_a_cold_one() -> None:
+    fleet, host = Fleet(40, 30, True), worker_name(7)
+    fleet.offer(100.0, 0.0, 24.0)
+
+    def ban(n: int, out: bool) -> None:
+        fleet.act(n, fleet.brains[n].on_ban(host, out, fleet.now))
+
+    for n in range(40):
+        fleet.at(4.0, ban, n, True)
+        fleet.at(10.0, ban, n, False)
+    fleet.play(24.0)
+    sent = [at for at, worker in fleet.sends if worker == host]
+    assert not [at for at in sent if 4.0 < at < 10.0] and any(at < 4.0 for at in sent)
+    assert any(10.0 < at < 15.0 for at in sent)
+    # Warm it would get 14 in the first 4 s, and fall over.
+    assert sum(10.0 < at < 14.0 for at in sent) <= 10
--- a/thistleshore/admin/codec.py
+++ b/thistleshore/admin/codec.py
@@ -61,6 +61,11 @@
     return Call(name, *rest)
 
 
+def written(call: Call) -> bytes:
+    """A call as its line."""
+    return " ".join(filter(None, call)).encode() + b"\n"
+
+
 def yes() -> bytes:
     return b"OK\n"
 
--- a/thistleshore/cli/__init__.py
+++ b/thistleshore/cli/__init__.py
@@ -45,6 +45,7 @@
     "serve": Later("serve", "Serve by an operator's file until SIGTERM."),
     "check": Later("check", "Name everything that is wrong with an operator's file."),
     "expr": Later("expr", "Check, evaluate, explain, cost and time expressions."),
+    "admin": Later("admin", "Ask a dispatcher that runs; take hosts out and call them back."),
     "contracts": Later("contracts", "Show the agreements of an operator's file and their shares."),
     "load": Later("load", "Send open-loop load, and tell what came of it."),
     "import": Later("imports", "Turn another program's configuration into an operator's file."),
--- a/thistleshore/core/broker.py
+++ b/thistleshore/core/broker.py
@@ -43,6 +43,7 @@
         self.name_classes(classes)
         self.ledger: Ledger | None = None
         self.exchange: Exchange | None = None
+        self.link_counts: Counter[str] = Counter()  # datagrams of the exchange, by fate
         self.carriers: dict[type, model.UpstreamFront] = {}  # by what a host's `dial` is
         self.notebook = Notebook()
         self.tell: Callable[[bytes, tuple[int, ...] | None], None] | None = None  # to some dispatchers, or to all
@@ -105,6 +106,8 @@
             return []  # what waits is offered after every event
         if token == FIGURES:
             heappush(self._timers, (now + FIGURES_EVERY, FIGURES))
+            open_now = sum(not stream.over for stream in self._streams.values())
+            invariant(self.record.outstanding == open_now, "streams that are open are counted")
             figures = self.figures + self.notebook.counts
             log.info("figures: open=%d %s", len(self._streams), " ".join(f"{k}={n}" for k, n in figures.items()))
             return []
--- a/thistleshore/dispatcher.py
+++ b/thistleshore/dispatcher.py
@@ -4,7 +4,6 @@
 
 import logging
 import time
-from collections import Counter
 from collections.abc import Sequence
 from typing import TYPE_CHECKING, Protocol
 
@@ -99,6 +98,8 @@
             nursery.start_soon(follower.run, rereads)
         if plan.agreements is not None:
             await _tell_shares(broker, plan, nursery)
+        if plan.metrics is not None:
+            await _serve_metrics(broker, plan.metrics, nursery)
         if plan.admin is not None:
             from thistleshore.admin.listener import Admin
 
@@ -149,24 +150,32 @@
 
 
 async def _tell_shares(broker: Broker, plan: config.Plan, nursery: trio.Nursery) -> None:
-    """Start what tells others: datagrams, the page for Prometheus, and an event for each contract in the log."""
+    """Start what tells others: datagrams, and an event for each contract in the log."""
     from thistleshore.contracts.carrier import Link
 
-    ledger, counts = broker.ledger, Counter[str]()
+    ledger = broker.ledger
     assert ledger is not None
     if plan.exchange is not None:
         link = Link(plan.exchange.listen, plan.exchange.peers, plan.exchange.terms.every, broker.beat)
-        counts = link.counts
+        broker.link_counts = link.counts
         await nursery.start(link.run, broker.inbox)
-    if plan.metrics is not None:
-        from thistleshore.metrics import Contracts, Page
+    nursery.start_soon(_log_shares, ledger)
+
+
+async def _serve_metrics(broker: Broker, address: Address, nursery: trio.Nursery) -> None:
+    """Start the page for Prometheus: the figures, and what the contracts come to where shares are kept."""
+    from prometheus_client.registry import Collector
+
+    from thistleshore.metrics import Contracts, Page, Results
+
+    collectors: list[Collector] = [Results(broker.told_figures)]
+    if (ledger := broker.ledger) is not None:
 
         def events() -> dict[str, int]:
-            return {**counts, **(broker.exchange.counts if broker.exchange is not None else {})}
+            return {**broker.link_counts, **(broker.exchange.counts if broker.exchange is not None else {})}
 
-        page = Page(Contracts(lambda: ledger.figures(trio.current_time()), events))
-        await nursery.start(page.run, plan.metrics)
-    nursery.start_soon(_log_shares, ledger)
+        collectors.append(Contracts(lambda: ledger.figures(trio.current_time()), events))
+    await nursery.start(Page(*collectors).run, address)
 
 
 async def _log_shares(ledger: Ledger) -> None:
--- a/thistleshore/metrics.py
+++ b/thistleshore/metrics.py
@@ -1,9 +1,12 @@
-"""A page for Prometheus on a listener of the operator's own: what each member asked for and got, by contract."""
+"""A page for Prometheus on a listener of the operator's own: what became of streams by class, and what
+each member asked for and got, by contract."""
 
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
+
+from typing import Any
 
 import h11
 import trio
@@ -47,12 +50,37 @@
         yield events
 
 
+class Results(Collector):
+    """The figures of the admin interface, from the same record."""
+
+    def __init__(self, told: Callable[[], Mapping[str, Any]]) -> None:
+        self.told = told
+
+    def collect(self) -> Iterator[Metric]:
+        told = self.told()
+        ends = CounterMetricFamily("thistleshore_streams", "final answers", labels=("class", "end"))
+        sent = CounterMetricFamily("thistleshore_forwards", "upstream requests written whole", labels=("class",))
+        for name, counts in told["results"].items():
+            sent.add_metric((name,), counts["forwards"])
+            for end in ("succeeded", "declined", "aborted"):
+                ends.add_metric((name, end), counts[end])
+        yield ends
+        yield sent
+        for name in ("outstanding", "discovered", "ejected"):
+            yield GaugeMetricFamily(f"thistleshore_{name}", f"as INFO tells `{name}`", told[name])
+        files = CounterMetricFamily("thistleshore_sighup", "files read again", labels=("fate",))
+        for fate in ("applied", "rejected"):
+            files.add_metric((fate,), told[f"sighup_{fate}"])
+        yield files
+
+
 class Page:
     """Serves `GET /metrics`, one request a connection."""
 
-    def __init__(self, collector: Contracts) -> None:
+    def __init__(self, *collectors: Collector) -> None:
         self.registry = CollectorRegistry(auto_describe=False)
-        self.registry.register(collector)
+        for collector in collectors:
+            self.registry.register(collector)
         self._room = trio.CapacityLimiter(CONNECTIONS_MOST)
 
     async def run(self, address: tuple[str, int],
