Say yes to PING only once the next process would find this one; tests of hard cases

Seen: tests/test_restart.py, a killed first process left no socket in one of 3 runs: PING was answered before Succession had bound its path (dispatcher.serve started it last). A second process started just then would have been cold. Tests: a hanging one before, a third process while the first drains, SIGHUP with cut-off, empty and whole files.

--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -264,3 +264,58 @@
         time.sleep(0.5)
         clients.stop()
     assert {outcome for told in clients.told.values() for outcome in told} == {"served"} and len(clients.told) > 5
+
+
+def test_one_that_hangs_is_not_waited_for_and_the_program_starts_cold(tmp_path: Path) -> None:
+    site = Site(tmp_path)
+    with socket.socket(socket.AF_UNIX) as silent:
+        silent.bind(str(tmp_path / f"thistleshore-127.0.0.1-{site.port}.sock"))
+        silent.listen()
+        begun = time.monotonic()
+        with site.process():
+            assert site.call(b"PING") == b"OK\n" and time.monotonic() - begun < 4.0
+            assert "starting cold: TooSlowError" in site.log(0)
+
+
+def test_a_third_process_while_the_first_still_drains_knows_its_bans_and_is_heard_there(tmp_path: Path) -> None:
+    site = Site(tmp_path)
+    with site.process() as first, socket.create_connection(("127.0.0.1", site.port)) as kept:
+        kept.sendall(b"GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n")
+        assert kept.recv(4096).startswith(b"HTTP/1.1 200")
+        assert site.call(b"DETACH h0") == b"OK\n"
+        with site.process():
+            first.send_signal(signal.SIGTERM)
+            with site.process():
+                assert first.poll() is None  # its kept connection may still bring something
+                assert site.call(b"DETACH h1") == b"OK\n"
+                time.sleep(0.2)
+                for number in range(3):
+                    told = json.loads(site.call(b"INFO", number).split(b"\n")[0])
+                    assert told["ejected"] == 2, number
+                kept.sendall(b"POST /pay HTTP/1.1\r\nHost: s\r\nX-Txn: a\r\nX-Lane: pay\r\nContent-Length: 1\r\n\r\na")
+                answer = b"".join(iter(lambda: kept.recv(4096), b""))
+                assert answer.startswith(b"HTTP/1.1 200") and b"connection: close" in answer.lower()
+                assert first.wait(5) == 0
+    assert [len(host.runs) for host in site.hosts] == [0, 0, 1]
+
+
+def test_sighup_takes_a_whole_file_or_keeps_the_old_one_whole(tmp_path: Path) -> None:
+    site = Site(tmp_path)
+    with site.process() as found:
+        file = tmp_path / f"{site.controls[0]}.json"
+        good = site.conf(site.controls[0])
+        good["settings"]["lanes"].append({"name": "refund", "effect": "retryable", "aim": 1.0, "giveUp": 5.0})
+        text = json.dumps(good)
+        for said, key in ((text[: len(text) // 2], (0, 1)), ("", (0, 2)), (text, (1, 2))):
+            file.write_text(said)
+            found.send_signal(signal.SIGHUP)
+            for _ in range(40):
+                told = json.loads(site.call(b"INFO").split(b"\n")[0])
+                if (told["sighup_applied"], told["sighup_rejected"]) == key:
+                    break
+                time.sleep(0.05)
+            assert (told["sighup_applied"], told["sighup_rejected"]) == key
+            assert set(told["results"]) == ({"pay", "refund"} if key[0] else {"pay"})
+        clients = HTTPConnection("127.0.0.1", site.port, timeout=5)
+        clients.request("POST", "/refund", "x", {"X-Txn": "1", "X-Lane": "refund"})
+        assert clients.getresponse().read() == b"Rx"
--- a/thistleshore/dispatcher.py
+++ b/thistleshore/dispatcher.py
@@ -100,13 +100,13 @@
             await _tell_shares(broker, plan, nursery)
         if plan.metrics is not None:
             await _serve_metrics(broker, plan.metrics, nursery)
+        serving_now = trio.Event()
         if plan.admin is not None:
             from thistleshore.admin.listener import Admin
 
-            admin = Admin(broker.inbox, lambda: bool(broker.hosts) and all(front.ready for front, _ in fronts),
-                          broker.told_figures)  # fmt: skip
+            admin = Admin(broker.inbox, lambda: bool(serving_now.is_set() and broker.hosts)
+                          and all(front.ready for front, _ in fronts), broker.told_figures)  # fmt: skip
             await nursery.start(admin.run, plan.admin)
-        serving_now = trio.Event()
         if plan.restart and plan.http is not None:
             follower.estate = left_here = estate.Estate(plan, broker, downstream, upstreams, peers, watch)
             left_here.succession = carrier.Succession(plan.restart, left_here)
@@ -119,9 +119,9 @@
             for front, address in fronts:
                 await serving.start(front.run, address)
             task_status.started()
-            serving_now.set()
             if follower.estate is not None and follower.estate.succession is not None:
-                nursery.start_soon(follower.estate.succession.run)
+                await nursery.start(follower.estate.succession.run)
+            serving_now.set()  # whoever is told so may start the next process
         log.info("drained: every stream that was taken is answered")
         nursery.cancel_scope.cancel()
 
--- a/thistleshore/restart/carrier.py
+++ b/thistleshore/restart/carrier.py
@@ -139,14 +139,16 @@
                 await self.heirs.ban(values["ban"], values.get("out") is True, link)
         return serves
 
-    async def run(self) -> None:
-        """Hand over to those that come, until cancelled."""
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Hand over to those that come, until cancelled; started once they find it."""
         with trio.socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as listener:
             try:
                 await self._bind(listener)
             except OSError as problem:
                 log.warning("no hot restart: %s", problem)
                 return
+            finally:
+                task_status.started()
             try:
                 async with trio.open_nursery() as nursery:
                     while True:
