--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -299,6 +299,35 @@
     assert Notebook().read(1, found[0].data, 0.0) == ()  # type: ignore[union-attr]
 
 
+def test_of_two_processes_on_one_datagram_socket_the_one_that_leaves_neither_hears_nor_tells() -> None:
+    async def scenario() -> tuple[list[model.Event], Counter[str], Counter[str]]:
+        end = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
+        await end.bind(("127.0.0.1", 0))
+        peer, here = end.getsockname(), ("127.0.0.1", free_port())
+        inbox = trio.open_memory_channel[model.Event](99)
+        counts = Counter[str](), Counter[str]()
+        old = Peers(here, (here, peer), peer, counts[0], shared=True)
+        new = Peers(here, (here, peer), peer, counts[1], inherited=old.socket.dup())
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(old.run, inbox[0])
+            nursery.start_soon(new.run, inbox[0])
+            await trio.sleep(0.05)
+            old.step_aside(True)
+            old.send(b"contradiction", None)
+            for n in range(20):
+                await end.sendto(b"%d" % n, here)
+            found = [await inbox[1].receive() for _ in range(20)]
+            old.step_aside(False)  # the one that took over has gone
+            old.send(b"again", None)
+            assert (await end.recvfrom(99))[0] == b"again"
+            nursery.cancel_scope.cancel()
+        return found, *counts
+
+    found, old, new = trio.run(scenario)
+    assert found == [model.NotesHeard(1, b"%d" % n) for n in range(20)]
+    assert (old["heard"], old["told"], new["heard"]) == (0, 1, 20)
+
+
 def test_the_gate_survives_a_lack_of_descriptors_and_bounds_its_connections() -> None:
     class Listener:
         def __init__(self) -> None:
