--- a/thistleshore/beanstalkd/downstream.py
+++ b/thistleshore/beanstalkd/downstream.py
@@ -76,7 +76,7 @@
 
     @property
     def ready(self) -> bool:
-        return self.gate.listening and not self.draining
+        return self.gate.ready
 
     async def run(self, address: tuple[str, int],
                   task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:  # fmt: skip
--- a/thistleshore/config/in_place.py
+++ b/thistleshore/config/in_place.py
@@ -15,6 +15,7 @@
 INNER = ("limits", "rules")
 NAMED = ("lanes", "tenants", "localities", "kinds")
 BY_CLASS = {"classStretch": 0.0, "classKind": -1}  # lists of `familyInfo` in the order of the classes, and a default
+Place = tuple[bool, int]  # whether in the new list, else in the old one, and where there
 
 
 def check_whole(conf: Mapping[str, Any], before: Mapping[str, Any]) -> None:
@@ -42,30 +43,28 @@
 
 def renumbered(given: Mapping[str, Any], before: Mapping[str, Any]) -> dict[str, Any]:
     """The settings `given`, with the names of `before` at their places; what was dropped stays there as it was."""
-    made = dict(given)
+    made, places = dict(given), dict[str, list[Place]]()
     for key in NAMED:
-        made[key] = [item for item, _ in _merged(given.get(key, []), before.get(key, []))]
+        new, old = given.get(key, []), before.get(key, [])
+        places[key] = _places(new, old)
+        made[key] = _picked(places[key], new, old)
     for key, default in BY_CLASS.items():
         new, old = (settings.get("familyInfo", {}).get(key, []) for settings in (given, before))
-        if not new and not old:
-            continue
-        sources = {True: new, False: old}
-        made["familyInfo"] = {**made.get("familyInfo", {}), key: [
-            sources[is_new][n] if n < len(sources[is_new]) else default
-            for _, (is_new, n) in _merged(given.get("lanes", []), before.get("lanes", []))
-        ]}  # fmt: skip
+        if new or old:
+            made["familyInfo"] = {**made.get("familyInfo", {}), key: _picked(places["lanes"], new, old, default)}
     return made
 
 
-def _merged(new: Sequence[Any], old: Sequence[Any]) -> list[tuple[Any, tuple[bool, int]]]:
-    """Items in their order of `old`, then those that are new; each with whether it is from `new`, and where there."""
-    places = {_name(item): n for n, item in enumerate(new)}
-    made = [
-        (new[places[_name(item)]], (True, places[_name(item)])) if _name(item) in places else (item, (False, n))
-        for n, item in enumerate(old)
-    ]
-    known = {_name(item) for item in old}
-    return made + [(item, (True, n)) for n, item in enumerate(new) if _name(item) not in known]
+def _places(new: Sequence[Any], old: Sequence[Any]) -> list[Place]:
+    """Where to take each item from: those of `old` in their order, as `new` has them if it does, then new ones."""
+    at, known = {_name(item): n for n, item in enumerate(new)}, [_name(item) for item in old]
+    kept = [(name in at, at.get(name, n)) for n, name in enumerate(known)]
+    return kept + [(True, n) for n, item in enumerate(new) if _name(item) not in known]
+
+
+def _picked(places: Sequence[Place], new: Sequence[Any], old: Sequence[Any], default: Any = None) -> list[Any]:
+    sources = ((new if is_new else old, n) for is_new, n in places)
+    return [source[n] if n < len(source) else default for source, n in sources]
 
 
 def _name(item: Any) -> Any:
--- a/thistleshore/config/platform.py
+++ b/thistleshore/config/platform.py
@@ -29,10 +29,9 @@
 SOCKETS = 1024  # where the platform names no limit
 SOCKETS_SPARE = 64  # for the listener, discovery, the log and the interpreter's own files
 # Keys that may differ in a file read again: followed, or of use at a start only.
-SETTINGS = ("settings",)
 RULES = ("match", "address_set", "expressions")
 SHARES = ("member", "contracts")
-MOVES = ("discovery", "known", "seed", *SETTINGS, *RULES, *SHARES)
+MOVES = ("discovery", "known", "seed", "settings", *RULES, *SHARES)
 IDLE_SHARE = 0.6  # of the time after which hosts close an idle connection: ours are retired well before
 
 
@@ -244,10 +243,10 @@
         for n, item in enumerate(raw.get(key, [])):
             for figure in figures:
                 number(item, figure, f"settings.{key}[{n}]", 0.0)
-            if key == "lanes" and isinstance(item, Mapping) and not number(item, "giveUp", f"settings.lanes[{n}]", 1.0):
+            if key == "lanes" and not number(item, "giveUp", f"settings.lanes[{n}]", 1.0):
                 raise ConfigError(f"settings.lanes[{n}].giveUp: a number above 0 is wanted")
     number(table(raw, "limits", "settings.limits"), "maxAttempts", "settings.limits", 1.0, 1.0)
-    for key, figures in (("rules", ("askWithin", "coldFrom", "warmUp")), ("limits", ("maxAttempts", "maxRetryAfter"))):
+    for key, figures in (("rules", ("askWithin", "coldFrom", "warmUp")), ("limits", ("maxRetryAfter",))):
         for figure in figures:
             number(table(raw, key, f"settings.{key}"), figure, f"settings.{key}", 0.0)
     for figure in ("balancers", "quantum", "locality"):
--- a/thistleshore/core/figures.py
+++ b/thistleshore/core/figures.py
@@ -1,4 +1,4 @@
-"""The figures of one process, counted where each fact arises; nothing is added up at a call."""
+"""The figures of one process, counted where each fact arises; a call walks over the classes, never over streams."""
 
 from __future__ import annotations
 
--- a/thistleshore/dispatcher.py
+++ b/thistleshore/dispatcher.py
@@ -27,7 +27,6 @@
 
 log = logging.getLogger("thistleshore")
 
-Address = tuple[str, int]
 DROPPED_FOR = 2.0  # s in which a class that new settings leave out is still taken: clients hear of it later than we
 SHARES_EVERY = 10.0  # s between two events of each contract in the log
 
@@ -48,15 +47,15 @@
 async def serve(plan: config.Plan, drain: trio.Event, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
                 rereads: trio.MemoryReceiveChannel[config.Plan | None] | None = None) -> None:  # fmt: skip
     """Run until the event is set and all that was taken is finished; follow what the file says when read again."""
-    inherited, known, seq = None, plan.known, plan.http.known_seq if plan.http is not None else 0
+    inherited = begun = None
     if plan.restart and plan.http is not None:
         # Imported here: where no hot restart is offered nothing of it is in the memory.
         from thistleshore.restart import carrier, estate
 
         inherited = await carrier.ask(plan.restart)
-        brain, known, seq = estate.begin(plan, inherited)
-    else:
-        brain = Brain(plan.settings, plan.seed, trio.current_time())
+        begun = estate.begin(plan, inherited) if inherited is not None else None
+    brain, known, seq = begun or (Brain(plan.settings, plan.seed, trio.current_time()), plan.known,
+                                  plan.http.known_seq if plan.http is not None else 0)  # fmt: skip
     left = inherited.sockets if inherited is not None else {}
     broker = Broker(brain, plan.class_names)
     if plan.agreements is not None:
@@ -109,7 +108,6 @@
             await nursery.start(admin.run, plan.admin)
         if plan.restart and plan.http is not None:
             follower.estate = left_here = estate.Estate(plan, broker, downstream, upstreams, peers, watch)
-            left_here.succession = carrier.Succession(plan.restart, left_here)
             if plan.admin is not None:
                 admin.tell_ban = left_here.succession.tell_ban
             if inherited is not None:
@@ -119,7 +117,7 @@
             for front, address in fronts:
                 await serving.start(front.run, address)
             task_status.started()
-            if follower.estate is not None and follower.estate.succession is not None:
+            if follower.estate is not None:
                 await nursery.start(follower.estate.succession.run)
             serving_now.set()  # whoever is told so may start the next process
         log.info("drained: every stream that was taken is answered")
@@ -162,7 +160,7 @@
     nursery.start_soon(_log_shares, ledger)
 
 
-async def _serve_metrics(broker: Broker, address: Address, nursery: trio.Nursery) -> None:
+async def _serve_metrics(broker: Broker, address: config.Address, nursery: trio.Nursery) -> None:
     """Start the page for Prometheus: the figures, and what the contracts come to where shares are kept."""
     from prometheus_client.registry import Collector
 
@@ -199,7 +197,7 @@
 class Follower:
     """Puts in force what the file says when read again; the rest of it needs a restart."""
 
-    def __init__(self, broker: Broker, upstreams: Upstreams, fronts: Sequence[tuple[Front, Address]],
+    def __init__(self, broker: Broker, upstreams: Upstreams, fronts: Sequence[tuple[Front, config.Address]],
                  watch: Discovery | None, plan: config.Plan) -> None:  # fmt: skip
         self.broker, self.upstreams, self.watch, self.plan = broker, upstreams, watch, plan
         self._newest: Routes | None = None
--- a/thistleshore/gate.py
+++ b/thistleshore/gate.py
@@ -80,6 +80,11 @@
         wanted = min(KEPT_SPARE, self.connections // 3) if self.draining.is_set() and not self.aside else 0
         return min(1.0, len(self._idle) / wanted) if wanted else 1.0
 
+    @property
+    def ready(self) -> bool:
+        """It takes what comes, and goes on to."""
+        return self.listening and not self.draining.is_set()
+
     @property
     def leaving_soon(self) -> bool:
         """Every answer may end its connection: its client finds another process at the same address."""
--- a/thistleshore/platform/downstream.py
+++ b/thistleshore/platform/downstream.py
@@ -30,7 +30,7 @@
 
     @property
     def ready(self) -> bool:
-        return self.gate.listening and self.listed.is_set() and not self.gate.draining.is_set()
+        return self.gate.ready and self.listed.is_set()
 
     def known_names(self) -> list[str]:
         """Names of streams that are open, or were lately, for the process that takes over; the latest at most."""
--- a/thistleshore/restart/estate.py
+++ b/thistleshore/restart/estate.py
@@ -44,21 +44,20 @@
     return next((name for name, n in numbers.items() if n == number), "")
 
 
-def begin(plan: Plan, inherited: Inherited | None) -> tuple[Brain, tuple[HostLine, ...], int]:
-    """The module at a start, the list and its version: with what is inherited, or cold where that is no good."""
+def begin(plan: Plan, inherited: Inherited) -> tuple[Brain, tuple[HostLine, ...], int] | None:
+    """The module that goes on with what is inherited, the list and its version; None where that is no good."""
     now, http = trio.current_time(), plan.http
+    assert http is not None
     brain = Brain(plan.settings, plan.seed, now)
-    if inherited is not None and http is not None:
-        try:
-            seq, _, lines = read_hosts(inherited.values["list"], http.names, plan.epoch)
-            brain.on_list(ListKind.CACHED, tuple(line.entry for line in lines), now)
-            handover.give(brain, inherited.values["memory"], plan.class_names, http.routes.tenants or {}, now)
-            log.info("inherited: %d hosts, %d of them out by hand", len(lines), len(brain.banned))
-            return brain, lines, seq
-        except SPOILT as problem:
-            log.warning("nothing inherited, starting cold: %s: %s", type(problem).__name__, problem)
-            brain = Brain(plan.settings, plan.seed, now)
-    return brain, plan.known, http.known_seq if http is not None else 0
+    try:
+        seq, _, lines = read_hosts(inherited.values["list"], http.names, plan.epoch)
+        brain.on_list(ListKind.CACHED, tuple(line.entry for line in lines), now)
+        handover.give(brain, inherited.values["memory"], plan.class_names, http.routes.tenants or {}, now)
+    except SPOILT as problem:
+        log.warning("nothing inherited, starting cold: %s: %s", type(problem).__name__, problem)
+        return None
+    log.info("inherited: %d hosts, %d of them out by hand", len(lines), len(brain.banned))
+    return brain, lines, seq
 
 
 class Estate:
@@ -68,7 +67,7 @@
                  watch: Discovery | None) -> None:  # fmt: skip
         self.plan, self.broker, self.downstream, self.upstreams = plan, broker, downstream, upstreams
         self.peers, self.watch = peers, watch
-        self.succession: Succession | None = None
+        self.succession = Succession(plan.restart, self)
 
     def leave(self) -> tuple[dict[str, Any], Sequence[tuple[str, HasFile]]]:
         """All that the next process is to know, and the sockets that both use."""
@@ -109,8 +108,7 @@
     async def ban(self, host: str, out: bool, source: Link) -> None:
         """An operator has called it at another process."""
         await self.broker.inbox.send(BanAsked(host.encode(), out, known=True))
-        if self.succession is not None:
-            await self.succession.tell_ban(host, out, source)
+        await self.succession.tell_ban(host, out, source)
 
     def inherit(self, inherited: Inherited) -> None:
         """What the fronts are to know of the process before."""
@@ -122,7 +120,6 @@
 
     async def live_beside(self, inherited: Inherited, serving: trio.Event) -> None:
         """Keep to what the process before leaves of the means until it is gone."""
-        assert self.succession is not None
         try:
             below, above = (max(0, int(n)) for n in inherited.values["held"])
         except SPOILT:
