--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -508,3 +508,21 @@
     firsts = [discovery.Discovery(("127.0.0.1", 1), ListNames({}, {}), 0.0, 7, seed, 200, listed=True)._first
               for seed in range(200)]  # fmt: skip
     assert max(firsts) < 2.1 and max(firsts) - min(firsts) > 1.5
+
+
+def test_no_module_of_a_front_imports_one_that_imports_it() -> None:
+    """Also not for its types alone: whoever reads the one must not need the other."""
+    import ast
+
+    folder = ROOT / "thistleshore" / "platform"
+    seen: dict[str, set[str]] = {}
+    for file in folder.glob("*.py"):
+        names = [node.module or "" for node in ast.walk(ast.parse(file.read_text())) if isinstance(node, ast.ImportFrom)]
+        seen[file.stem] = {name.rpartition(".")[2] for name in names if name.startswith("thistleshore.platform.")}
+    for name, needs in seen.items():
+        found, queue = set(), list(needs)
+        while queue:
+            if (other := queue.pop()) not in found:
+                found.add(other)
+                queue += seen.get(other, ())
+        assert name not in found, name
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -20,7 +20,7 @@
 from thistleshore.expressions import Request
 from thistleshore.expressions.functions import hash64
 from thistleshore.expressions.networks import address
-from thistleshore.expressions.plain import quoted
+from thistleshore.expressions.literal import quoted
 from thistleshore.platform.downstream import Downstream
 from thistleshore.routing import RouteTable
 from thistleshore.routing.table import key_number
--- a/thistleshore/platform/messages.py
+++ b/thistleshore/platform/messages.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from math import isfinite
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple, Protocol
 
 import h11
 import trio
@@ -16,7 +16,7 @@
 from thistleshore.core.model import HostLine
 
 if TYPE_CHECKING:  # the platform has no rules, and imports none of what they need
-    from thistleshore.platform.routed import HttpRouter
+    from thistleshore.routing import Routed
 
 BODY_MOST = 64 * 1024  # bytes of any body
 LINE_MOST = 6 * BODY_MOST + 1024  # a result of that size, every byte of it escaped, in its JSON object
@@ -128,13 +128,21 @@
     return 0
 
 
+class Router(Protocol):
+    """An operator's rules, as far as this front needs them."""
+
+    def route(self, request: h11.Request, size: int, address: int) -> Routed | None:
+        """The contract that a request falls under; `size` in bytes of its body; None: no rule fits."""
+        ...
+
+
 class Routes(NamedTuple):
     """What the settings call classes and tenants, and how long each class's clients wait."""
 
     classes: Mapping[str, int]
     give_up: Sequence[float]
     tenants: Mapping[str, int] | None = None  # None: a contract is class and tenant in one
-    router: HttpRouter | None = None  # an operator's rules, which name the contract instead
+    router: Router | None = None  # an operator's rules, which name the contract instead
 
 
 def read_terms(request: h11.Request, routes: Routes, size: int = 0, address: int = 0) -> Terms:
--- a/thistleshore/routing/table.py
+++ b/thistleshore/routing/table.py
@@ -14,7 +14,7 @@
 from thistleshore.expressions.diagnostics import ExpressionError, Span
 from thistleshore.expressions.functions import hash64
 from thistleshore.expressions.model import Environment, Node
-from thistleshore.expressions.plain import quoted
+from thistleshore.expressions.literal import quoted
 from thistleshore.expressions.rules import KEY_TYPES, Looked
 from thistleshore.expressions.types import Str
 
