--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -517,7 +517,8 @@
     folder = ROOT / "thistleshore" / "platform"
     seen: dict[str, set[str]] = {}
     for file in folder.glob("*.py"):
-        names = [node.module or "" for node in ast.walk(ast.parse(file.read_text())) if isinstance(node, ast.ImportFrom)]
+        found_here = [node for node in ast.walk(ast.parse(file.read_text())) if isinstance(node, ast.ImportFrom)]
+        names = [node.module or "" for node in found_here]
         seen[file.stem] = {name.rpartition(".")[2] for name in names if name.startswith("thistleshore.platform.")}
     for name, needs in seen.items():
         found, queue = set(), list(needs)
