--- /dev/null
+++ b/tests/test_view.py
@@ -0,0 +1,477 @@
+"""The view of the fleet: machines in virtual time with a network that breaks, and the datagrams."""
+
+from __future__ import annotations
+
+import itertools
+import random
+import re
+from pathlib import Path
+
+import msgspec
+import pytest
+from click.testing import CliRunner
+from hypothesis import given, strategies as st
+
+from benchmarks.fleet_net import Net, halves
+from tests.standins import Platform
+from tests.support import GARBAGE, ROOT, play, steady
+from thistleshore import config
+from thistleshore.admin import codec
+from thistleshore.cli import commands
+from thistleshore.fleet import Fleet, Record, Service, State, Terms, wire
+from thistleshore.fleet.model import MEMBERS_MOST, SAID, TABLE, Send
+
+TERMS = Terms(period=0.2)
+
+
+def fleet(count: int, seed: int = 1, versions: dict[str, int] | None = None) -> Net:
+    names = [f"n{n}" for n in range(count)]
+    net = Net(names, TERMS, seed, versions=versions)
+    for name in names:
+        net.start(name, names[:2])
+    assert net.run_until(net.settled, TERMS.healed(count) + 2) is not None
+    net.run(net.now + 3.0)
+    return net
+
+
+def believed_dead(net: Net) -> set[tuple[str, str]]:
+    """Who holds whom for dead or gone, of those that live."""
+    return {(node.name, name) for node in net.nodes.values() if node.machine is not None
+            for name, member in node.machine.members.items()
+            if member.record.state >= State.DEAD and (n := net.nodes.get(name)) and n.machine is not None}  # fmt: skip
+
+
+def died(net: Net, since: float) -> list[str]:
+    return [event.name for node in net.nodes.values() for when, event in node.events
+            if event.what == "died" and when > since]  # fmt: skip
+
+
+@pytest.mark.parametrize("count", [3, 8, 16])
+def test_a_fleet_settles_after_a_join_a_crash_and_a_return(count: int) -> None:
+    net = fleet(count)
+    # Each has heard every other's digest after a round of probes.
+    known = net.run_until(lambda: all(m.majority and m.settled for m in net.live()), 2 * count * TERMS.period)
+    assert known is not None
+    net.kill("n1")
+    assert net.run_until(net.settled, TERMS.detected(count)) is not None
+    net.start("n1", ["n0", "n1"])
+    assert net.run_until(net.settled, TERMS.healed(count)) is not None
+    net.run(net.now + 3)
+    assert net.settled() and not believed_dead(net)
+
+
+@pytest.mark.parametrize("parts", [2, 3])
+def test_a_cut_fleet_heals_in_steps_and_only_a_majority_says_that_it_is_one(parts: int) -> None:
+    net = fleet(7)
+    names = list(net.nodes)
+    net.cut = halves(names, parts)
+    groups = [names[n::parts] for n in range(parts)]
+    bound = TERMS.detected(7) + TERMS.spread(7)
+    assert net.run_until(lambda: all(net.settled(group) for group in groups), bound) is not None
+    for group in groups:
+        assert {net.nodes[name].machine.majority for name in group} == {2 * len(group) > 7}  # type: ignore[union-attr]
+    if parts == 3:  # the first two first
+        net.cut = lambda a, b: (a in groups[2]) != (b in groups[2])
+        assert net.run_until(lambda: net.settled(groups[0] + groups[1]), TERMS.healed(7)) is not None
+    net.cut = lambda a, b: False
+    assert net.run_until(net.settled, TERMS.healed(7)) is not None
+    assert all(m.majority for m in net.live())
+
+
+def test_one_that_joins_a_minority_does_not_take_it_for_the_fleet() -> None:
+    net = fleet(7)
+    net.kill("n6")
+    net.run(net.now + TERMS.detected(7))
+    net.cut = halves(net.nodes)
+    net.run(net.now + TERMS.detected(7))
+    net.cut = lambda a, b: (a in ("n1", "n3", "n5", "n6")) != (b in ("n1", "n3", "n5", "n6"))
+    net.kill("n1")
+    joined = net.start("n6", ["n3"])
+    net.run(net.now + TERMS.detected(7))
+    assert net.settled(["n3", "n5", "n6"]) and not joined.majority
+
+
+def test_a_one_way_cut_between_two_declares_nobody_dead() -> None:
+    net = fleet(5)
+    net.cut = lambda a, b: (a, b) == ("n0", "n1")
+    since = net.now
+    net.run(net.now + 30)
+    assert net.settled() and not died(net, since)
+
+
+@pytest.mark.parametrize("loss", [0.1, 0.3])
+def test_lost_datagrams_leave_no_live_member_dead(loss: float) -> None:
+    net = fleet(6)
+    net.loss = loss
+    net.run(net.now + 60)
+    net.loss = 0.0
+    assert net.run_until(net.settled, TERMS.healed(6)) is not None
+    assert not believed_dead(net)
+
+
+@pytest.mark.parametrize("seconds", [0.5, 3.0, 30.0])
+def test_one_that_was_stopped_declares_nobody_dead_and_is_taken_back(seconds: float) -> None:
+    net = fleet(5)
+    since = net.now
+    net.stop("n2", seconds)
+    net.run(net.now + seconds)
+    assert net.run_until(net.settled, TERMS.healed(5)) is not None
+    net.run(net.now + 2)
+    assert set(died(net, since)) <= {"n2"} and (seconds > 1 or not died(net, since))
+    assert not any(event.what == "suspected" and when > since + seconds for when, event in net.nodes["n2"].events)
+
+
+def test_news_that_one_alone_holds_while_it_is_stopped_gets_out() -> None:
+    net = fleet(5, seed=3)
+    machine = net.nodes["n2"].machine
+    assert machine is not None
+    machine.on_service(Service.DRAINING, net.now)  # nothing of it was sent
+    net.stop("n2", 3.0)
+    net.run(net.now + 3.0)
+    assert net.run_until(net.settled, TERMS.healed(5)) is not None
+    net.run(net.now + 2.0)
+    assert all(r.service == Service.DRAINING for m in net.live() for r in m.living() if r.name == "n2")
+
+
+def test_half_of_the_fleet_stopped_at_once_comes_back() -> None:
+    net = fleet(8)
+    for name in ("n0", "n2", "n4", "n6"):
+        net.stop(name, 8.0)
+    net.run(net.now + 7.9)
+    assert not any(net.nodes[name].machine.majority for name in ("n1", "n3"))  # type: ignore[union-attr]
+    net.run(net.now + 0.1)
+    assert net.run_until(net.settled, TERMS.healed(8)) is not None
+
+
+def test_all_killed_and_started_at_once_are_new_lives() -> None:
+    net = fleet(6)
+    old = {m.me.name: m.me.life for m in net.live()}
+    for name in net.nodes:
+        net.kill(name)
+    for name in net.nodes:
+        net.start(name, ["n0", "n1"])
+    assert net.run_until(net.settled, TERMS.healed(6)) is not None
+    assert all(r.life > old[r.name] for m in net.live() for r in m.living())
+
+
+def test_a_name_that_restarts_five_times_in_ten_seconds_is_no_conflict() -> None:
+    net = fleet(4)
+    for _ in range(5):
+        net.kill("n3")
+        net.run(net.now + 0.4)
+        net.start("n3", ["n0", "n1"])
+        net.run(net.now + 1.6)
+    assert net.run_until(net.settled, TERMS.healed(4)) is not None
+    assert not any(event.what == "taken" for node in net.nodes.values() for _, event in node.events)
+
+
+@pytest.mark.parametrize("life", [1, 10**12])
+def test_a_restart_with_the_clock_set_back_or_ahead_is_a_later_life(life: int) -> None:
+    net = fleet(4)
+    before = net.nodes["n3"].machine.me.life  # type: ignore[union-attr]
+    net.kill("n3")
+    machine = net.start("n3", ["n0", "n1"], life=life)
+    assert net.run_until(net.settled, TERMS.healed(4)) is not None
+    net.run(net.now + 3)
+    assert net.settled() and machine.me.life > before and not machine.quiet
+
+
+def test_a_joiner_whose_seeds_are_dead_joins_once_one_lives() -> None:
+    net = fleet(3)
+    alone = Net(["x", "y"], TERMS, 4)
+    machine = alone.start("x", ["y"])
+    alone.run(5.0)
+    assert not machine.quiet and not machine.majority  # it has heard no seed: it may be cut off
+    alone.start("y", [])
+    assert alone.run_until(alone.settled, TERMS.healed(2)) is not None and machine.majority
+    assert net.settled()
+
+
+def test_two_fleets_of_one_name_become_one() -> None:
+    names = [f"n{n}" for n in range(6)]
+    net = Net(names, TERMS, 5)
+    net.cut = halves(names)
+    for n, name in enumerate(names):
+        net.start(name, [names[n % 2], names[1 - n % 2]])
+    net.run(5.0)
+    assert net.settled(names[::2]) and net.settled(names[1::2])
+    net.cut = lambda a, b: False
+    assert net.run_until(net.settled, TERMS.healed(6)) is not None
+
+
+def test_one_that_leaves_in_a_cut_and_comes_back_under_its_name() -> None:
+    net = fleet(5)
+    net.cut = lambda a, b: (a in ("n3", "n4")) != (b in ("n3", "n4"))
+    net.run(net.now + 1)
+    net.leave("n4")
+    net.run(net.now + 1)
+    net.start("n4", ["n0", "n3"])
+    net.run(net.now + 1)
+    net.cut = lambda a, b: False
+    assert net.run_until(net.settled, TERMS.detected(5) + TERMS.healed(5)) is not None
+
+
+def test_a_goodbye_is_no_crash() -> None:
+    net = fleet(6)
+    since = net.now
+    net.leave("n5")
+    assert net.run_until(net.settled, TERMS.spread(6)) is not None
+    assert not died(net, since) and all(m.majority and m.known == 5 for m in net.live())
+    net.run(net.now + TERMS.gone + 5)
+    assert all("n5" not in m.members for m in net.live())
+
+
+def test_repeated_datagrams_change_nothing_and_those_of_an_earlier_life_neither() -> None:
+    net = fleet(4)
+    net.repeat = 0.5
+    kept: list[tuple[bytes, str]] = []
+    carry = net._carry
+
+    def keep(node: object, actions: object) -> None:
+        actions = list(actions)  # type: ignore[call-overload]
+        if node is net.nodes["n3"]:
+            kept.extend((a.data, "127.0.0.1") for a in actions if isinstance(a, Send))
+        carry(node, actions)  # type: ignore[arg-type]
+
+    net._carry = keep  # type: ignore[method-assign, assignment]
+    net.run(net.now + 3)
+    net.leave("n3")
+    net.run(net.now + 2)
+    net.start("n3", ["n0"])
+    assert net.run_until(net.settled, TERMS.healed(4)) is not None
+    machine = net.nodes["n0"].machine
+    assert machine is not None and machine.counts["repeated"] > 0
+    before = machine.counts["earlier_life"]
+    for data, host in kept:
+        net._carry(net.nodes["n0"], machine.on_datagram(data, host, net.now))
+    net.run(net.now + 1)
+    assert net.settled() and machine.counts["earlier_life"] > before
+
+
+def test_of_two_live_processes_with_one_name_the_younger_stays_out() -> None:
+    net = fleet(3)
+    net.nodes["late"] = node = type(net.nodes["n0"])("late", ("127.0.0.1", 8999))
+    net._by_address[node.address] = node
+    late = net.start("late", ["n0", "n1"], called="n2")
+    net.run(net.now + 5)
+    first = net.nodes["n2"].machine
+    assert first is not None and late.quiet and late.rival is not None and not first.quiet
+    for who in ("n2", "late"):
+        assert any(event.what == "taken" for _, event in net.nodes[who].events)
+    assert all(m.members["n2"].record.address == first.me.address for m in net.live() if m.me.name != "n2")
+    # Once the older one is gone the name is free.
+    net.kill("n2")
+    assert net.run_until(lambda: not late.quiet, TERMS.call_most * 2.5) is not None
+    net.run(net.now + 3)
+    assert all(m.members["n2"].record.address == late.me.address for m in net.live() if m.me.name != "n2")
+
+
+def test_two_of_one_name_that_meet_after_a_cut_are_told_apart() -> None:
+    names = ["n0", "n1", "n2", "twin"]
+    net = Net(names, TERMS, 8)
+    net.cut = lambda a, b: (a in ("n1", "twin")) != (b in ("n1", "twin"))
+    older = net.start("n2", ["n0", "n1"])
+    net.start("n0", ["n0", "n1"])
+    net.start("n1", ["n0", "n1"])
+    younger = net.start("twin", ["n0", "n1"], called="n2")
+    net.run(5)
+    assert not older.quiet and not younger.quiet
+    net.cut = lambda a, b: False
+    net.run(net.now + TERMS.healed(4))
+    assert younger.quiet and not older.quiet
+    assert all(m.members["n2"].record.address == older.me.address for m in net.live() if m.me.name != "n2")
+
+
+def test_forget_frees_the_dead_and_never_the_living() -> None:
+    net = fleet(5)
+    for name in ("n3", "n4"):
+        net.kill(name)
+    net.run(net.now + TERMS.detected(5))
+    machine = net.nodes["n0"].machine
+    assert machine is not None
+    assert not machine.on_forget("n1", net.now)[0] and not machine.on_forget("nobody", net.now)[0]
+    for name in ("n3", "n4"):
+        done, actions = machine.on_forget(name, net.now)
+        assert done
+        net._carry(net.nodes["n0"], actions)
+    net.run(net.now + TERMS.spread(5))
+    assert all(m.known == 3 for m in net.live())
+
+
+def test_members_of_two_wire_versions_settle() -> None:
+    net = fleet(5, versions={"n0": 1, "n2": 1})
+    assert all(wire.HEAD.unpack_from(a.data)[1] == 1 for a in net.nodes["n1"].machine.on_leave(net.now)  # type: ignore[union-attr]
+               if isinstance(a, Send) and a.address == net.nodes["n0"].address)  # fmt: skip
+
+
+# -- datagrams
+
+ME = Record("a", "127.0.0.1", 7950, "z", 5, 2, 0, 1, 2, "0.1.0", print="12ab34cd")
+OTHER = Record("b", "127.0.0.1", 7951, "", 6, 0, 1, 0, 1, "0.1.0", by="a")
+GOLDEN = {
+    1: "744601f979e0619da16ba16205c2007b08ceaabbccdd9ba161a93132372e302e302e31cd1f0ea17a0502000102a5302e312e30a0a0c4"
+       "00919ba162a93132372e302e302e31cd1f0fa00600010001a5302e312e30a16103",
+    2: "744602d63fc0a79da16ba16205c2007b08ceaabbccdd9ca161a93132372e302e302e31cd1f0ea17a0502000102a5302e312e30a0a831"
+       "32616233346364a0c400919ca162a93132372e302e302e31cd1f0fa00600010001a5302e312e30a161a003",
+}  # fmt: skip
+
+
+def message(records: tuple[Record, ...] = ()) -> wire.Message:
+    return wire.Message("k", "b", 5, False, wire.PING, 123, 8, 0xAABBCCDD, ME, records=records, known=3)
+
+
+@pytest.mark.parametrize("version", [1, 2])
+def test_golden_datagrams_of_each_version(version: int) -> None:
+    data, held = wire.write(message(), [OTHER], version, 1200)
+    assert held == 1 and data.hex() == GOLDEN[version]
+    found = wire.read(bytes.fromhex(GOLDEN[version]), "k", 1200)
+    assert found.sender == (ME if version == 2 else msgspec.structs.replace(ME, print=""))
+    assert list(found.records) == [OTHER] and found.known == 3
+
+
+def test_a_field_that_a_later_version_adds_is_passed_over() -> None:
+    data, _ = wire.write(message(), [], 2, 1200)
+    values = msgspec.msgpack.decode(data[wire.HEAD.size :])
+    values[8].append("new")
+    values.append("newer")
+    body = msgspec.msgpack.encode(values)
+    later = wire.HEAD.pack(wire.MAGIC, 2, wire.crc32(body)) + body
+    assert wire.read(later, "k", 1200).sender == ME
+
+
+@steady
+@given(GARBAGE, st.integers(0, 400), st.integers(1, 255))
+def test_what_is_no_datagram_of_ours_changes_nothing(data: bytes, at: int, flip: int) -> None:
+    good, _ = wire.write(message(), [OTHER], 2, 1200)
+    spoilt = bytearray(good)
+    spoilt[at % len(spoilt)] ^= flip
+    machine = Fleet("k", msgspec.structs.replace(ME, name="b"), TERMS, [("127.0.0.1", 1)], 0.0)
+    framed = wire.HEAD.pack(b"tF", 2, wire.crc32(data)) + data
+    for text in (data, bytes(spoilt), good[: at % len(good)], good + b"x", framed):
+        assert machine.on_datagram(text, "127.0.0.1", 0.0) == []
+    assert not machine.members and sum(machine.counts.values()) == 5
+
+
+def test_strangers_are_counted_by_kind() -> None:
+    me = msgspec.structs.replace(ME, name="b")
+    machine = Fleet("k", me, TERMS, [], 0.0, allowed=lambda host: host == "127.0.0.1")
+    good, _ = wire.write(message(), [], 2, 1200)
+    machine.on_datagram(good, "10.0.0.1", 0.0)
+    machine.on_datagram(wire.write(msgspec.structs.replace(message(), fleet="x"), [], 2, 1200)[0], "127.0.0.1", 0.0)
+    machine.on_datagram(b"tF\x09" + good[3:], "127.0.0.1", 0.0)
+    machine.on_datagram(wire.write(msgspec.structs.replace(message(), to="q"), [], 2, 1200)[0], "127.0.0.1", 0.0)
+    abroad = msgspec.structs.replace(message(), sender=msgspec.structs.replace(ME, host="10.0.0.1"))
+    machine.on_datagram(wire.write(abroad, [], 2, 1200)[0], "127.0.0.1", 0.0)
+    assert dict(machine.counts) == {"network": 2, "fleet": 1, "version": 1, "not_me": 1} and not machine.members
+
+
+def test_a_flood_of_false_members_is_bounded() -> None:
+    machine = Fleet("k", msgspec.structs.replace(ME, name="b"), TERMS, [], 0.0)
+    for n in range(MEMBERS_MOST + 50):
+        sender = msgspec.structs.replace(ME, name=f"x{n}", port=1 + n)
+        false = msgspec.structs.replace(message(), sender=sender)
+        machine.on_datagram(wire.write(false, [], 2, 1200)[0], "127.0.0.1", 0.0)
+    assert len(machine.members) == MEMBERS_MOST and machine.counts["crowd"] == 50
+
+
+def test_datagrams_keep_to_their_size_whatever_there_is_to_tell() -> None:
+    names = [f"a-rather-long-name-of-a-member-{n:03}" for n in range(60)]
+    net = Net(names, TERMS, 9)
+    longest = 0
+    carry = net._carry
+
+    def measure(node: object, actions: object) -> None:
+        nonlocal longest
+        actions = list(actions)  # type: ignore[call-overload]
+        longest = max([longest, *(len(a.data) for a in actions if isinstance(a, Send))])
+        carry(node, actions)  # type: ignore[arg-type]
+
+    net._carry = measure  # type: ignore[method-assign, assignment]
+    for name in names:
+        net.start(name, names[:2])
+    assert net.run_until(net.settled, TERMS.healed(60)) is not None
+    assert 600 < longest <= TERMS.datagram
+
+
+# -- what is said later wins, in whatever order it comes
+
+RECORDS = st.builds(
+    Record, st.sampled_from(["x", "y"]), st.just("127.0.0.1"), st.integers(1, 2), st.just(""), st.integers(1, 2),
+    st.integers(0, 2), st.integers(0, 3), st.just(1), st.just(2), st.just("1"), st.sampled_from(["p", "q"]),
+)  # fmt: skip
+
+
+@steady
+@given(st.lists(RECORDS, max_size=12), st.randoms(use_true_random=False))
+def test_a_view_is_the_latest_of_what_was_said(told: list[Record], order: random.Random) -> None:
+    """Against a naive model: the greatest by (life, incarnation, state) of those that may begin a member."""
+    alive = [Record(name, "127.0.0.1", 1, "", 1, 0, 0, 1, 2, "1") for name in ("x", "y")]
+    naive = {name: max(r.order for r in [*told, *alive] if r.name == name) for name in ("x", "y")}
+    for _ in range(3):
+        machine = Fleet("k", ME, TERMS, [], 0.0)
+        for record in [*alive, *told]:
+            machine._take(record, 0.0)
+        assert {name: member.record.order for name, member in machine.members.items()} == naive
+        order.shuffle(told)
+
+
+def test_the_table_leaves_no_way_out_of_death_but_ones_own_word() -> None:
+    for (state, seen), after in TABLE.items():
+        if state in (State.DEAD, State.LEFT) and after not in (None, State.DEAD, State.LEFT):
+            assert seen in (SAID[State.ALIVE], SAID[State.SUSPECT])  # of a greater incarnation, which it alone gives
+    assert {after for (state, _), after in TABLE.items() if state is None} == {State.ALIVE, State.SUSPECT}
+    assert len(list(itertools.chain(TABLE))) == len(set(TABLE))
+
+
+# -- the file, and the calls of operators
+
+
+def test_the_supplied_file_and_its_faults(tmp_path: Path) -> None:
+    text = (ROOT / "deploy" / "fleet.toml").read_text()
+    plan = config.operator_file(str(ROOT / "deploy" / "fleet.toml"), 0.0)
+    assert plan.fleet is not None and plan.fleet.seeds == (("127.0.0.1", 7951), ("127.0.0.1", 7952))
+    for old, new, fault in (
+        ('name = "kigali"  ', 'name = "a b"  ', "fleet.name: 1 to 64"),
+        ('zone = "a"', "zone = 3", "fleet.zone: a text"),
+        ('from = ["127.0.0.0/8"]', 'from = ["10.0.0.0/8"]', "fleet.from: this member's own address"),
+        ('from = ["127.0.0.0/8"]', 'from = ["x"]', "fleet.from: "),
+        ("period = 1.0", "period = 0.0", "fleet.period: "),
+        ('advertise = "127.0.0.1:7950"', 'advertise = "here:7950"', "fleet.advertise: an address is wanted"),
+        ('"127.0.0.1:7952"]', '"127.0.0.1"]', "fleet.seeds[1]: "),
+        ('zone = "a"', "sort = 1", "fleet.sort: unknown key"),
+    ):  # fmt: skip
+        assert old in text
+        file = tmp_path / "faulty.toml"
+        file.write_text(text.replace(old, new))
+        with pytest.raises(config.ConfigError, match=re.escape(fault)):
+            config.operator_file(str(file), 0.0)
+
+
+def test_check_finds_what_clashes_across_files(tmp_path: Path) -> None:
+    text = (ROOT / "deploy" / "fleet.toml").read_text()
+    files = []
+    for n, changes in enumerate(({}, {"7950": "7951", "kigali-1": "kigali-2"}, {"7950": "7952"})):
+        made = text
+        for old, new in changes.items():
+            made = made.replace(f":{old}" if old.isdigit() else old, f":{new}" if new.isdigit() else new)
+        files.append(tmp_path / f"{n}.toml")
+        files[-1].write_text(made)
+    run = CliRunner().invoke(commands, ["check", *map(str, files)])
+    assert run.exit_code == 2 and "'kigali-1' is another member" in run.stderr and "seeds" not in run.stderr
+    assert CliRunner().invoke(commands, ["check", *map(str, files[:2])]).exit_code == 2  # 7952 is nobody's
+    assert CliRunner().invoke(commands, ["check", str(files[0])]).exit_code == 0
+
+
+@pytest.mark.parametrize("line", ["FLEET", "FLEET x", "FLEET members a", "FLEET forget", "FLEET events"])
+def test_calls_of_the_fleet_that_are_none(line: str) -> None:
+    with pytest.raises(codec.BadCall, match="FLEET takes"):
+        codec.read_call(line.encode())
+
+
+def test_the_platform_answers_no_call_of_the_view() -> None:
+    """That it imports none of it, `test_cli` shows."""
+
+    async def scenario(at: Platform) -> None:
+        assert await at.call(b"FLEET members") == b"ERR no [fleet] in the file\n"
+
+    play(Platform().run, scenario)
--- a/thistleshore/admin/codec.py
+++ b/thistleshore/admin/codec.py
@@ -14,9 +14,13 @@
 TAKES_HOST = {"PING": False, "INFO": False, "DETACH": True, "ATTACH": True}
 
 
+FLEET = {"members": False, "status": False, "events": True, "leave": False, "forget": True}  # with an argument or not
+
+
 class Call(NamedTuple):
     name: str
-    host: str = ""
+    host: str = ""  # of FLEET: what is asked
+    more: str = ""
 
 
 class BadCall(Exception):
@@ -54,6 +58,10 @@
     if not text.isprintable():
         raise BadCall("the line is not text")
     name, *rest = text.split() or [""]
+    if name == "FLEET":
+        if not rest or rest[0] not in FLEET or len(rest) != 1 + FLEET[rest[0]]:
+            raise BadCall("FLEET takes members, status, events NUMBER, leave or forget NAME")
+        return Call(name, *rest)
     if name not in TAKES_HOST:
         raise BadCall(f"unknown call; one of {', '.join(TAKES_HOST)} is wanted")
     if len(rest) != TAKES_HOST[name]:
@@ -74,6 +82,6 @@
     return b"ERR " + reason.encode() + b"\n"
 
 
-def figures(told: Mapping[str, Any]) -> bytes:
-    """The answer to INFO: one JSON object on a line, and END."""
+def figures(told: Mapping[str, Any] | list[Any]) -> bytes:
+    """The answer to INFO and FLEET: one JSON object on a line, and END."""
     return json.dumps(told, separators=(",", ":")).encode() + b"\nEND\n"
--- a/thistleshore/admin/listener.py
+++ b/thistleshore/admin/listener.py
@@ -31,6 +31,7 @@
                  figures: Callable[[], Mapping[str, Any]]) -> None:  # fmt: skip
         self.inbox, self.ready, self.figures = inbox, ready, figures
         self.tell_ban: Callable[[str, bool], Awaitable[None]] | None = None  # to the other process of a restart
+        self.fleet: Callable[[str, str], Awaitable[tuple[bool, Any]]] | None = None
         # Callers that have not said their line, the longest silent first.
         self._silent: dict[trio.CancelScope, None] = {}
 
@@ -94,6 +95,11 @@
             return codec.yes() if self.ready() else codec.no("not ready")
         if call.name == "INFO":
             return codec.figures(self.figures())
+        if call.name == "FLEET":
+            if self.fleet is None:
+                return codec.no("no [fleet] in the file")
+            done, told = await self.fleet(call.host, call.more)
+            return codec.figures(told) if done else codec.no(str(told))
         asked = BanAsked(call.host.encode(), call.name == "DETACH")
         with trio.move_on_after(ANSWER_WITHIN):
             await self.inbox.send(asked)
--- a/thistleshore/cli/__init__.py
+++ b/thistleshore/cli/__init__.py
@@ -43,9 +43,10 @@
 
 COMMANDS = {
     "serve": Later("serve", "Serve by an operator's file until SIGTERM."),
-    "check": Later("check", "Name everything that is wrong with an operator's file."),
+    "check": Later("check", "Name everything that is wrong with operator's files, alone and together."),
     "expr": Later("expr", "Check, evaluate, explain, cost and time expressions."),
     "admin": Later("admin", "Ask a dispatcher that runs; take hosts out and call them back."),
+    "fleet": Later("fleet", "Show and follow the view of the fleet; leave it, or have it forget a dead member."),
     "contracts": Later("contracts", "Show the agreements of an operator's file and their shares."),
     "load": Later("load", "Send open-loop load, and tell what came of it."),
     "import": Later("imports", "Turn another program's configuration into an operator's file."),
--- a/thistleshore/cli/admin.py
+++ b/thistleshore/cli/admin.py
@@ -40,21 +40,14 @@
 @_where
 def ping(file: str | None, address: str | None, as_json: bool) -> None:
     """Is it ready to serve?"""
-    _say(_ask(file, address, codec.Call("PING")), as_json)
+    _say(ask(file, address, codec.Call("PING")), as_json)
 
 
 @command.command()
 @_where
 def info(file: str | None, address: str | None, as_json: bool) -> None:
     """Print its figures."""
-    text = _ask(file, address, codec.Call("INFO"))
-    line, end, _ = (*text.split("\n", 2), "", "")[:3]
-    try:
-        found = json.loads(line) if end == "END" else None
-    except ValueError:
-        found = None
-    if not isinstance(found, dict):
-        refuse(f"the answer is none: {text[:80]!r}", 2)
+    found = told(ask(file, address, codec.Call("INFO")))
     if as_json:
         echo_json(found)
         return
@@ -70,7 +63,7 @@
 @_where
 def detach(host: str, file: str | None, address: str | None, as_json: bool) -> None:
     """Take HOST out: nothing new goes there until it is called back."""
-    _say(_ask(file, address, codec.Call("DETACH", host)), as_json)
+    _say(ask(file, address, codec.Call("DETACH", host)), as_json)
 
 
 @command.command()
@@ -78,7 +71,20 @@
 @_where
 def attach(host: str, file: str | None, address: str | None, as_json: bool) -> None:
     """Call HOST back: it may serve again, as a cold one."""
-    _say(_ask(file, address, codec.Call("ATTACH", host)), as_json)
+    _say(ask(file, address, codec.Call("ATTACH", host)), as_json)
+
+
+def told(answer: str) -> Any:
+    """The JSON of an answer that has some; ends with status 1 where the answer is no, and with 2 where it is none."""
+    line, end, _ = (*answer.split("\n", 2), "", "")[:3]
+    if line.startswith("ERR "):
+        refuse(line.removeprefix("ERR "), 1)
+    try:
+        if end == "END":
+            return json.loads(line)
+    except ValueError:
+        pass
+    refuse(f"the answer is none: {answer[:80]!r}", 2)
 
 
 def _say(answer: str, as_json: bool) -> None:
@@ -93,7 +99,7 @@
         raise SystemExit(1)
 
 
-def _ask(file: str | None, named: str | None, call: codec.Call) -> str:
+def ask(file: str | None, named: str | None, call: codec.Call) -> str:
     """The whole answer to one call; ends with status 2 where there is none."""
     try:
         if named is not None:
--- a/thistleshore/config/operator.py
+++ b/thistleshore/config/operator.py
@@ -20,17 +20,18 @@
 from thistleshore.beanstalkd.upstream import HOST_PREFIX, HostSeat
 from thistleshore.config.errors import ConfigError
 from thistleshore.config.platform import (
-    IDLE_SHARE, SOCKETS, SOCKETS_SPARE, Address, BeanstalkdPlan, ExchangePlan, HttpPlan, Plan, address, number,
-    path_of,
+    IDLE_SHARE, SOCKETS, SOCKETS_SPARE, Address, BeanstalkdPlan, ExchangePlan, FleetPlan, HttpPlan, Plan, address,
+    number, path_of,
 )  # fmt: skip
 from thistleshore.contracts import Agreements, ContractTerms, MemberTerms, Retries
 from thistleshore.contracts.book import Book, Budget, Contract
 from thistleshore.contracts.exchange import Terms as ExchangeTerms
 from thistleshore.contracts.model import OTHERS
 from thistleshore.core.model import HostLine
+from thistleshore.fleet.model import NAME_MOST, Terms as FleetTerms
 from thistleshore.logs import FORMATS
 from thistleshore.expressions import Limits, NetworkError, Rule, Source, address_set, request_environment
-from thistleshore.expressions.networks import AddressSet
+from thistleshore.expressions.networks import AddressSet, address as network_address
 from thistleshore.platform.messages import ListNames, Routes
 from thistleshore.platform.routed import HttpRouter
 from thistleshore.routing import Live, RouteTable, TableError, Terms
@@ -41,7 +42,7 @@
 GROUPS = {"all": Group.ALL, "bay": Group.CELL}
 TOP = ("name", "balancers", "streams", "max_retry_after", "http", "beanstalkd", "discovery", "limits", "start",
        "budget", "service", "host", "contract", "match", "address_set", "expressions", "member", "contracts",
-       "exchange", "metrics", "log", "admin")  # fmt: skip
+       "exchange", "metrics", "log", "admin", "fleet")  # fmt: skip
 PLAIN = TOP[:4]
 FILE_MOST = 8 * 1024 * 1024  # bytes; more is no file that somebody wrote
 
@@ -132,6 +133,16 @@
             return []
         return found
 
+    def addresses(self, key: str) -> list[Address]:
+        """Those of a list that are some; each of the others is a fault."""
+        found = []
+        for n, text in enumerate(self.texts(key)):
+            try:
+                found.append(address(text, f"{self.path}.{key}[{n}]"))
+            except ConfigError as problem:
+                self.faults += problem.problems
+        return found
+
     def address(self, key: str) -> Address:
         if key not in self.left:
             self.fault(key, "missing")
@@ -191,6 +202,7 @@
                     self.faults.append(f"contract[{n}].{key}: its front is not set up in the file")
         agreements = self._agreements(contracts, services, balancers)
         exchange = self._exchange(balancers, agreements)
+        fleet = self._fleet(name)
         metrics, form = None, "plain"
         if "metrics" in self.conf:
             with self._section("metrics") as part:
@@ -212,7 +224,8 @@
             raise ConfigError(*dict.fromkeys(self.faults))
         return Plan(name, int.from_bytes(os.urandom(8), "big"), settings, http, tubes, tuple(known), epoch,
                     connect_within, IDLE_SHARE * idle, sockets, streams, live, agreements, exchange, metrics, form,
-                    self.conf, class_names=tuple(_names(contracts)), admin=admin, restart=restart)  # fmt: skip
+                    self.conf, class_names=tuple(_names(contracts)), admin=admin, restart=restart,
+                    fleet=fleet)  # fmt: skip
 
     def _services(self) -> dict[str, int]:
         services: dict[str, int] = {}
@@ -353,12 +366,7 @@
             return None
         with self._section("exchange") as part:
             listen, instance = part.address("listen"), part.whole("instance", 0)
-            peers: list[Address] = []
-            for n, text in enumerate(part.texts("peers")):
-                try:
-                    peers.append(address(text, f"exchange.peers[{n}]"))
-                except ConfigError as problem:
-                    self.faults += problem.problems
+            peers = part.addresses("peers")
             usual = ExchangeTerms()
             terms = usual._replace(
                 every=part.number("every", usual.every, 0.01), lease=part.number("lease", usual.lease, 0.05)
@@ -373,6 +381,36 @@
             self.faults.append("exchange: at least one [[member]] is wanted")
         return ExchangePlan(listen, tuple(peers), instance, terms)
 
+    def _fleet(self, name: str) -> FleetPlan | None:
+        """`[fleet]`; the member's name is the file's."""
+        if "fleet" not in self.conf:
+            return None
+        usual = FleetTerms()
+        with self._section("fleet") as part:
+            fleet, listen, zone = part.text("name"), part.address("listen"), part.text("zone", "")
+            advertise = part.address("advertise") if "advertise" in part.left else listen
+            seeds, networks = part.addresses("seeds"), part.texts("from")
+            terms = FleetTerms(
+                part.number("period", usual.period, 0.02), part.number("suspicion", usual.suspicion, 1.0),
+                part.number("stretch", usual.stretch, 1.0), part.number("forget", usual.forget, 1.0),
+                part.whole("datagram", usual.datagram, 512),
+            )  # fmt: skip
+            for key, text in (("name", fleet), ("zone", zone), ("name", name)):
+                if len(text) > NAME_MOST or not text.isprintable() or " " in text or (key == "name" and not text):
+                    part.fault(key, f"1 to {NAME_MOST} printable characters without a space are wanted, not {text!r}")
+            if terms.datagram > 8192:
+                part.fault("datagram", "at most 8192 bytes: larger ones come in pieces, all of which must arrive")
+            try:
+                found = address_set("fleet.from", networks)
+                host = network_address(advertise[0])
+                if host is None:
+                    part.fault("advertise", "an address is wanted, no name: others send there as it stands")
+                elif networks and not found.has(host):
+                    part.fault("from", f"this member's own address {advertise[0]} is in none of the networks")
+            except NetworkError as problem:
+                part.fault("from", str(problem))
+        return FleetPlan(fleet, listen, advertise, tuple(seeds), zone, tuple(networks), terms)
+
     # -- the rules ----------------------------------------------------------------------------
 
     def _live(self, contracts: Sequence[Contract]) -> Live | None:
--- a/thistleshore/config/platform.py
+++ b/thistleshore/config/platform.py
@@ -23,6 +23,7 @@
     from thistleshore.beanstalkd.upstream import HostSeat
     from thistleshore.contracts import Agreements
     from thistleshore.contracts.exchange import Terms as ExchangeTerms
+    from thistleshore.fleet.model import Terms as FleetTerms
     from thistleshore.routing import Live
 
 Address = tuple[str, int]
@@ -61,6 +62,19 @@
     terms: ExchangeTerms
 
 
+@dataclass(frozen=True, slots=True)
+class FleetPlan:
+    """The fleet of that name, where this member hears and is reached, whom it calls first, and whom it hears."""
+
+    name: str
+    listen: Address
+    advertise: Address
+    seeds: tuple[Address, ...]
+    zone: str
+    networks: tuple[str, ...]
+    terms: FleetTerms
+
+
 @dataclass(frozen=True, slots=True)
 class PeersPlan:
     """Where datagrams of the other dispatchers of the tier come in, from where, and the address of all of them."""
@@ -96,6 +110,7 @@
     restart: str = ""  # the Unix socket where the next process meets this one; "": no hot restart
     class_names: tuple[str, ...] = ()  # by their numbers
     numbered: Mapping[str, Any] = field(default_factory=dict, repr=False)  # the platform's settings, see `in_place`
+    fleet: FleetPlan | None = None  # None: it is in no view of a fleet
 
     def changed(self, other: Plan) -> list[str]:
         """The keys in which another reading of the file differs and which hold until a restart."""
--- a/thistleshore/dispatcher.py
+++ b/thistleshore/dispatcher.py
@@ -4,7 +4,7 @@
 
 import logging
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING, Protocol
 
 import trio
@@ -23,6 +23,8 @@
 
 if TYPE_CHECKING:  # an operator's; the platform keeps no shares
     from thistleshore.contracts import Ledger
+    from thistleshore.fleet.carrier import Carrier
+    from thistleshore.restart.carrier import Inherited
     from thistleshore.restart.estate import Estate
 
 log = logging.getLogger("thistleshore")
@@ -97,22 +99,34 @@
             nursery.start_soon(follower.run, rereads)
         if plan.agreements is not None:
             await _tell_shares(broker, plan, nursery)
-        if plan.metrics is not None:
-            await _serve_metrics(broker, plan.metrics, nursery)
         serving_now = trio.Event()
+
+        def ready() -> bool:
+            return bool(serving_now.is_set() and broker.hosts) and all(front.ready for front, _ in fronts)
+
+        fleet: Carrier | None = None
+        if plan.fleet is not None:
+            fleet = _join(plan, drain, ready, inherited)
+            follower.fleet = fleet
+        if plan.metrics is not None:
+            await _serve_metrics(broker, plan.metrics, nursery, fleet)
         if plan.admin is not None:
             from thistleshore.admin.listener import Admin
 
-            admin = Admin(broker.inbox, lambda: bool(serving_now.is_set() and broker.hosts)
-                          and all(front.ready for front, _ in fronts), broker.told_figures)  # fmt: skip
+            admin = Admin(broker.inbox, ready, broker.told_figures)
+            if fleet is not None:
+                admin.fleet = fleet.on_call
             await nursery.start(admin.run, plan.admin)
         if plan.restart and plan.http is not None:
             follower.estate = left_here = estate.Estate(plan, broker, downstream, upstreams, peers, watch)
             if plan.admin is not None:
                 admin.tell_ban = left_here.succession.tell_ban
+            left_here.fleet = fleet
             if inherited is not None:
                 left_here.inherit(inherited)
                 nursery.start_soon(left_here.live_beside, inherited, serving_now)
+        if fleet is not None and inherited is None:
+            nursery.start_soon(fleet.run)
         async with trio.open_nursery() as serving:
             for front, address in fronts:
                 await serving.start(front.run, address)
@@ -120,6 +134,10 @@
             if follower.estate is not None:
                 await nursery.start(follower.estate.succession.run)
             serving_now.set()  # whoever is told so may start the next process
+            if fleet is not None and inherited is not None:
+                nursery.start_soon(fleet.run)  # only now: until then the process before is the member
+        if fleet is not None:
+            await fleet.leave()
         log.info("drained: every stream that was taken is answered")
         nursery.cancel_scope.cancel()
 
@@ -160,13 +178,32 @@
     nursery.start_soon(_log_shares, ledger)
 
 
-async def _serve_metrics(broker: Broker, address: config.Address, nursery: trio.Nursery) -> None:
+def _join(plan: config.Plan, drain: trio.Event, ready: Callable[[], bool], inherited: Inherited | None) -> Carrier:
+    """This process's part in the fleet; that of the process before, where there was one."""
+    # Imported here: the platform has no such view, and little memory.
+    from thistleshore.fleet.carrier import Carrier, fingerprint
+    from thistleshore.fleet.model import Service
+
+    assert plan.fleet is not None
+    before = inherited.values.get("fleet") if inherited is not None else None
+    return Carrier(
+        plan.fleet, plan.name,
+        lambda: Service.DRAINING if drain.is_set() else Service.READY if ready() else Service.STARTING,
+        fingerprint(plan.told), before if isinstance(before, dict) else None,
+        inherited.sockets.get("fleet") if inherited is not None else None,
+    )  # fmt: skip
+
+
+async def _serve_metrics(broker: Broker, address: config.Address, nursery: trio.Nursery,
+                         fleet: Carrier | None) -> None:  # fmt: skip
     """Start the page for Prometheus: the figures, and what the contracts come to where shares are kept."""
     from prometheus_client.registry import Collector
 
-    from thistleshore.metrics import Contracts, Page, Results
+    from thistleshore.metrics import Contracts, Page, Results, View
 
     collectors: list[Collector] = [Results(broker.told_figures)]
+    if fleet is not None:
+        collectors.append(View(fleet.members, fleet.status))
     if (ledger := broker.ledger) is not None:
 
         def events() -> dict[str, int]:
@@ -201,6 +238,7 @@
                  watch: Discovery | None, plan: config.Plan) -> None:  # fmt: skip
         self.broker, self.upstreams, self.watch, self.plan = broker, upstreams, watch, plan
         self._newest: Routes | None = None
+        self.fleet: Carrier | None = None
         self.estate: Estate | None = None  # what the next process is to know of new settings
         self.downstreams = [front for front, _ in fronts if isinstance(front, Downstream)]
 
@@ -217,6 +255,8 @@
                     await self._settle(found, nursery)
                 self._route(found, changed)
                 self._move(found)
+                if self.fleet is not None:
+                    self.fleet.on_file(found.told)
                 self.broker.record.sighup_applied += 1
 
     async def _settle(self, found: config.Plan, nursery: trio.Nursery) -> None:
--- /dev/null
+++ b/thistleshore/fleet/carrier.py
@@ -0,0 +1,249 @@
+"""One process's part in the fleet: a UDP socket, the one task that owns the machine, and who is told of its events."""
+
+from __future__ import annotations
+
+import json
+import logging
+import os
+import socket as sockets
+import time
+from collections.abc import Callable, Mapping
+from math import inf
+from typing import Any
+
+import trio
+
+from thistleshore import __version__
+from thistleshore.config import Address
+from thistleshore.config.platform import FleetPlan
+from thistleshore.expressions.networks import address as number_of, address_set
+from thistleshore.fleet import wire
+from thistleshore.fleet.machine import Fleet
+from thistleshore.fleet.model import Action, Changed, Record, Send, Service, State
+
+log = logging.getLogger("thistleshore")
+
+LOOK = 0.1  # s between two looks at how this process serves
+WAITING_MOST = 512  # datagrams that wait for the machine; beyond that they are dropped and counted, as by a full buffer
+RATE, RATE_EACH = 500.0, 40.0  # datagrams a second that are looked at, and for each member more
+FLOODED = 0.01  # s for which a flood is left to the kernel's buffer
+GOODBYES, GOODBYE_GAP = 3, 0.02  # a goodbye may be lost
+BOUND_AGAIN = 1.0  # s before an address that is taken is tried again
+APART = 64  # incarnations that the next process of a hot restart begins above those of the one before
+
+
+class Carrier:
+    """Carries the machine's actions out.  `service` says how this process serves; `fingerprint` is of its file."""
+
+    def __init__(self, plan: FleetPlan, name: str, service: Callable[[], Service], fingerprint: str,
+                 before: Mapping[str, Any] | None = None, inherited: sockets.socket | None = None) -> None:  # fmt: skip
+        """`before` and `inherited` are what a hot restart leaves: the same life goes on, on the same socket."""
+        self.plan, self.service = plan, service
+        networks = address_set("fleet.from", plan.networks)
+        self._allowed: dict[str, bool] = {}
+
+        def allowed(host: str) -> bool:
+            if (found := self._allowed.get(host)) is None:
+                number = number_of(host)
+                found = number is not None and networks.has(number)
+                if len(self._allowed) < 4096:  # a flood of false senders must not fill the memory
+                    self._allowed[host] = found
+            return found
+
+        life, incarnation = int(time.time() * 1000), 0
+        if before is not None and isinstance(before.get("life"), int) and isinstance(before.get("incarnation"), int):
+            life, incarnation = before["life"], before["incarnation"] + APART
+        host, port = plan.advertise
+        me = Record(name, host, port, plan.zone, max(1, life), incarnation, int(State.ALIVE), int(service()),
+                    wire.NEWEST, __version__, print=fingerprint)  # fmt: skip
+        now = trio.current_time()
+        self.machine = Fleet(plan.name, me, plan.terms, plan.seeds, now, int.from_bytes(os.urandom(8), "big"), allowed)
+        self.subscribers: list[trio.MemorySendChannel[Changed]] = []
+        self.socket: trio.socket.SocketType | None = (
+            trio.socket.from_stdlib_socket(inherited) if inherited is not None else None
+        )
+        self._send, self._inbox = trio.open_memory_channel[tuple[bytes, str] | None](WAITING_MOST)
+        self._aside = False
+        self._back = trio.Event()
+        self._scope = trio.CancelScope()
+
+    def subscribe(self) -> trio.MemoryReceiveChannel[Changed]:
+        """Every event from now on, in order."""
+        made = trio.open_memory_channel[Changed](inf)
+        self.subscribers.append(made[0])
+        return made[1]
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Take part until cancelled, which says no goodbye: `leave` does.  An address that is taken is tried again."""
+        task_status.started()
+        while True:
+            if self._aside:
+                await self._back.wait()
+            with trio.CancelScope() as self._scope:
+                if self.socket is None:
+                    await self._bind()
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._receive)
+                    nursery.start_soon(self._own)
+
+    def step_aside(self, aside: bool) -> None:
+        """The next process of a hot restart takes part in this one's place; or it has gone."""
+        if aside != self._aside:
+            self._aside = aside
+            if aside:
+                self._back = trio.Event()
+                self._scope.cancel()
+            else:
+                self._back.set()
+
+    def left_here(self) -> dict[str, Any]:
+        """What the next process of a hot restart goes on with."""
+        return {"life": self.machine.me.life, "incarnation": self.machine.me.incarnation}
+
+    def on_file(self, told: Mapping[str, Any]) -> None:
+        """Another file is in force: its fingerprint is told with what is sent next."""
+        self.machine.on_print(fingerprint(told), trio.current_time())
+
+    async def leave(self) -> None:
+        """Say goodbye; at once, and again for those that it may not have reached."""
+        if self._aside or self.machine.leaving:
+            return
+        actions = self.machine.on_leave(trio.current_time())
+        for n in range(GOODBYES):
+            await self._carry_out(actions if n == 0 else [a for a in actions if isinstance(a, Send)])
+            await trio.sleep(GOODBYE_GAP)
+
+    async def _bind(self) -> None:
+        host, port = self.plan.listen
+        while True:
+            made = trio.socket.socket(trio.socket.AF_INET6 if ":" in host else trio.socket.AF_INET,
+                                      trio.socket.SOCK_DGRAM)  # fmt: skip
+            try:
+                await made.bind((host, port))
+            except OSError as problem:
+                made.close()
+                log.error("no part in the fleet on %s:%d yet: %s", host, port, problem)
+                await trio.sleep(BOUND_AGAIN)
+                continue
+            self.socket = made
+            log.info("fleet %s on %s:%d", self.plan.name, host, port)
+            return
+
+    async def _receive(self) -> None:
+        """Hand on what comes, no more a second than a fleet of this size may send."""
+        assert self.socket is not None
+        tokens, since, counts = RATE, trio.current_time(), self.machine.counts
+        while True:
+            try:
+                # One byte more than is allowed, so that what is longer is seen to be.
+                data, sender = await self.socket.recvfrom(self.plan.terms.datagram + 1)
+            except OSError:  # an ICMP answer to one of ours
+                counts["unreachable"] += 1
+                await trio.sleep(0)
+                continue
+            now = trio.current_time()
+            rate = RATE + RATE_EACH * len(self.machine.members)
+            tokens, since = min(rate, tokens + (now - since) * rate), now
+            if tokens < 1.0:
+                counts["flood"] += 1
+                await trio.sleep(FLOODED)
+                continue
+            tokens -= 1.0
+            try:
+                self._send.send_nowait((data, sender[0]))
+            except trio.WouldBlock:
+                counts["flood"] += 1
+
+    async def _own(self) -> None:
+        """The one task that owns the machine."""
+        machine = self.machine
+        looked = trio.current_time()
+        while True:
+            found = None
+            with trio.move_on_at(max(trio.current_time(), min(machine.due, looked + LOOK))):
+                found = await self._inbox.receive()
+            now = trio.current_time()
+            # Time first: whoever was stopped has to know it before it takes in what was said meanwhile.
+            if now >= machine.due:
+                await self._carry_out(machine.on_time(now))
+            if now >= looked + LOOK:
+                looked = now
+                await self._carry_out(machine.on_service(self.service(), now))
+            if found is not None:
+                await self._carry_out(machine.on_datagram(*found, now))
+
+    async def _carry_out(self, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                try:
+                    if self.socket is not None:
+                        await self.socket.sendto(action.data, action.address)
+                except OSError:  # its host is down, or no buffer is left: it is told again
+                    self.machine.counts["unsent"] += 1
+            else:
+                log.info("fleet: %s %s", action.what, action.name, extra={
+                    "life": action.life, "incarnation": action.incarnation, "told": action.told})  # fmt: skip
+                for channel in self.subscribers:
+                    channel.send_nowait(action)
+
+    # -- what operators ask --------------------------------------------------------------------------
+
+    async def on_call(self, name: str, argument: str) -> tuple[bool, Any]:
+        """One call of the admin interface: whether it was done, and what there is to say."""
+        if name == "members":
+            return True, self.members()
+        if name == "status":
+            return True, self.status()
+        if name == "events":
+            after = int(argument) if argument.isdigit() else 0
+            told = [(number, change) for number, _, change in self.machine.told if number > after]
+            return True, [{"number": number, **change._asdict()} for number, change in told]
+        if name == "leave":
+            await self.leave()
+            return True, {"left": self.machine.me.name}
+        done, actions = self.machine.on_forget(argument, trio.current_time())
+        await self._carry_out(actions)
+        return done, {"forgotten": argument} if done else "no dead member has that name"
+
+    def members(self) -> dict[str, Any]:
+        """The view, in the form that other programs read."""
+        machine, now = self.machine, trio.current_time()
+        rows = [(machine.me, machine.born)] + [(m.record, m.since) for m in machine.members.values()]
+        return {
+            "fleet": machine.fleet, "self": machine.me.name, "digest": f"{machine.digest:08x}",
+            "majority": machine.majority,
+            "members": [
+                {"name": record.name, "zone": record.zone, "life": record.life,
+                 "state": State(record.state).name.lower(), "service": Service(record.service).name.lower(),
+                 "address": written(record.address), "since": round(time.time() - (now - since), 3),
+                 "incarnation": record.incarnation}
+                for record, since in sorted(rows, key=lambda row: row[0].name)
+            ],
+        }  # fmt: skip
+
+    def status(self) -> dict[str, Any]:
+        """Beside the view: whether it is settled, and how this instance fares."""
+        machine = self.machine
+        return {
+            "fleet": machine.fleet, "self": machine.me.name, "life": machine.me.life,
+            "takes_part": not machine.quiet and not machine.leaving,
+            "name_taken_by": None if machine.rival is None else written(machine.rival.address),
+            "digest": f"{machine.digest:08x}", "settled": machine.settled, "majority": machine.majority,
+            "seen": machine.seen, "known": machine.known, "health": machine.health,
+            "unchanged": round(trio.current_time() - machine.changed_at, 3),
+            "bound": round(machine.bound(), 3), "counts": dict(sorted(machine.counts.items())),
+            "programs": {m.name: {"program": m.program, "wire": m.wire, "print": m.print}
+                         for m in sorted(machine.living(), key=lambda m: m.name)},
+        }  # fmt: skip
+
+
+def written(address: Address) -> str:
+    return f"[{address[0]}]:{address[1]}" if ":" in address[0] else f"{address[0]}:{address[1]}"
+
+
+def fingerprint(told: Mapping[str, Any]) -> str:
+    """Of a file's tables, whatever their order."""
+    import xxhash
+
+    return xxhash.xxh32_hexdigest(json.dumps(told, sort_keys=True, default=str).encode())
+
--- /dev/null
+++ b/thistleshore/fleet/machine.py
@@ -0,0 +1,725 @@
+"""One member's side of the view, with no socket and no clock: datagrams and time in, datagrams and events out.
+
+Every public method takes the time (seconds of a monotonic clock), changes the state and returns actions; none waits.
+`due` is when `on_time` wants to be called next.  Whoever calls it much later was stopped in between: nobody is judged
+by that time.
+"""
+
+from __future__ import annotations
+
+import random as randoms
+from collections import Counter, deque
+from collections.abc import Callable, Iterable, Sequence
+from math import ceil, inf, log2
+from zlib import crc32
+
+import msgspec
+
+from thistleshore.fleet import wire
+from thistleshore.fleet.model import (
+    BUCKETS, GOSSIP, HEALTH_MOST, HELPERS, MEMBERS_MOST, PROBES_LATE, SAID, TABLE, Action, Address, Changed, Record,
+    Seen, Send, Service, State, Terms,
+)  # fmt: skip
+
+WINDOW = 64  # numbers of a sender that may overtake one another
+REPLIES_MOST = 8  # datagrams of records for one comparison
+TOLD_MOST = 1024  # events kept for those who ask later
+
+
+class Member:
+    """What is known here of one other member."""
+
+    __slots__ = ("by", "call_at", "call_gap", "digest", "known", "newest", "record", "seen_numbers", "since",
+                 "suspect_since", "unsure")  # fmt: skip
+
+    def __init__(self, record: Record, now: float) -> None:
+        self.record, self.since = record, now
+        self.digest = -1  # of its view, as it told it last
+        self.known = 0  # how many it knows, by that word
+        self.newest, self.seen_numbers = -1, 0  # of its datagrams, and those shortly before
+        self.by: set[str] = set()  # who suspects it
+        self.suspect_since = now
+        self.call_at, self.call_gap = inf, 0.0
+        self.unsure = 0.0  # s by which its suspicion is longer, as it was our own probe and we doubt ourselves
+
+
+class _Probe:
+    """The probe under way."""
+
+    __slots__ = ("ask_at", "asked", "ends", "name", "number", "refused")
+
+    def __init__(self, name: str, number: int, ask_at: float, ends: float) -> None:
+        self.name, self.number, self.ask_at, self.ends = name, number, ask_at, ends
+        self.asked = self.refused = 0  # helpers asked, and those that said that they had no answer either
+
+
+class _Favour:
+    """A probe for another member."""
+
+    __slots__ = ("number", "sender", "until")
+
+    def __init__(self, sender: Record, number: int, until: float) -> None:
+        self.sender, self.number, self.until = sender, number, until
+
+
+class Fleet:
+    """The view of one process; `me.life` above zero, `allowed` says whether a host may be sent to."""
+
+    def __init__(self, fleet: str, me: Record, terms: Terms, seeds: Sequence[Address], now: float, seed: int = 0,
+                 allowed: Callable[[str], bool] = lambda host: True) -> None:  # fmt: skip
+        # Plain numbers: enumerations are written otherwise, and checksums are made of what is written.
+        self.me = msgspec.structs.replace(me, state=int(me.state), service=int(me.service))
+        self.fleet, self.terms, self.allowed = fleet, terms, allowed
+        self.born_life = me.life
+        self.seeds = tuple(dict.fromkeys(seed for seed in seeds if seed != me.address))
+        self.members: dict[str, Member] = {}
+        self.counts: Counter[str] = Counter()
+        self.health = 0  # 0: sound; grows with every sign that it is this instance that is slow
+        self.quiet = True  # not a member yet, or no longer
+        self.leaving = False
+        self.rival: Record | None = None  # another process that lives under our name
+        self.settled = False
+        self.changed_at = now
+        self.heard_any = not self.seeds
+        self.told: deque[tuple[int, float, Changed]] = deque(maxlen=TOLD_MOST)
+        self._told_number = 0
+        self._random = randoms.Random(seed)
+        self._number = 0
+        self._round: list[str] = []
+        self._probe: _Probe | None = None
+        self._favours: dict[int, _Favour] = {}
+        self._gossip: dict[str, int] = {}  # how often each record has been told
+        self._challenge: tuple[int, Record, float, int] | None = None  # a process under our name that is asked
+        self._digest: int | None = None
+        self._buckets: bytes | None = None
+        self.born = now
+        self._next_probe = now + terms.period * (0.5 + 0.5 * self._random.random())
+        self._next_sync = now
+        self._next_seed = now
+        self._seed_gap = terms.period / 2
+        self._out: list[Action] = []
+
+    # -- what others in this process ask ---------------------------------------------------------
+
+    @property
+    def due(self) -> float:
+        """When `on_time` wants to be called next."""
+        times = [self._next_probe, self._next_sync, self._next_seed]
+        if (probe := self._probe) is not None:
+            times.append(probe.ends if probe.asked else min(probe.ask_at, probe.ends))
+        if self._challenge is not None:
+            times.append(self._challenge[2])
+        times += [favour.until for favour in self._favours.values()]
+        for member in self.members.values():
+            if member.record.state == State.SUSPECT:
+                times.append(self._expires(member))
+            elif member.record.state >= State.DEAD:
+                times.append(min(member.call_at, self._ages(member)))
+        return min(times)
+
+    @property
+    def digest(self) -> int:
+        """Of the view: who is in it, of which life, and how each serves.  The same at all members once settled."""
+        if self._digest is None:
+            rows = sorted((record.name, record.life, record.service) for record in self.living())
+            self._digest = crc32(repr(rows).encode())
+        return self._digest
+
+    def living(self) -> list[Record]:
+        """All that are not dead or gone, this one included unless it stays out."""
+        found = [member.record for member in self.members.values() if member.record.state < State.DEAD]
+        return found if self.quiet or self.leaving else [*found, self.me]
+
+    @property
+    def seen(self) -> int:
+        """How many members live here, this one included."""
+        return len(self.living())
+
+    @property
+    def known(self) -> int:
+        """How many there are, dead ones too until they leave or are forgotten."""
+        return sum(member.record.state != State.LEFT for member in self.members.values()) + (not self.quiet)
+
+    @property
+    def majority(self) -> bool:
+        """Whether over half of all that are known live here; never while no seed was heard, or while it stays out.
+
+        All: also by the word of those that live.  One that has just joined a minority knows none of the dead.
+        """
+        known = max([self.known, *(member.known for member in self._alive())])
+        return self.heard_any and not self.quiet and not self.leaving and 2 * self.seen > known
+
+    def bound(self) -> float:
+        """s within which the view settles after the last fault, without loss."""
+        fleet = len(self.members) + 1
+        return max(self.terms.detected(fleet), self.terms.healed(fleet))
+
+    # -- events in -------------------------------------------------------------------------------
+
+    def on_time(self, now: float) -> list[Action]:
+        """Do what is due."""
+        self._awake(now)
+        if self.leaving:
+            self._next_probe = self._next_sync = self._next_seed = now + self.terms.period
+            return self._done()
+        if now >= self._next_seed:
+            self._call_seeds(now)
+        if self.quiet:
+            self._consider_joining(now)
+        if self._challenge is not None and now >= self._challenge[2]:
+            self._challenge_unanswered(now)
+        self._run_probe(now)
+        if now >= self._next_sync:
+            self._next_sync = now + self.terms.sync * (0.75 + 0.5 * self._random.random())
+            if (alive := self._alive()):
+                self._compare(self._random.choice(alive), now)
+        for name, member in list(self.members.items()):
+            self._time_of(name, member, now)
+        for number, favour in list(self._favours.items()):
+            if now >= favour.until:
+                del self._favours[number]
+                self._send(favour.sender, wire.NACK, probe=favour.number)
+        self._look_settled(now)
+        return self._done()
+
+    def on_datagram(self, data: bytes, host: str, now: float) -> list[Action]:
+        """Take a datagram in.  What is not for this member, or is no datagram, changes nothing and is counted."""
+        self._awake(now)
+        if not self.allowed(host):
+            return self._ignore("network")
+        try:
+            message = wire.read(data, self.fleet, self.terms.datagram)
+        except wire.Spoilt as problem:
+            return self._ignore(str(problem))
+        sender = message.sender
+        if sender.name == self.me.name:
+            self._same_name(message, now)
+            return self._done()
+        if message.to not in ("", self.me.name):
+            return self._ignore("not_me")
+        if not self.allowed(sender.host):
+            return self._ignore("network")  # it would have us send there
+        known = self.members.get(sender.name)
+        if known is not None and not message.quiet:
+            if sender.life < known.record.life:
+                # Also a repeat of an earlier life's datagram.  A process whose clock was set back learns of it here.
+                self._send(sender, wire.RECORDS, records=(known.record,))
+                return self._ignore("earlier_life")
+            if sender.life == known.record.life and not self._fresh(known, message.number):
+                return self._ignore("repeated")
+        self.counts["heard"] += 1
+        self.heard_any = True
+        if not message.quiet:
+            self._take(sender, now)
+            if (member := self.members.get(sender.name)) is not None:
+                if member.record.life == sender.life:
+                    member.digest, member.known = message.digest, message.known
+                    self._fresh(member, message.number)
+        for record in message.records:
+            self._take(record, now)
+        self._answer(message, now)
+        self._look_settled(now)
+        return self._done()
+
+    def on_service(self, service: Service, now: float) -> list[Action]:
+        """This process serves in another way from now on."""
+        if service != self.me.service and not self.leaving:
+            self._say(now, service=int(service))
+            self._event("changed", self.me, service.name.lower())
+        return self._done()
+
+    def on_print(self, fingerprint: str, now: float) -> list[Action]:
+        """Another file is in force."""
+        if fingerprint != self.me.print and not self.leaving:
+            self.me = msgspec.structs.replace(self.me, print=fingerprint)
+            self._say(now)
+        return self._done()
+
+    def on_leave(self, now: float) -> list[Action]:
+        """Say goodbye, to as many as one may at once; the others hear it from those."""
+        if not self.leaving:
+            if not self.quiet:
+                self._say(now, state=int(State.LEFT))
+                for member in self._random.sample(self._alive(), min(len(self._alive()), 32)):
+                    self._send(member.record, wire.RECORDS, records=(self.me,))
+            self.leaving = True
+            self._digest = None
+            self._event("left", self.me)
+        return self._done()
+
+    def on_forget(self, name: str, now: float) -> tuple[bool, list[Action]]:
+        """An operator says that a dead member will not come back; False where it lives or is not known."""
+        member = self.members.get(name)
+        if member is None or member.record.state < State.DEAD:
+            return False, self._done()
+        if member.record.state == State.DEAD:
+            self._take(msgspec.structs.replace(member.record, state=int(State.LEFT), by=self.me.name), now)
+        return True, self._done()
+
+    # -- time ------------------------------------------------------------------------------------
+
+    def _awake(self, now: float) -> None:
+        """An instance that was stopped or starved must not take its own silence for that of the others."""
+        gap = now - self.due
+        if gap <= PROBES_LATE * self.terms.period:
+            return
+        self.counts["stalls"] += 1
+        self.health = min(HEALTH_MOST, self.health + 2)
+        self._probe = None
+        self._favours.clear()
+        for member in self.members.values():
+            member.suspect_since += gap
+        self._next_probe = now + self.terms.answer * (1.0 + self._random.random())
+        self._next_sync = now  # the others may have gone on without it
+        if self._challenge is not None:
+            number, rival, _, tries = self._challenge
+            self._challenge = (number, rival, now + 2 * self.terms.answer, tries)
+        for member in self.members.values():
+            if member.record.state == State.DEAD:
+                member.call_at = max(member.call_at, now)
+        self._event("stalled", self.me, f"{gap:.3f} s")
+
+    def _time_of(self, name: str, member: Member, now: float) -> None:
+        state = member.record.state
+        if state == State.SUSPECT and now >= self._expires(member):
+            self._turn(member, msgspec.structs.replace(member.record, state=int(State.DEAD), by=self.me.name),
+                       Seen.EXPIRED, now)  # fmt: skip
+        elif state >= State.DEAD:
+            if now >= self._ages(member):
+                assert TABLE[State(state), Seen.AGED] is None
+                self._drop(name)
+            elif now >= member.call_at:
+                # Ever more seldom, and never in step with the others that lost it.
+                member.call_gap = min(self.terms.call_most, 2 * member.call_gap)
+                member.call_at = now + member.call_gap * (0.75 + 0.5 * self._random.random())
+                self.counts["calls"] += 1
+                self._compare(member, now)
+
+    def _drop(self, name: str) -> None:
+        member = self.members.pop(name)
+        self._gossip.pop(name, None)
+        self._digest = self._buckets = None
+        self._event("forgotten", member.record)
+
+    def _expires(self, member: Member) -> float:
+        fleet = len(self._alive()) + 1
+        return member.suspect_since + member.unsure + self.terms.suspected(fleet, max(0, len(member.by) - 1))
+
+    def _ages(self, member: Member) -> float:
+        return member.since + (self.terms.forget if member.record.state == State.DEAD else self.terms.gone)
+
+    def _alive(self) -> list[Member]:
+        return [member for member in self.members.values() if member.record.state < State.DEAD]
+
+    # -- joining, and names ------------------------------------------------------------------------
+
+    def _call_seeds(self, now: float) -> None:
+        """Those of the seeds at which nobody is known to live: at first often, then as seldom as the dead."""
+        living = {member.record.address for member in self._alive()}
+        for address in self.seeds:
+            if address not in living:
+                self.counts["seed_calls"] += 1
+                self._send_to(address, "", 0, wire.OLDEST, wire.SYNC, buckets=self._bucket_bytes())
+        self._seed_gap = min(self.terms.call_most, 2 * self._seed_gap)
+        if self.quiet and self.rival is not None:
+            self._challenge_rival(self.rival, now)
+        self._next_seed = now + self._seed_gap * (0.75 + 0.5 * self._random.random())
+
+    def _consider_joining(self, now: float) -> None:
+        """A member once the others' view is known and nobody lives under this name, or nobody answers."""
+        if self._challenge is None and self.rival is None:
+            if not self.seeds or self.members or now >= self.born + self.terms.period:
+                self._join(now)
+
+    def _join(self, now: float) -> None:
+        self.quiet = False
+        self._digest = self._buckets = None
+        self.changed_at = now
+        self._gossip[self.me.name] = 0
+        self._event("joined", self.me)
+        for member in self._alive()[:HELPERS]:
+            self._compare(member, now)
+
+    def _same_name(self, message: wire.Message, now: float) -> None:
+        """A datagram of a process under our own name."""
+        sender = message.sender
+        if sender.address == self.me.address or sender.life == self.me.life:
+            self._ignore("own")  # one's own, repeated, or of an earlier life at this address
+            return
+        if not self.allowed(sender.host):
+            self._ignore("network")
+            return
+        if message.kind == wire.PING:
+            # Who is younger stays out.  One that is out already has seen us, and asks whether we live.
+            self._contested(sender, out=not message.quiet and sender.life < self.me.life and not self.quiet, now=now)
+            self._send(sender, wire.ACK, probe=message.probe)
+        elif message.kind == wire.ACK and self._challenge is not None and message.probe == self._challenge[0]:
+            self._challenge = None
+            if message.quiet:
+                # It stays out: our record has to win over what it told before.
+                self._contested(sender, out=False, now=now)
+                if sender.life > self.me.life:
+                    self._live_again(sender.life + 1, now)
+            else:
+                self._contested(sender, out=self.quiet or sender.life < self.me.life, now=now)
+                self.rival = sender if self.quiet else None
+
+    def _contested(self, other: Record, out: bool, now: float) -> None:
+        self.counts["contested"] += 1
+        if out and not self.quiet:
+            self.quiet = True
+            self.rival = other
+            self._digest = self._buckets = None
+            self.changed_at = now
+        self._event("taken", other, "stays out" if self.quiet else "the other stays out")
+
+    def _challenge_rival(self, other: Record, now: float, tries: int = 3) -> None:
+        """Ask whether a process under our name still lives."""
+        if self._challenge is None:
+            number = self._next_number()
+            self._challenge = (number, other, now + 2 * self.terms.answer, tries - 1)
+            self._send_to(other.address, other.name, other.life, min(other.wire, wire.NEWEST), wire.PING, probe=number)
+
+    def _challenge_unanswered(self, now: float) -> None:
+        assert self._challenge is not None
+        _, other, _, tries = self._challenge
+        self._challenge = None
+        if tries > 0:
+            self._challenge_rival(other, now, tries)
+            return
+        # Nobody is there: the name is ours, as a new life of it.
+        if self.rival is not None:
+            self._event("freed", other)
+        self.rival = None
+        if other.life >= self.me.life:
+            self._live_again(other.life + 1, now)
+        if self.quiet:
+            self._join(now)
+
+    def _live_again(self, life: int, now: float) -> None:
+        """A greater life: our clock was set back, or another was told of under our name."""
+        self.me = msgspec.structs.replace(self.me, life=life, incarnation=0)
+        self._number = 0
+        self._told_anew(now)
+
+    def _told_anew(self, now: float) -> None:
+        self._digest = self._buckets = None
+        self._gossip[self.me.name] = 0
+        self.changed_at = now
+
+    def _say(self, now: float, state: int = 0, service: int | None = None) -> None:
+        self.me = msgspec.structs.replace(self.me, incarnation=self.me.incarnation + 1, state=state,
+                                          service=self.me.service if service is None else service)  # fmt: skip
+        self._told_anew(now)
+
+    def _about_me(self, record: Record, now: float) -> None:
+        """What others say of this name."""
+        me = self.me
+        if self.leaving:
+            return
+        if record.life == me.life:
+            if record.address != me.address and not self.quiet:
+                self._challenge_rival(record, now)
+            if record.state != State.ALIVE and record.incarnation >= me.incarnation and not self.quiet:
+                # Refuted by a greater incarnation.  Others had no word from us: a sign that we are slow.
+                self.me = msgspec.structs.replace(me, incarnation=record.incarnation)
+                self._say(now)
+                self.counts["refutations"] += 1
+                self.health = min(HEALTH_MOST, self.health + 1)
+            elif record.incarnation > me.incarnation:
+                self.me = msgspec.structs.replace(me, incarnation=record.incarnation)
+                self._say(now)
+            return
+        gone = record.state >= State.DEAD or record.address == me.address
+        if gone:
+            if record.life > me.life:
+                self._live_again(record.life + 1, now)
+        elif record.life > me.life or self.quiet:
+            self._challenge_rival(record, now)
+
+    # -- probes --------------------------------------------------------------------------------------
+
+    def _run_probe(self, now: float) -> None:
+        if (probe := self._probe) is not None:
+            member = self.members.get(probe.name)
+            if member is None or member.record.state >= State.DEAD:
+                self._probe = None
+            elif now >= probe.ends:
+                self._probe = None
+                self._unanswered(probe, member, now)
+            elif now >= probe.ask_at and not probe.asked:
+                helpers = [m for m in self._alive() if m is not member]
+                for helper in self._random.sample(helpers, min(HELPERS, len(helpers))):
+                    probe.asked += 1
+                    self._send(helper.record, wire.ASK, probe=probe.number, target=probe.name)
+                probe.asked = max(1, probe.asked)
+        if now >= self._next_probe and not self.quiet:
+            scale = 1.0 + self.health
+            self._next_probe = now + self.terms.period * scale
+            if (target := self._next_target()) is not None:
+                number = self._next_number()
+                self._probe = _Probe(target.record.name, number, now + self.terms.answer * scale, self._next_probe)
+                self.counts["probes"] += 1
+                self._send(target.record, wire.PING, probe=number)
+        elif self.quiet:
+            self._next_probe = now + self.terms.period
+
+    def _next_target(self) -> Member | None:
+        """Each once in a round, the rounds in another order each: nobody is missed for longer than two of them."""
+        while True:
+            if not self._round:
+                self._round = [member.record.name for member in self._alive()]
+                self._random.shuffle(self._round)
+                if not self._round:
+                    return None
+            member = self.members.get(self._round.pop())
+            if member is not None and member.record.state < State.DEAD:
+                return member
+
+    def _unanswered(self, probe: _Probe, member: Member, now: float) -> None:
+        self.counts["probes_unanswered"] += 1
+        missing = max(0, min(probe.asked, len(self._alive()) - 1) - probe.refused)
+        # Helpers that do not even say no: it may well be this instance that hears nothing (Lifeguard).
+        self.health = min(HEALTH_MOST, self.health + (1 if missing else 0))
+        if member.record.state == State.ALIVE:
+            record = msgspec.structs.replace(member.record, state=int(State.SUSPECT), by=self.me.name)
+            member.unsure = self.health * self.terms.period
+            self._turn(member, record, Seen.UNANSWERED, now)
+        elif member.record.state == State.SUSPECT and self.me.name not in member.by:
+            self._confirm(member, self.me.name)
+
+    def _confirm(self, member: Member, name: str) -> None:
+        """One more that suspects it: the more, the sooner it is believed."""
+        if name and name not in member.by and len(member.by) <= HELPERS:
+            member.by.add(name)
+            member.record = msgspec.structs.replace(member.record, by=name)
+            self._gossip[member.record.name] = 0
+
+    def _answer(self, message: wire.Message, now: float) -> None:
+        sender, kind = message.sender, message.kind
+        if kind == wire.PING:
+            self._send(sender, wire.ACK, probe=message.probe)
+        elif kind == wire.ACK:
+            if (probe := self._probe) is not None and probe.number == message.probe and probe.name == sender.name:
+                self._probe = None
+                self.health = max(0, self.health - 1)
+                self._next_probe = min(self._next_probe, now + self.terms.period * (1.0 + self.health))
+            elif (favour := self._favours.pop(message.probe, None)) is not None:
+                # The answer is that member's own word: its record goes with it.
+                self._send(favour.sender, wire.ACK, probe=favour.number, target=sender.name, records=(sender,))
+            elif (probe := self._probe) is not None and probe.number == message.probe and probe.name == message.target:
+                self._probe = None
+                self.counts["probes_indirect"] += 1
+        elif kind == wire.ASK:
+            target = self.members.get(message.target)
+            if target is None or len(self._favours) >= 4 * HELPERS + len(self.members):
+                self._send(sender, wire.NACK, probe=message.probe)
+                return
+            number = self._next_number()
+            # A no in time lets the one that asks doubt the other and not itself.
+            self._favours[number] = _Favour(sender, message.probe, now + 1.2 * self.terms.answer)
+            self._send(target.record, wire.PING, probe=number)
+        elif kind == wire.NACK:
+            if (probe := self._probe) is not None and probe.number == message.probe:
+                probe.refused += 1
+        elif kind in (wire.SYNC, wire.REPLY):
+            self._compared(message)
+
+    # -- records ---------------------------------------------------------------------------------------
+
+    def _take(self, record: Record, now: float) -> None:
+        """What somebody says of a member: taken where it is later than what is known."""
+        if record.name == self.me.name:
+            self._about_me(record, now)
+            return
+        member = self.members.get(record.name)
+        if not self.allowed(record.host):
+            self.counts["network"] += 1
+        elif member is None:
+            if TABLE.get((None, SAID[State(record.state)])) is None:
+                return
+            if len(self.members) >= MEMBERS_MOST:
+                self.counts["crowd"] += 1
+                return
+            self.members[record.name] = member = Member(record, now)
+            if record.state == State.SUSPECT:
+                member.by = {record.by}
+            self._round.insert(self._random.randint(0, len(self._round)), record.name)
+            self._told_of(record, now)
+            self._event("joined", record)
+        elif record.order > member.record.order:
+            self._turn(member, record, SAID[State(record.state)], now)
+        elif record.order == member.record.order:
+            if record.state == State.SUSPECT:
+                self._confirm(member, record.by)
+            if record.print and not member.record.print:  # what an older version left out
+                member.record = msgspec.structs.replace(member.record, print=record.print)
+
+    def _turn(self, member: Member, record: Record, seen: Seen, now: float) -> None:
+        """One step of the table, its events, and the gossip of it."""
+        before = member.record
+        if (State(before.state), seen) not in TABLE:
+            return
+        assert TABLE[State(before.state), seen] == record.state
+        member.record = record
+        if record.life != before.life:
+            member.digest = member.newest = -1
+            member.seen_numbers = 0
+        if record.state == State.SUSPECT:
+            if before.state != State.SUSPECT or record.order[:2] != before.order[:2]:
+                member.suspect_since, member.by = now, set()
+                if seen is not Seen.UNANSWERED:
+                    member.unsure = 0.0
+            member.by.add(record.by)
+        if record.state >= State.DEAD:
+            member.call_gap = self.terms.call
+            # One that has left wanted to: it is not called.
+            member.call_at = now + member.call_gap if record.state == State.DEAD else inf
+        if record.state != before.state or record.life != before.life:
+            member.since = now
+        self._told_of(record, now)
+        what = self._what(before, record)
+        if what:
+            self._event(what, record, record.by if record.state in (State.SUSPECT, State.DEAD) else "")
+
+    @staticmethod
+    def _what(before: Record, after: Record) -> str:
+        if after.state == State.ALIVE:
+            if before.state >= State.DEAD or after.life != before.life:
+                return "returned"
+            if before.state == State.SUSPECT:
+                return "refuted"
+            return "changed" if after.service != before.service else ""
+        if after.state == before.state and after.life == before.life:
+            return ""
+        return {State.SUSPECT: "suspected", State.DEAD: "died", State.LEFT: "left"}[State(after.state)]
+
+    def _told_of(self, record: Record, now: float) -> None:
+        self._gossip[record.name] = 0
+        self._digest = self._buckets = None
+        self.changed_at = now
+
+    def _look_settled(self, now: float) -> None:
+        """Whether all that live have told the same digest as ours last."""
+        alive = self._alive()
+        settled = not self.quiet and all(m.record.state == State.ALIVE and m.digest == self.digest for m in alive)
+        if settled != self.settled:
+            self.settled = settled
+            if settled:
+                self._event("settled", self.me, f"{len(alive) + 1} members, digest {self.digest:08x}")
+
+    def _fresh(self, member: Member, number: int) -> bool:
+        """Whether a datagram of this number has not come before; what is too old to know counts as come."""
+        if number > member.newest:
+            shift = number - member.newest
+            member.seen_numbers = (member.seen_numbers << shift | 1) & (1 << WINDOW) - 1 if shift < WINDOW else 1
+            member.newest = number
+            return True
+        back = member.newest - number
+        if back >= WINDOW or member.seen_numbers >> back & 1:
+            return False
+        member.seen_numbers |= 1 << back
+        return True
+
+    # -- comparing views -------------------------------------------------------------------------------
+
+    def _bucket_bytes(self) -> bytes:
+        """A checksum of the living in each bucket of names."""
+        if self._buckets is None:
+            sums = [0] * BUCKETS
+            for record in self.living():
+                # A sum of checksums: the same in whatever order.
+                sums[_bucket(record.name)] += crc32(f"{record.name} {record.order}".encode())
+            self._buckets = b"".join((total & 0xFFFFFFFF).to_bytes(4, "big") for total in sums)
+        return self._buckets
+
+    def _compare(self, member: Member, now: float) -> None:
+        self.counts["syncs"] += 1
+        self._send(member.record, wire.SYNC, buckets=self._bucket_bytes())
+
+    def _compared(self, message: wire.Message) -> None:
+        """Tell what the other lacks; the first of the two messages is answered with our own checksums."""
+        mine, theirs = self._bucket_bytes(), message.buckets
+        if len(theirs) != len(mine):
+            self.counts["garbage"] += 1
+            return
+        differ = {n for n in range(BUCKETS) if mine[4 * n : 4 * n + 4] != theirs[4 * n : 4 * n + 4]}
+        records = [member.record for name, member in self.members.items()
+                   if _bucket(name) in differ and name != message.sender.name]  # fmt: skip
+        # Who lives first: where not all fits, the next comparison goes on from there.
+        records.sort(key=lambda record: (record.state >= State.DEAD, self._random.random()))
+        if message.kind == wire.SYNC:
+            sent = self._send(message.sender, wire.REPLY, buckets=mine, records=records, only=True)
+        else:
+            sent = 0
+        for _ in range(REPLIES_MOST):
+            if sent >= len(records):
+                return
+            sent += self._send(message.sender, wire.RECORDS, records=records[sent:], only=True)
+
+    # -- datagrams out -----------------------------------------------------------------------------------
+
+    def _next_number(self) -> int:
+        return self._random.getrandbits(48)
+
+    def _send(self, to: Record, kind: int, probe: int = 0, target: str = "", buckets: bytes = b"",
+              records: Iterable[Record] = (), only: bool = False) -> int:  # fmt: skip
+        """Send to a member; how many of the records went along.  `only`: these, and no gossip behind them."""
+        first = [record for record in records if record.name != to.name]
+        member = self.members.get(to.name)
+        if member is not None and (member.record.state != State.ALIVE or member.record.life != to.life):
+            first.insert(0, member.record)  # it has to hear first what is said of it, or of its name
+        own = len(first)
+        gossip = [] if only else self._chosen({record.name for record in first} | {to.name})
+        sent = self._send_to(to.address, to.name, to.life, min(to.wire, wire.NEWEST), kind, probe, target, buckets,
+                             [*first, *gossip])  # fmt: skip
+        limit = GOSSIP * ceil(log2(len(self.members) + 2))
+        for record in [*first, *gossip][own:sent]:
+            self._gossip[record.name] += 1
+            if self._gossip[record.name] >= limit:
+                del self._gossip[record.name]
+        return min(sent, own)
+
+    def _chosen(self, without: set[str]) -> list[Record]:
+        """Records to tell along, the least told first."""
+        if not self._gossip:
+            return []
+        names = sorted((times, self._random.random(), name) for name, times in self._gossip.items()
+                       if name not in without)  # fmt: skip
+        found = []
+        for _, _, name in names[: wire.RECORDS_MOST]:
+            if name == self.me.name:
+                if not self.quiet:
+                    found.append(self.me)
+            elif name in self.members:
+                found.append(self.members[name].record)
+        return found
+
+    def _send_to(self, address: Address, to: str, life: int, version: int, kind: int, probe: int = 0, target: str = "",
+                 buckets: bytes = b"", records: Sequence[Record] = ()) -> int:  # fmt: skip
+        self._number += 1
+        message = wire.Message(self.fleet, to, life, self.quiet, kind, self._number, probe, self.digest, self.me,
+                               target, buckets, known=self.known)  # fmt: skip
+        data, held = wire.write(message, records, version, self.terms.datagram)
+        self.counts["sent"] += 1
+        self.counts["bytes"] += len(data)
+        self._out.append(Send(address, data))
+        return held
+
+    def _event(self, what: str, record: Record, told: str = "") -> None:
+        found = Changed(what, record.name, record.life, record.incarnation, told)
+        self._told_number += 1
+        self.told.append((self._told_number, self.changed_at, found))
+        self._out.append(found)
+
+    def _done(self) -> list[Action]:
+        out, self._out = self._out, []
+        return out
+
+    def _ignore(self, why: str) -> list[Action]:
+        self.counts[why] += 1
+        return self._done()
+
+
+def _bucket(name: str) -> int:
+    return crc32(name.encode()) % BUCKETS
--- a/thistleshore/metrics.py
+++ b/thistleshore/metrics.py
@@ -74,6 +74,27 @@
         yield files
 
 
+class View(Collector):
+    """The view of the fleet, as this member has it."""
+
+    def __init__(self, members: Callable[[], Mapping[str, Any]], status: Callable[[], Mapping[str, Any]]) -> None:
+        self.members, self.status = members, status
+
+    def collect(self) -> Iterator[Metric]:
+        rows, status = self.members()["members"], self.status()
+        states = GaugeMetricFamily("thistleshore_fleet_members", "members by state", labels=("state",))
+        for state in ("alive", "suspect", "dead", "left"):
+            states.add_metric((state,), sum(row["state"] == state for row in rows))
+        yield states
+        for name in ("settled", "majority", "health", "unchanged", "seen", "known"):
+            yield GaugeMetricFamily(f"thistleshore_fleet_{name}", f"as `fleet status` tells `{name}`", status[name])
+        events = CounterMetricFamily("thistleshore_fleet_events", "probes, refutations, bytes, what was not heard",
+                                     labels=("kind",))  # fmt: skip
+        for kind, count in status["counts"].items():
+            events.add_metric((kind,), count)
+        yield events
+
+
 class Page:
     """Serves `GET /metrics`, one request a connection."""
 
--- a/thistleshore/restart/estate.py
+++ b/thistleshore/restart/estate.py
@@ -5,7 +5,7 @@
 import logging
 from collections.abc import Mapping, Sequence
 from dataclasses import replace
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import trio
 
@@ -23,6 +23,9 @@
 from thistleshore.platform.upstream import Upstreams
 from thistleshore.restart.carrier import HasFile, Inherited, Link, Succession
 
+if TYPE_CHECKING:  # an operator's
+    from thistleshore.fleet.carrier import Carrier
+
 log = logging.getLogger("thistleshore")
 
 HEALTH = {state: health for health, state in STATES.items()}
@@ -67,6 +70,7 @@
                  watch: Discovery | None) -> None:  # fmt: skip
         self.plan, self.broker, self.downstream, self.upstreams = plan, broker, downstream, upstreams
         self.peers, self.watch = peers, watch
+        self.fleet: Carrier | None = None
         self.succession = Succession(plan.restart, self)
 
     def leave(self) -> tuple[dict[str, Any], Sequence[tuple[str, HasFile]]]:
@@ -87,6 +91,10 @@
             sockets.append(("listener", self.downstream.gate.listener.socket))
         if self.peers is not None:
             sockets.append(("peers", self.peers.socket))
+        if self.fleet is not None:
+            values["fleet"] = self.fleet.left_here()
+            if self.fleet.socket is not None:
+                sockets.append(("fleet", self.fleet.socket))
         return values, sockets
 
     def step_aside(self, aside: bool) -> None:
@@ -97,6 +105,8 @@
         self.downstream.gate.step_aside(aside)
         if self.peers is not None:
             self.peers.step_aside(aside)
+        if self.fleet is not None:
+            self.fleet.step_aside(aside)
         settings = self.plan.settings
         if settings.budget is not None:
             # What is free in any span of time is the next process's now: together they must not spend it twice.
