Start several processes with relays that break between them, and judge by ground truth

Need: nothing in the repository started several processes and broke what lies between. thistleshore/rig starts real processes, stand-in workers and open-loop load, with a link for each directed pair (UDP and TCP: loss, delay, repeat, reorder, cut, silence, reset), SIGKILL/STOP/TERM and a CPU hog; worlds as TOML or drawn by seed; checks that read the record alone; rig run|list|report with table and chart. Now a life that is already known before joining is raised, and a hot restart hands its number on.

--- /dev/null
+++ b/benchmarks/fleet_beats.py
@@ -0,0 +1,86 @@
+"""Baselines for the view: heartbeats of all to all, and the fixed list as the exchange of shares has it.
+
+Both play on `fleet_net.Net` in the place of the machine: the same fields, as far as the network and the measures need
+them.  A heartbeat goes from each to each every period; who is silent for `suspicion` periods is dead until heard again.
+"""
+
+from __future__ import annotations
+
+import json
+from collections import Counter
+from collections.abc import Sequence
+from math import inf
+from zlib import crc32
+
+import msgspec
+
+from thistleshore.fleet.model import Action, Address, Changed, Record, Send, Service, State, Terms
+
+
+class _Other:
+    def __init__(self, record: Record, now: float) -> None:
+        self.record, self.heard = record, now
+
+
+class Beats:
+    """Heartbeats of all to all; each carries the sender's own record and the addresses that it knows."""
+
+    def __init__(self, fleet: str, me: Record, terms: Terms, seeds: Sequence[Address], now: float,
+                 seed: int = 0) -> None:  # fmt: skip
+        self.fleet, self.me, self.terms, self.seeds = fleet, me, terms, [s for s in seeds if s != me.address]
+        self.members: dict[str, _Other] = {}
+        self.counts: Counter[str] = Counter()
+        self.due = now
+        self.quiet = False
+
+    @property
+    def digest(self) -> int:
+        return crc32(repr(sorted((r.name, r.life, r.service) for r in self.living())).encode())
+
+    @property
+    def majority(self) -> bool:
+        return 2 * len(self.living()) > len(self.members) + 1
+
+    def living(self) -> list[Record]:
+        return [self.me, *(m.record for m in self.members.values() if m.record.state == State.ALIVE)]
+
+    def on_time(self, now: float) -> list[Action]:
+        out: list[Action] = []
+        for member in self.members.values():
+            silent = now - member.heard > self.terms.suspicion * self.terms.period
+            if silent and member.record.state == State.ALIVE:
+                member.record = msgspec.structs.replace(member.record, state=int(State.DEAD))
+                out.append(Changed("died", member.record.name))
+        known = {member.record.address for member in self.members.values()}
+        data = json.dumps([msgspec.structs.astuple(self.me), sorted(known | {self.me.address})]).encode()
+        out += [Send(address, data) for address in known | set(self.seeds)]
+        self.due = now + self.terms.period
+        return out
+
+    def on_datagram(self, data: bytes, host: str, now: float) -> list[Action]:
+        fields, addresses = json.loads(data)
+        record = Record(*fields)
+        out: list[Action] = []
+        member = self.members.get(record.name)
+        if member is None or member.record.life <= record.life:
+            if member is None or member.record.state != State.ALIVE:
+                out.append(Changed("joined" if member is None else "returned", record.name))
+            self.members[record.name] = _Other(record, now)
+        known = {m.record.address for m in self.members.values()} | set(self.seeds) | {self.me.address}
+        self.seeds += [address for address in map(tuple, addresses) if address not in known]
+        return out
+
+    def on_leave(self, now: float) -> list[Action]:
+        return []
+
+    def on_service(self, service: Service, now: float) -> list[Action]:
+        return []
+
+
+class Listed(Beats):
+    """The fixed list: all that the file names are the fleet, whatever happens."""
+
+    def __init__(self, fleet: str, me: Record, terms: Terms, seeds: Sequence[Address], now: float,
+                 seed: int = 0) -> None:  # fmt: skip
+        super().__init__(fleet, me, terms, seeds, now, seed)
+        self.due = inf
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -176,6 +176,36 @@
     assert net.settled() and machine.me.life > before and not machine.quiet
 
 
+def test_a_restart_that_finds_its_own_life_taken_is_a_later_one() -> None:
+    """Else its datagrams, which are numbered anew, would count as repeated, and it would be suspected."""
+    net = fleet(4)
+    life = net.nodes["n3"].machine.me.life  # type: ignore[union-attr]
+    net.kill("n3")
+    machine = net.start("n3", ["n0", "n1"], life=life)
+    assert net.run_until(net.settled, TERMS.healed(4)) is not None
+    since = net.now
+    net.run(net.now + 5)
+    assert machine.me.life == life + 1 and not machine.counts["refutations"]
+    events = [event for node in net.nodes.values() for when, event in node.events if when > since]
+    assert not any(event.what == "suspected" for event in events)
+
+
+def test_a_life_that_goes_on_in_another_process_is_heard_at_once() -> None:
+    net = fleet(4)
+    node = net.nodes["n3"]
+    before = node.machine
+    assert before is not None
+    me = msgspec.structs.replace(before.me, incarnation=before.me.incarnation + 64)
+    node.machine = after = Fleet("f", me, TERMS, [net.nodes["n0"].address], net.now, 5, number=before.number + 1000)
+    net._carry(node, after.on_time(net.now))
+    since = net.now
+    net.run(net.now + 5)
+    assert net.settled() and after.me.life == before.me.life
+    assert not any(event.what in ("suspected", "died", "returned") and when > since
+                   for other in net.nodes.values() if other is not node for when, event in other.events)  # fmt: skip
+    assert not any(m.counts["repeated"] for m in net.live())
+
+
 def test_a_joiner_whose_seeds_are_dead_joins_once_one_lives() -> None:
     net = fleet(3)
     alone = Net(["x", "y"], TERMS, 4)
--- a/thistleshore/cli/__init__.py
+++ b/thistleshore/cli/__init__.py
@@ -48,6 +48,7 @@
     "admin": Later("admin", "Ask a dispatcher that runs; take hosts out and call them back."),
     "fleet": Later("fleet", "Show and follow the view of the fleet; leave it, or have it forget a dead member."),
     "contracts": Later("contracts", "Show the agreements of an operator's file and their shares."),
+    "rig": Later("rig", "Start several processes, break what lies between them, and check what came of it."),
     "load": Later("load", "Send open-loop load, and tell what came of it."),
     "import": Later("imports", "Turn another program's configuration into an operator's file."),
     "completion": Later("completion", "Print the completion script of a shell."),
--- a/thistleshore/fleet/carrier.py
+++ b/thistleshore/fleet/carrier.py
@@ -30,6 +30,7 @@
 GOODBYES, GOODBYE_GAP = 3, 0.02  # a goodbye may be lost
 BOUND_AGAIN = 1.0  # s before an address that is taken is tried again
 APART = 64  # incarnations that the next process of a hot restart begins above those of the one before
+NUMBERS_APART = 100_000  # and numbers of datagrams: the one before goes on sending until the next one serves
 
 
 class Carrier:
@@ -50,14 +51,16 @@
                     self._allowed[host] = found
             return found
 
-        life, incarnation = int(time.time() * 1000), 0
-        if before is not None and isinstance(before.get("life"), int) and isinstance(before.get("incarnation"), int):
+        life, incarnation, number = int(time.time() * 1000), 0, 0
+        if before is not None and all(isinstance(before.get(key), int) for key in ("life", "incarnation", "number")):
             life, incarnation = before["life"], before["incarnation"] + APART
+            number = before["number"] + NUMBERS_APART
         host, port = plan.advertise
         me = Record(name, host, port, plan.zone, max(1, life), incarnation, int(State.ALIVE), int(service()),
                     wire.NEWEST, __version__, print=fingerprint)  # fmt: skip
         now = trio.current_time()
-        self.machine = Fleet(plan.name, me, plan.terms, plan.seeds, now, int.from_bytes(os.urandom(8), "big"), allowed)
+        self.machine = Fleet(plan.name, me, plan.terms, plan.seeds, now, int.from_bytes(os.urandom(8), "big"), allowed,
+                             number)  # fmt: skip
         self.subscribers: list[trio.MemorySendChannel[Changed]] = []
         self.socket: trio.socket.SocketType | None = (
             trio.socket.from_stdlib_socket(inherited) if inherited is not None else None
@@ -98,7 +101,8 @@
 
     def left_here(self) -> dict[str, Any]:
         """What the next process of a hot restart goes on with."""
-        return {"life": self.machine.me.life, "incarnation": self.machine.me.incarnation}
+        me = self.machine.me
+        return {"life": me.life, "incarnation": me.incarnation, "number": self.machine.number}
 
     def on_file(self, told: Mapping[str, Any]) -> None:
         """Another file is in force: its fingerprint is told with what is sent next."""
--- a/thistleshore/fleet/machine.py
+++ b/thistleshore/fleet/machine.py
@@ -66,7 +66,8 @@
     """The view of one process; `me.life` above zero, `allowed` says whether a host may be sent to."""
 
     def __init__(self, fleet: str, me: Record, terms: Terms, seeds: Sequence[Address], now: float, seed: int = 0,
-                 allowed: Callable[[str], bool] = lambda host: True) -> None:  # fmt: skip
+                 allowed: Callable[[str], bool] = lambda host: True, number: int = 0) -> None:  # fmt: skip
+        """`number` is that of the last datagram of a life that goes on here, after a hot restart."""
         # Plain numbers: enumerations are written otherwise, and checksums are made of what is written.
         self.me = msgspec.structs.replace(me, state=int(me.state), service=int(me.service))
         self.fleet, self.terms, self.allowed = fleet, terms, allowed
@@ -84,7 +85,8 @@
         self.told: deque[tuple[int, float, Changed]] = deque(maxlen=TOLD_MOST)
         self._told_number = 0
         self._random = randoms.Random(seed)
-        self._number = 0
+        self.number = number
+        self._goes_on = number > 0
         self._round: list[str] = []
         self._probe: _Probe | None = None
         self._favours: dict[int, _Favour] = {}
@@ -217,6 +219,10 @@
                     self._fresh(member, message.number)
         for record in message.records:
             self._take(record, now)
+        if message.quiet and known is not None:
+            # Whoever is about to join has to hear who had its name, and of which life.
+            self._send_to(sender.address, sender.name, sender.life, min(sender.wire, wire.NEWEST), wire.RECORDS,
+                          records=(known.record,))  # fmt: skip
         self._answer(message, now)
         self._look_settled(now)
         return self._done()
@@ -399,7 +405,7 @@
     def _live_again(self, life: int, now: float) -> None:
         """A greater life: our clock was set back, or another was told of under our name."""
         self.me = msgspec.structs.replace(self.me, life=life, incarnation=0)
-        self._number = 0
+        self.number = 0
         self._told_anew(now)
 
     def _told_anew(self, now: float) -> None:
@@ -417,7 +423,10 @@
         me = self.me
         if self.leaving:
             return
-        if record.life == me.life:
+        if record.life == me.life and self.quiet and not self._goes_on:
+            # Nobody can know of a life that has not joined: an earlier process had it, and a clock was set back.
+            self._live_again(me.life + 1, now)
+        elif record.life == me.life:
             if record.address != me.address and not self.quiet:
                 self._challenge_rival(record, now)
             if record.state != State.ALIVE and record.incarnation >= me.incarnation and not self.quiet:
@@ -429,7 +438,12 @@
             elif record.incarnation > me.incarnation:
                 self.me = msgspec.structs.replace(me, incarnation=record.incarnation)
                 self._say(now)
-            return
+        else:
+            self._another_life(record, now)
+
+    def _another_life(self, record: Record, now: float) -> None:
+        """What others say of a life under this name that is not ours."""
+        me = self.me
         gone = record.state >= State.DEAD or record.address == me.address
         if gone:
             if record.life > me.life:
@@ -697,8 +711,8 @@
 
     def _send_to(self, address: Address, to: str, life: int, version: int, kind: int, probe: int = 0, target: str = "",
                  buckets: bytes = b"", records: Sequence[Record] = ()) -> int:  # fmt: skip
-        self._number += 1
-        message = wire.Message(self.fleet, to, life, self.quiet, kind, self._number, probe, self.digest, self.me,
+        self.number += 1
+        message = wire.Message(self.fleet, to, life, self.quiet, kind, self.number, probe, self.digest, self.me,
                                target, buckets, known=self.known)  # fmt: skip
         data, held = wire.write(message, records, version, self.terms.datagram)
         self.counts["sent"] += 1
--- a/thistleshore/load/plan.py
+++ b/thistleshore/load/plan.py
@@ -48,6 +48,7 @@
     late_share: Part = 0.2  # of the worth, for what is answered later
     fresh: Part = 0.0  # of the requests that take a connection of their own
     again: Again = Again()
+    keyed: bool = False  # each first try and its repeats have a key of their own
 
 
 class LoadPlan(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/thistleshore/load/run.py
+++ b/thistleshore/load/run.py
@@ -9,7 +9,7 @@
 import errno
 import os
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 import trio
@@ -44,14 +44,17 @@
 
 
 class Sender:
-    """One process's part of a plan."""
+    """One process's part of a plan.  `watch(what, name, key, told)` hears of each try: asked, answered, abandoned."""
 
-    def __init__(self, plan: LoadPlan, part: int = 0, parts: int = 1, spin: float = SPIN) -> None:
+    def __init__(self, plan: LoadPlan, part: int = 0, parts: int = 1, spin: float = SPIN,
+                 watch: Callable[[str, str, str, str], None] = lambda what, name, key, told: None) -> None:  # fmt: skip
+        self.watch = watch
         self.plan, self.part, self.parts, self.spin = plan, part, parts, spin
         self.result = Result(plan)
         self._kept: deque[Kept] = deque()
         self._name = f"{os.getpid():x}-{plan.seed:x}-{part:x}"
         self._numbers = 0
+        self.closing = False  # no further request is sent; what was, is waited for
 
     async def run(self, planned: Iterable[Arrival] | None = None) -> Result:
         """Play the plan to its end; cancelled, the result is what is known, marked partial."""
@@ -60,10 +63,12 @@
         try:
             async with trio.open_nursery() as nursery:
                 for arrival in arrivals(self.plan, self.part, self.parts) if planned is None else planned:
-                    if self.result.sent >= self.plan.requests_most:
+                    if self.closing or self.result.sent >= self.plan.requests_most:
                         break
                     # Behind its time it still hands over to the clients' tasks, or it would starve their answers.
                     await _until(self._start + arrival.when, self.spin)
+                    if self.closing:
+                        break
                     nursery.start_soon(self._client, arrival)
             self.result.partial = False
         finally:
@@ -91,12 +96,28 @@
         self.result.on_end(arrival.source, arrival.when, outcome, trio.current_time() - meant)
 
     async def _ask(self, source: Source, arrival: Arrival, meant: float | None, marked: bool) -> Answer:
-        taken = trio.current_time()
         self._numbers += 1
+        name = f"{self._name}-{self._numbers:x}"
+        key = f"{self.plan.seed % 2**16:04x}{self.part:02x}{arrival.source:02x}{arrival.number:08x}"
+        key = key if source.keyed else ""
+        self.watch("asked", name, key, source.job_class)
+        answer, told = None, ""
+        try:
+            answer = await self._try(source, arrival, meant, marked, name, key)
+            told = str(answer.status)
+        finally:
+            # Cancelled: the client has given up, or the run ends.
+            self.watch("answered" if answer is not None and answer.status else "abandoned", name, key, told)
+        return answer
+
+    async def _try(self, source: Source, arrival: Arrival, meant: float | None, marked: bool, name: str,
+                   key: str) -> Answer:  # fmt: skip
+        taken = trio.current_time()
         head = (f"POST {source.path or '/' + source.job_class} HTTP/1.1\r\nHost: {self.plan.target}\r\n"
-                f"X-Txn: {self._name}-{self._numbers:x}\r\nX-Remaining-Ms: {int(1000 * source.deadline)}\r\n"
+                f"X-Txn: {name}\r\nX-Remaining-Ms: {int(1000 * source.deadline)}\r\n"
                 f"Content-Length: {source.size}\r\n")  # fmt: skip
         head += f"X-Org: {source.member}\r\n" if source.member else ""
+        head += f"Cookie: k={key}\r\n" if key else ""
         head += "X-Resent: 1\r\n" if marked else ""
         head += "Connection: close\r\n" if arrival.fresh else ""
         data = head.encode() + b"\r\n" + b"x" * source.size
--- /dev/null
+++ b/thistleshore/rig/processes.py
@@ -0,0 +1,119 @@
+"""Real processes of the program: started by their own file, stopped, slowed and ended, and never left behind."""
+
+from __future__ import annotations
+
+import ctypes
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+import trio
+
+PORTS = (20000, 32000)  # below those that the system gives to whoever connects
+PROGRAM = (sys.executable, "-O", "-m", "thistleshore")
+DIES_WITH_PARENT = 1  # PR_SET_PDEATHSIG
+HOG = "import sys, time\nend = time.monotonic() + float(sys.argv[1])\nwhile time.monotonic() < end: pass\n"
+_libc = ctypes.CDLL(None, use_errno=True)
+
+
+def _die_with_parent() -> None:
+    # If the rig itself is killed its children must not go on.
+    _libc.prctl(DIES_WITH_PARENT, signal.SIGKILL)
+
+
+def free_ports(count: int) -> list[int]:
+    """Ports on loopback that nobody has now, for UDP and TCP."""
+    found: list[int] = []
+    held: list[socket.socket] = []
+    try:
+        while len(found) < count:
+            port = random.randrange(*PORTS)
+            pair = (socket.socket(socket.AF_INET, socket.SOCK_STREAM), socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
+            held += pair
+            try:
+                for made in pair:
+                    made.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            found.append(port)
+    finally:
+        for made in held:
+            made.close()
+    return found
+
+
+class Process:
+    """One process of the program, through all its lives.  Must be started by the main thread: the system ends a child
+    with the thread that started it."""
+
+    def __init__(self, name: str, file: Path, command: Sequence[str] = PROGRAM) -> None:
+        self.name, self.file, self.command = name, file, tuple(command)
+        self.log = file.with_suffix(".log")
+        self.child: subprocess.Popen[bytes] | None = None
+        self.stopped = False
+        self._hogs: list[subprocess.Popen[bytes]] = []
+
+    @property
+    def runs(self) -> bool:
+        """Alive, and not stopped."""
+        return self.lives and not self.stopped
+
+    @property
+    def lives(self) -> bool:
+        return self.child is not None and self.child.poll() is None
+
+    def start(self) -> None:
+        """A new life, unless one lives."""
+        if self.lives:
+            return
+        with self.log.open("ab") as log:
+            self.child = subprocess.Popen(
+                [*self.command, "serve", "--config", str(self.file)], stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+                preexec_fn=_die_with_parent,
+            )  # fmt: skip
+        self.stopped = False
+
+    def signal(self, number: signal.Signals) -> None:
+        if self.child is not None and self.lives:
+            self.child.send_signal(number)
+            if number in (signal.SIGSTOP, signal.SIGCONT):
+                self.stopped = number == signal.SIGSTOP
+
+    async def ended(self, within: float) -> int | None:
+        """Its exit status, or None where it lives on after so many seconds."""
+        with trio.move_on_after(within):
+            while self.lives:
+                await trio.sleep(0.01)
+        return None if self.child is None else self.child.poll()
+
+    def slow(self, seconds: float, hogs: int = 2) -> None:
+        """Have it share one core with so many that never rest, for so long at the most."""
+        if self.child is None or not self.lives:
+            return
+        core = {sorted(os.sched_getaffinity(0))[hash(self.name) % len(os.sched_getaffinity(0))]}
+        os.sched_setaffinity(self.child.pid, core)
+        for _ in range(min(8, hogs)):
+            made = subprocess.Popen([sys.executable, "-S", "-c", HOG, str(seconds)], preexec_fn=_die_with_parent)
+            os.sched_setaffinity(made.pid, core)
+            self._hogs.append(made)
+
+    def rest(self) -> None:
+        """End what slows it."""
+        for made in self._hogs:
+            made.kill()
+            made.wait()
+        self._hogs.clear()
+        if self.child is not None and self.lives:
+            os.sched_setaffinity(self.child.pid, os.sched_getaffinity(0))
+
+    def end(self) -> None:
+        """At once, whatever state it is in."""
+        self.rest()
+        if self.child is not None:
+            self.child.kill()
+            self.child.wait()
--- /dev/null
+++ b/thistleshore/rig/relay.py
@@ -0,0 +1,170 @@
+"""Links between processes, each of one direction, and the relays that carry them: UDP by receiver, TCP by pair.
+
+A datagram's sender is known by its source address, as each process sends from where it listens.  A relay's port
+stands in for the receiver's: the program is told it as an ordinary address.
+"""
+
+from __future__ import annotations
+
+import random as randoms
+import socket as sockets
+import struct
+from collections import Counter
+from collections.abc import Mapping
+from contextlib import suppress
+
+import trio
+
+Address = tuple[str, int]
+RECEIVE = 65536
+HELD_MOST = 2000  # datagrams on their way in one link
+REORDERED = 0.05  # s by which one that is overtaken is late
+LINGER = struct.pack("ii", 1, 0)  # closing sends a reset
+
+
+class Link:
+    """One direction between two; what is set here holds for what comes from now on."""
+
+    def __init__(self) -> None:
+        self.loss = self.delay = self.jitter = self.repeat = self.reorder = 0.0
+        self.cuts = 0  # how many faults cut it
+        self.silent = 0  # TCP: connections stay and carry nothing
+        self.whole = trio.Event()
+        self.whole.set()
+        self.resets = trio.Event()
+        self.counts: Counter[str] = Counter()
+        self.held = 0
+
+    def stop(self, silent: bool = False) -> None:
+        if silent:
+            self.silent += 1
+        else:
+            self.cuts += 1
+        if self.whole.is_set():
+            self.whole = trio.Event()
+
+    def heal(self, silent: bool = False) -> None:
+        if silent:
+            self.silent -= 1
+        else:
+            self.cuts -= 1
+        if not (self.cuts or self.silent):
+            self.whole.set()
+
+    def reset(self) -> None:
+        """End every connection on it with a reset."""
+        self.resets.set()
+        self.resets = trio.Event()
+
+
+class Links:
+    """All links of a rig, by who sends and who receives."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = randoms.Random(seed)
+        self._links: dict[tuple[str, str], Link] = {}
+        self.callers: dict[int, str] = {}  # who is behind a relay's connection, by its local port
+
+    def between(self, sender: str, receiver: str) -> Link:
+        return self._links.setdefault((sender, receiver), Link())
+
+
+async def carry_datagrams(links: Links, receiver: str, target: Address, senders: Mapping[Address, str],
+                          relay: trio.socket.SocketType) -> None:  # fmt: skip
+    """Pass on what comes to `relay`, a bound socket, until cancelled; what is on its way then is lost."""
+    chance = links.random.random
+    async with trio.open_nursery() as nursery:
+
+        async def late(link: Link, data: bytes, wait: float) -> None:
+            link.held += 1
+            try:
+                await trio.sleep(wait)
+                if not link.cuts:
+                    await send(data)
+            finally:
+                link.held -= 1
+
+        async def send(data: bytes) -> None:
+            with suppress(OSError):  # nobody is there
+                await relay.sendto(data, target)
+
+        while True:
+            try:
+                data, source = await relay.recvfrom(RECEIVE)
+            except OSError:  # an ICMP answer: the receiver is down
+                await trio.sleep(0)
+                continue
+            sender = senders.get(source[:2])
+            if sender is None:
+                continue
+            link = links.between(sender, receiver)
+            link.counts["datagrams"] += 1
+            link.counts["bytes"] += len(data)
+            if link.cuts or link.silent or chance() < link.loss or link.held >= HELD_MOST:
+                link.counts["lost"] += 1
+                continue
+            for _ in range(2 if chance() < link.repeat else 1):
+                wait = link.delay + link.jitter * chance() + (REORDERED * chance() if chance() < link.reorder else 0.0)
+                if wait:
+                    nursery.start_soon(late, link, data, wait)
+                else:
+                    await send(data)
+
+
+async def carry_connections(links: Links, sender: str, receiver: str, target: Address,
+                            listener: trio.SocketListener) -> None:  # fmt: skip
+    """Pass on connections from one process to another until cancelled.
+
+    A cut link takes connections and carries nothing, as a network does that drops packets; a reset ends them.
+    """
+    there, back = links.between(sender, receiver), links.between(receiver, sender)
+
+    async def connection(near: trio.SocketStream) -> None:
+        try:
+            far = await trio.open_tcp_stream(*target)
+        except OSError:
+            _reset(near)
+            return
+        port = far.socket.getsockname()[1]
+        links.callers[port] = sender
+        try:
+            async with trio.open_nursery() as nursery:
+
+                async def pump(link: Link, source: trio.SocketStream, sink: trio.SocketStream) -> None:
+                    try:
+                        while data := await source.receive_some(RECEIVE):
+                            if link.delay or link.jitter:
+                                await trio.sleep(link.delay + link.jitter * links.random.random())
+                            await link.whole.wait()
+                            await sink.send_all(data)
+                        await link.whole.wait()
+                        await sink.send_eof()
+                    except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+                        _reset(near)
+                        _reset(far)
+                        nursery.cancel_scope.cancel()
+
+                async def resets(link: Link) -> None:
+                    await link.resets.wait()
+                    _reset(near)
+                    _reset(far)
+                    nursery.cancel_scope.cancel()
+
+                async with trio.open_nursery() as pumps:
+                    nursery.start_soon(resets, there)
+                    nursery.start_soon(resets, back)
+                    pumps.start_soon(pump, there, near, far)
+                    pumps.start_soon(pump, back, far, near)
+                nursery.cancel_scope.cancel()
+        finally:
+            links.callers.pop(port, None)
+            near.socket.close()
+            far.socket.close()
+
+    await trio.serve_listeners(connection, [listener])
+
+
+def _reset(stream: trio.SocketStream) -> None:
+    with suppress(OSError):
+        stream.socket.setsockopt(sockets.SOL_SOCKET, sockets.SO_LINGER, LINGER)
+    stream.socket.close()
--- /dev/null
+++ b/thistleshore/rig/rig.py
@@ -0,0 +1,461 @@
+"""One rig: processes, workers, relays and load that live together, the faults between them, and their record."""
+
+from __future__ import annotations
+
+import json
+import random
+import signal
+from collections.abc import AsyncIterator, Callable, Sequence
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import trio
+
+from thistleshore.fleet.model import Terms
+from thistleshore.load.plan import convert as load_plan
+from thistleshore.load.run import Sender
+from thistleshore.rig.processes import PROGRAM, Process, free_ports
+from thistleshore.rig.relay import Address, Links, carry_connections, carry_datagrams
+from thistleshore.rig.truth import Row, Truth
+from thistleshore.rig.workers import Bay, Worker
+from thistleshore.rig.world import LINK, WORKER, Fault, World
+
+LOOK = 0.1  # s between two questions to each process about its view
+ANSWER = 1.0  # s for an answer
+STARTED = 10.0  # s for a process to start, on a machine that is busy
+ENDS = 12.0  # s for a drain: what was taken is finished
+WINDOW = 7.5
+FILE = """\
+name = "{name}"
+balancers = {count}
+streams = 512
+max_retry_after = 1.0
+
+[http]
+listen = "127.0.0.1:{http}"
+
+[admin]
+listen = "127.0.0.1:{admin}"
+{restart}
+[fleet]
+name = "{fleet}"
+listen = "127.0.0.1:{udp}"
+advertise = "127.0.0.1:{relay}"
+seeds = [{seeds}]
+zone = "{zone}"
+from = ["127.0.0.0/8"]
+period = {period}
+
+[[service]]
+name = "ticketing"
+
+{hosts}
+[[contract]]
+team = "rig"
+service = "ticketing"
+class = "seat-search"
+effect = "safe"
+deadline = 3.0
+aim = 0.4
+worth = 3.0
+rate = 500.0
+attempts = 4
+path = "/seat-search"
+
+[[contract]]
+team = "rig"
+service = "ticketing"
+class = "ticket-issue"
+effect = "keyed"
+group = "bay"
+window = {window}
+deadline = 3.0
+aim = 0.4
+worth = 10.0
+rate = 500.0
+attempts = 3
+path = "/ticket-issue"
+"""
+HOST = """\
+[[host]]
+name = "{name}"
+service = "ticketing"
+bay = {bay}
+address = "127.0.0.1:{port}"
+"""
+
+
+class Rig:
+    """What a world comes to; made by `open_rig`, which also ends all of it."""
+
+    def __init__(self, world: World, seed: int, out: Path, command: Sequence[str], nursery: trio.Nursery) -> None:
+        self.world, self.seed, self.out, self.command, self.nursery = world, seed, out, tuple(command), nursery
+        self.truth = Truth(trio.current_time)
+        self.links = Links(seed)
+        self.processes: dict[str, Process] = {}
+        self.workers: dict[str, Worker] = {}
+        self.admin: dict[str, Address] = {}
+        self.fronts: dict[str, Address] = {}
+        self.views: dict[str, dict[str, Any]] = {}
+        self.listens: dict[str, Address] = {}  # where each hears datagrams, behind its relay
+        self.advertised: dict[str, Address] = {}
+        self.senders: list[Sender] = []
+        self._asked_to_end: set[str] = set()
+        self._load: trio.CancelScope | None = None
+
+    @property
+    def terms(self) -> Terms:
+        return Terms(period=self.world.period)
+
+    # -- building ------------------------------------------------------------------------------------
+
+    async def build(self) -> None:
+        """Bind every relay and write every file; nothing runs yet."""
+        world, count = self.world, self.world.processes
+        bays = [Bay(WINDOW), Bay(WINDOW)]
+        for n, name in enumerate(world.worker_names):
+            worker = Worker(name, bays[n % 2], world.workers.seconds, world.workers.slots, self.truth, self.links)
+            await self.nursery.start(worker.run)
+            self.workers[name] = worker
+        ports = free_ports(3 * count)
+        sockets = {}
+        for n, name in enumerate(world.names):
+            self.fronts[name], self.admin[name], self.listens[name] = (
+                ("127.0.0.1", port) for port in ports[3 * n : 3 * n + 3]
+            )
+            sockets[name] = relay = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
+            await relay.bind(("127.0.0.1", 0))
+            self.advertised[name] = relay.getsockname()
+        senders = {address: name for name, address in self.listens.items()}
+        for name, relay in sockets.items():
+            self.nursery.start_soon(carry_datagrams, self.links, name, self.listens[name], senders, relay)
+        for n, name in enumerate(world.names):
+            hosts = []
+            for number, (to, worker) in enumerate(self.workers.items()):
+                port = await self._connections(name, to, ("127.0.0.1", worker.port))
+                hosts.append(HOST.format(name=to, bay=1 + number % 2, port=port))
+            self._write(name, n, "\n".join(hosts))
+            self.fronts[name] = ("127.0.0.1", await self._connections("load", name, self.fronts[name]))
+
+    async def _connections(self, sender: str, receiver: str, target: Address) -> int:
+        """A relay for connections from one to another; its port."""
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        self.nursery.start_soon(carry_connections, self.links, sender, receiver, target, listener)
+        return int(listener.socket.getsockname()[1])
+
+    def _write(self, name: str, number: int, hosts: str) -> None:
+        world = self.world
+        file = self.out / f"{name}.toml"
+        first = world.names[: world.seeds]
+        file.write_text(FILE.format(
+            name=name, count=world.processes, http=self.fronts[name][1], admin=self.admin[name][1], fleet=world.name,
+            udp=self.listens[name][1], relay=self.advertised[name][1], zone=world.zones[number % len(world.zones)],
+            seeds=", ".join(f'"127.0.0.1:{self.advertised[seed][1]}"' for seed in first), period=world.period,
+            hosts=hosts, window=WINDOW, restart=f'restart = "{self.out}"' if world.hot else ""))  # fmt: skip
+        self.processes[name] = Process(name, file, self.command)
+
+    # -- processes -----------------------------------------------------------------------------------
+
+    def start(self, *names: str) -> None:
+        for name in names or self.processes:
+            if not self.processes[name].lives:
+                self.views.pop(name, None)
+                self.processes[name].start()
+                self._asked_to_end.discard(name)
+                self.truth.add("began", name=name)
+
+    def replace(self, name: str) -> Process:
+        """Start the next process beside the one that serves (hot restart); the one before, for its SIGTERM."""
+        before = self.processes[name]
+        self.processes[name] = made = Process(name, before.file, before.command)
+        made.start()
+        self.truth.add("began", name=name)
+        return before
+
+    def kill(self, *names: str) -> None:
+        for name in names:
+            self.processes[name].end()
+            self.truth.add("exit", name=name, status=None, asked=False)
+
+    def stop(self, *names: str) -> None:
+        for name in names:
+            self.processes[name].signal(signal.SIGSTOP)
+
+    def go_on(self, *names: str) -> None:
+        for name in names:
+            self.views.pop(name, None)  # what it said before it was stopped is no word of now
+            self.processes[name].signal(signal.SIGCONT)
+
+    async def term(self, *names: str) -> None:
+        """SIGTERM to each, until all have ended."""
+        for name in names:
+            self._asked_to_end.add(name)
+            self.processes[name].signal(signal.SIGTERM)
+
+        async def one(name: str) -> None:
+            status = await self.processes[name].ended(ENDS)
+            if name in self._asked_to_end:
+                self.truth.add("exit", name=name, status=status, asked=True)
+
+        async with trio.open_nursery() as nursery:
+            for name in names:
+                nursery.start_soon(one, name)
+
+    # -- what they say -----------------------------------------------------------------------------------
+
+    async def call(self, name: str, line: str) -> str:
+        """One call of a process's admin interface; "" where there is no whole answer."""
+        data = b""
+        with trio.move_on_after(ANSWER) as limit:
+            try:
+                async with await trio.open_tcp_stream(*self.admin[name]) as stream:
+                    await stream.send_all(line.encode() + b"\n")
+                    async for part in stream:
+                        data += part
+            except (OSError, trio.BrokenResourceError):
+                return ""
+        return "" if limit.cancelled_caught else data.decode(errors="replace")
+
+    async def told(self, name: str, what: str = "members") -> Any:
+        """A call of the view, read; None where there is no answer."""
+        answer = await self.call(name, f"FLEET {what}")
+        try:
+            return json.loads(answer.split("\n")[0])
+        except ValueError:
+            return None
+
+    async def _look(self, name: str) -> None:
+        """Ask one process for its view again and again."""
+        said = ""
+        while True:
+            process = self.processes[name]
+            if process.runs:
+                life = process.child
+                found = await self.told(name)
+                if found is not None and process.child is life and process.runs:
+                    self.views[name] = found
+                    text = json.dumps([found["digest"], [(m["name"], m["state"], m["life"]) for m in found["members"]]])
+                    if text != said:  # the record holds changes
+                        said = text
+                        self.truth.add("view", by=name, **found)
+                elif process.child is life and not process.lives:
+                    self.views.pop(name, None)
+            await trio.sleep(LOOK)
+
+    def running(self) -> list[str]:
+        return [name for name, process in self.processes.items() if process.runs]
+
+    def agreed(self, among: Sequence[str] | None = None) -> bool:
+        """Whether all that run (of these) tell one view, and it is the truth: those, ready, and nobody else alive."""
+        names = sorted(self.running() if among is None else among)
+        views = [self.views.get(name) for name in names]
+        for view in views:
+            if view is None or sorted(m["name"] for m in view["members"] if m["state"] == "alive") != names:
+                return False
+            if any(m["state"] == "suspect" or m["state"] == "alive" and m["service"] != "ready"
+                   for m in view["members"]):  # fmt: skip
+                return False
+        return len({view["digest"] for view in views if view is not None}) == 1
+
+    async def until(self, holds: Callable[[], bool], bound: float) -> float | None:
+        """Wait until it holds; the seconds it took, or None where it does not within the bound."""
+        begun = trio.current_time()
+        with trio.move_on_after(bound):
+            while not holds():
+                await trio.sleep(LOOK / 4)
+            return trio.current_time() - begun
+        return None
+
+    async def settle(self, bound: float, told: str = "", among: Sequence[str] | None = None) -> float | None:
+        """Wait until the view is settled, and put down how long it took; `bound` of the protocol, without the rig's
+        own delay in looking, which is added."""
+        most = bound + 2 * LOOK + ANSWER
+        took = await self.until(lambda: self.agreed(among), most)
+        self.truth.add("settled", took=took, bound=bound, told=told or ("" if took is not None else self.differences()))
+        return took
+
+    def differences(self) -> str:
+        """What each says, in short."""
+        return "; ".join(
+            f"{name}: " + ("silent" if (view := self.views.get(name)) is None else
+                           view["digest"] + " " + " ".join(f"{m['name']}={m['state']}/{m['service']}"
+                                                           for m in view["members"] if m["name"] != name))
+            for name in self.running()
+        )  # fmt: skip
+
+    # -- load -----------------------------------------------------------------------------------------------
+
+    def load(self, seconds: float) -> None:
+        """Begin open-loop load at every process."""
+        if not self.world.load.rate:
+            return
+        self._load = trio.CancelScope()
+        self.nursery.start_soon(self._run_load, seconds, self._load)
+
+    async def _run_load(self, seconds: float, scope: trio.CancelScope) -> None:
+        with scope:
+            async with trio.open_nursery() as nursery:
+                for number, (name, address) in enumerate(self.fronts.items()):
+                    nursery.start_soon(self._sender(name, number, address, seconds).run)
+
+    def _sender(self, name: str, number: int, address: Address, seconds: float) -> Sender:
+        load = self.world.load
+        common = {"deadline": 4.0, "again": {"most": 1, "wait": 0.3}}
+        parts = {"seat-search": 1 - load.keyed, "ticket-issue": load.keyed}
+        sources = [{"class": job_class, "rate": load.rate * part, "keyed": job_class == "ticket-issue", **common}
+                   for job_class, part in parts.items() if part]  # fmt: skip
+        plan = load_plan({"target": f"{address[0]}:{address[1]}", "source": sources, "seconds": seconds,
+                          "seed": self.seed * 100 + number, "lag_bound": 1.0})  # fmt: skip
+
+        def watch(what: str, job: str, key: str, told: str) -> None:
+            self.truth.add(what, job=job, key=key, told=told, to=name)
+
+        sender = Sender(plan, spin=0.0, watch=watch)
+        self.senders.append(sender)
+        return sender
+
+    async def end_load(self) -> None:
+        """Ask no more, and let what was asked be answered."""
+        for sender in self.senders:
+            sender.closing = True
+        if self._load is not None:
+
+            def quiet() -> bool:
+                rows = self.truth.rows
+                ended = {row["job"] for row in rows if row["what"] in ("answered", "abandoned")}
+                return all(row["job"] in ended for row in rows if row["what"] == "asked")
+
+            await self.until(quiet, 8.0)
+            self._load.cancel()
+
+    # -- faults ----------------------------------------------------------------------------------------------
+
+    async def fault(self, fault: Fault) -> None:
+        """Let it begin, last and end.  What was killed or ended is started again at its end."""
+        row: Row = {"kind": fault.kind, "who": fault.who, "to": fault.to, "amount": fault.amount,
+                    "until": self.truth.now + fault.seconds}  # fmt: skip
+        self.truth.add("fault", **row)
+        here = self.truth.rows[-1]
+        try:
+            await self._begin(fault)
+            await trio.sleep(fault.seconds)
+        finally:
+            with trio.CancelScope(shield=True):
+                here["until"] = round(self.truth.now, 6)
+                await self._end(fault)
+
+    async def _begin(self, fault: Fault) -> None:
+        match fault.kind:
+            case "kill" | "restart":
+                self.kill(*fault.who)
+            case "stop":
+                self.stop(*fault.who)
+            case "term":
+                self.nursery.start_soon(self.term, *fault.who)
+            case "hog":
+                for name in fault.who:
+                    self.processes[name].slow(fault.seconds + 1.0, int(fault.amount))
+            case "detach":
+                await self._at_all("DETACH", fault.who)
+        if fault.kind in WORKER:
+            for name in fault.who:
+                self.workers[name].turn(fault.kind, fault.amount)
+        for sender, receiver in self._pairs(fault):
+            link = self.links.between(sender, receiver)
+            match fault.kind:
+                case "cut" | "silence":
+                    link.stop(fault.kind == "silence")
+                case "loss":
+                    link.loss += fault.amount
+                case "delay":
+                    link.delay += fault.amount
+                    link.jitter += fault.amount / 2
+                case "repeat":
+                    link.repeat += fault.amount
+                case "reorder":
+                    link.reorder += fault.amount
+                case "reset":
+                    link.reset()
+
+    async def _end(self, fault: Fault) -> None:
+        match fault.kind:
+            case "kill" | "restart":
+                self.start(*fault.who)
+            case "stop":
+                self.go_on(*fault.who)
+            case "term":
+                for name in fault.who:
+                    self._asked_to_end.discard(name)
+                    self.processes[name].end()
+                self.start(*fault.who)
+            case "hog":
+                for name in fault.who:
+                    self.processes[name].rest()
+            case "detach":
+                await self._at_all("ATTACH", fault.who)
+        if fault.kind in WORKER:
+            for name in fault.who:
+                self.workers[name].turn("cold" if fault.kind == "gone" else "serve")
+        for sender, receiver in self._pairs(fault):
+            link = self.links.between(sender, receiver)
+            match fault.kind:
+                case "cut" | "silence":
+                    link.heal(fault.kind == "silence")
+                case "loss":
+                    link.loss -= fault.amount
+                case "delay":
+                    link.delay -= fault.amount
+                    link.jitter -= fault.amount / 2
+                case "repeat":
+                    link.repeat -= fault.amount
+                case "reorder":
+                    link.reorder -= fault.amount
+
+    def _pairs(self, fault: Fault) -> list[tuple[str, str]]:
+        if fault.kind not in LINK:
+            return []
+        others = fault.to or [name for name in (*self.processes, *self.workers, "load") if name not in fault.who]
+        there = [(a, b) for a in fault.who for b in others]
+        return there + [(b, a) for a, b in there] if fault.both else there
+
+    async def _at_all(self, word: str, workers: Sequence[str]) -> None:
+        async with trio.open_nursery() as nursery:
+            for name in self.running():
+                for worker in workers:
+                    nursery.start_soon(self.call, name, f"{word} {worker}")
+
+    def cut(self, one: Sequence[str], other: Sequence[str], both: bool = True) -> None:
+        """By hand, for tests: until `heal`."""
+        for a in one:
+            for b in other:
+                self.links.between(a, b).stop()
+                if both:
+                    self.links.between(b, a).stop()
+
+    def heal(self) -> None:
+        for link in self.links._links.values():
+            while link.cuts:
+                link.heal()
+
+
+@asynccontextmanager
+async def open_rig(world: World, seed: int, out: Path, command: Sequence[str] = PROGRAM,
+                   start: bool = True) -> AsyncIterator[Rig]:  # fmt: skip
+    """A rig whose processes have started and whose view is settled; whatever happens, none of them is left."""
+    random.seed(seed)
+    out.mkdir(parents=True, exist_ok=True)
+    async with trio.open_nursery() as nursery:
+        rig = Rig(world, seed, out, command, nursery)
+        try:
+            await rig.build()
+            for name in world.names:
+                nursery.start_soon(rig._look, name)
+            if start:
+                rig.start()
+                await rig.settle(STARTED + rig.terms.healed(world.processes), "first start")
+            yield rig
+        finally:
+            for process in rig.processes.values():
+                process.end()
+            nursery.cancel_scope.cancel()
--- /dev/null
+++ b/thistleshore/rig/run.py
@@ -0,0 +1,72 @@
+"""Plays a world with a seed: start, settle, load, the timeline of faults, settle again, end, judge."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import trio
+
+from thistleshore.rig import checks
+from thistleshore.rig.processes import PROGRAM
+from thistleshore.rig.rig import STARTED, Rig, open_rig
+from thistleshore.rig.world import Fault, World, timeline
+
+BEFORE = 0.5  # s of load before the first fault
+AFTER = 0.5  # s of load after the view is settled again
+
+
+def allowed(world: World, faults: Sequence[Fault], rig: Rig) -> float:
+    """s within which the view must be settled after the last fault, by the protocol's own times."""
+    terms, count = rig.terms, world.processes
+    bound = terms.detected(count) + terms.healed(count)
+    if any(fault.kind in ("kill", "restart", "term") for fault in faults):
+        bound += STARTED  # a process has to start first
+    return bound
+
+
+async def play(world: World, seed: int, out: Path, command: Sequence[str] = PROGRAM,
+               told: Callable[[str], None] = lambda text: None) -> dict[str, Any]:  # fmt: skip
+    """One run; its summary, which lies in `out` with the record.  Cancelled, all is ended and nothing written."""
+    faults = timeline(world, seed)
+    async with open_rig(world, seed, out, command) as rig:
+        told("started")
+        lasts = max((fault.ends for fault in faults), default=0.0)
+        bound = allowed(world, faults, rig)
+        rig.load(BEFORE + lasts + bound)
+        await trio.sleep(BEFORE)
+        begun = trio.current_time()
+
+        async def one(fault: Fault) -> None:
+            await trio.sleep_until(begun + fault.at)
+            told(f"{fault.kind} {' '.join(fault.who)}")
+            await rig.fault(fault)
+
+        async with trio.open_nursery() as nursery:
+            for fault in faults:
+                nursery.start_soon(one, fault)
+        told("settling")
+        took = await rig.settle(bound)
+        if world.load.rate:
+            await trio.sleep(AFTER)
+        for name in rig.running():  # the last word of each, for the checks
+            if (view := await rig.told(name)) is not None:
+                rig.truth.add("view", by=name, **view)
+        rig.truth.add("alive", names=rig.running())
+        await rig.end_load()
+        told("ending")
+        await rig.term(*rig.running())
+        rows = rig.truth.rows
+    findings = checks.judge(rows)
+    summary = {
+        "world": world.name, "seed": seed, "processes": world.processes, "faults": len(faults),
+        "bound": round(bound, 3), "took": None if took is None else round(took, 3), "served": checks.served(rows),
+        "findings": [found._asdict() for found in findings],
+    }  # fmt: skip
+    rig.truth.write(out / "record.jsonl")
+    (out / "summary.json").write_text(json.dumps(summary, indent=1) + "\n")
+    (out / "world.json").write_bytes(msgspec.json.encode(world))
+    return summary
