Play stories of one machine against a naive model, and restarts under another name

Need: the issue asks for a stateful model test and for restarts under the same or another name. Life (hypothesis): whatever is said in whatever order and time, a record is its member's latest word or later, never earlier, and nobody comes back from death but by a greater incarnation. The rig renames a process at a restart; the former name stays dead until it is forgotten, shown with five processes.

--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -46,6 +46,11 @@
     assert await rig.settle(bound, told, among) is not None, f"{told}: {rig.differences()}"
 
 
+def all_of(holds: Callable[[dict[str, Any]], bool], rig: Rig) -> Callable[[], bool]:
+    """Whether it holds for the last word of each that runs."""
+    return lambda: all(name in rig.views and holds(rig.views[name]) for name in rig.running())
+
+
 def deaths(rig: Rig, name: str = "") -> set[tuple[str, str]]:
     """Who ever said of whom that it is dead."""
     return {(row["by"], member["name"]) for row in of(rig.truth.rows, "view") for member in row["members"]
@@ -53,7 +58,6 @@
 
 
 def test_five_processes_settle_after_crash_return_cuts_stop_and_hog(tmp_path: Path) -> None:
-    world = World("kigali", processes=5, zones=("a", "b"), load={"rate": 10.0})  # type: ignore[arg-type]
     world = convert({"name": "kigali", "processes": 5, "zones": ["a", "b"], "load": {"rate": 10.0}})
 
     async def scenario(rig: Rig) -> None:
@@ -206,6 +210,13 @@
         await rig._end(everywhere)
         await settles(rig, terms.detected(5) + terms.healed(5), "after five restarts under loss")
         assert not any("fleet: taken" in process.log.read_text() for process in rig.processes.values())
+        # And once more, as another member: the former name stays behind, dead, until it is forgotten.
+        await rig.fault(Fault("restart", 0.0, ["p4"], name="p9"))
+        await settles(rig, terms.detected(5) + terms.healed(5) + STARTED, "after a restart under another name")
+        assert {m["name"]: m["state"] for m in rig.views["p0"]["members"]}["p4"] == "dead"
+        assert await rig.told("p0", "forget p4") == {"forgotten": "p4"}
+        gone = all_of(lambda view: "dead" not in [m["state"] for m in view["members"]], rig)
+        assert await rig.until(gone, terms.spread(5)) is not None
         # Half of the fleet stopped at once.
         await rig.fault(Fault("stop", 0.0, ["p0", "p2"], 4.0))
         await settles(rig, terms.healed(5), "after two of five were stopped")
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -11,6 +11,7 @@
 import pytest
 from click.testing import CliRunner
 from hypothesis import given, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from benchmarks.fleet_net import Net, halves
 from tests.standins import Platform
@@ -445,6 +446,55 @@
         order.shuffle(told)
 
 
+class Life(RuleBasedStateMachine):
+    """One machine that hears whatever others say, in any order and at any time, against what may never happen."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.machine = Fleet("k", ME, TERMS, [], 0.0)
+        self.machine.quiet = False
+        self.before: dict[str, Record] = {}
+        self.latest: dict[str, tuple[int, int, int]] = {}
+
+    @rule(record=RECORDS)
+    def said(self, record: Record) -> None:
+        if record.name in self.latest or record.state < State.DEAD:
+            self.latest[record.name] = max(record.order, self.latest.get(record.name, record.order))
+        self.machine._take(record, self.now)
+
+    @rule(seconds=st.floats(0.01, 0.5))
+    def time_passes(self, seconds: float) -> None:
+        until = self.now + seconds
+        while self.machine.due <= until:
+            self.now = max(self.now, self.machine.due)
+            self.machine.on_time(self.now)
+        self.now = until
+
+    @rule(name=st.sampled_from(["x", "y"]))
+    def forgotten(self, name: str) -> None:
+        self.machine.on_forget(name, self.now)
+
+    @invariant()
+    def holds(self) -> None:
+        for name, member in self.machine.members.items():
+            record, before = member.record, self.before.get(name)
+            assert record.order[:2] == self.latest[name][:2]  # its own word, and the latest of it
+            assert record.order >= self.latest[name]  # or what was made of it here: later, never earlier
+            if before is not None and before.life == record.life:
+                assert record.order >= before.order
+            if before is not None and before.state >= State.DEAD and record.state < State.DEAD:
+                assert record.order[:2] > before.order[:2]
+        self.before = {name: member.record for name, member in self.machine.members.items()}
+        for name in list(self.latest):
+            if name not in self.machine.members:
+                del self.latest[name]  # aged: what comes of it now is news
+
+
+Life.TestCase.settings = steady
+TestLife = Life.TestCase
+
+
 def test_the_table_leaves_no_way_out_of_death_but_ones_own_word() -> None:
     for (state, seen), after in TABLE.items():
         if state in (State.DEAD, State.LEFT) and after not in (None, State.DEAD, State.LEFT):
--- a/thistleshore/rig/checks.py
+++ b/thistleshore/rig/checks.py
@@ -97,7 +97,7 @@
             break
         last[row["by"]] = row
     return [Finding("living", row["t"], f"{by} holds {member['name']} for {member['state']}")
-            for by, row in last.items() if by in alive for member in row["members"]
+            for by, row in last.items() if row["self"] in alive for member in row["members"]
             if member["state"] in ("dead", "left") and member["name"] in alive]  # fmt: skip
 
 
--- a/thistleshore/rig/rig.py
+++ b/thistleshore/rig/rig.py
@@ -101,6 +101,7 @@
         self.listens: dict[str, Address] = {}  # where each hears datagrams, behind its relay
         self.advertised: dict[str, Address] = {}
         self.senders: list[Sender] = []
+        self.called: dict[str, str] = {name: name for name in world.names}  # the members' names of now
         self._asked_to_end: set[str] = set()
         self._load: trio.CancelScope | None = None
 
@@ -173,6 +174,12 @@
         self.truth.add("began", name=name)
         return before
 
+    def rename(self, name: str, called: str) -> None:
+        """The process is another member from its next start on."""
+        file = self.processes[name].file
+        file.write_text(file.read_text().replace(f'name = "{self.called[name]}"', f'name = "{called}"', 1))
+        self.called[name] = called
+
     def kill(self, *names: str) -> None:
         for name in names:
             self.processes[name].end()
@@ -248,8 +255,9 @@
 
     def agreed(self, among: Sequence[str] | None = None) -> bool:
         """Whether all that run (of these) tell one view, and it is the truth: those, ready, and nobody else alive."""
-        names = sorted(self.running() if among is None else among)
-        views = [self.views.get(name) for name in names]
+        running = self.running() if among is None else among
+        names = sorted(self.called[name] for name in running)
+        views = [self.views.get(name) for name in running]
         for view in views:
             if view is None or sorted(m["name"] for m in view["members"] if m["state"] == "alive") != names:
                 return False
@@ -381,6 +389,8 @@
     async def _end(self, fault: Fault) -> None:
         match fault.kind:
             case "kill" | "restart":
+                if fault.name:
+                    self.rename(fault.who[0], fault.name)
                 self.start(*fault.who)
             case "stop":
                 self.go_on(*fault.who)
--- a/thistleshore/rig/run.py
+++ b/thistleshore/rig/run.py
@@ -55,7 +55,7 @@
         for name in rig.running():  # the last word of each, for the checks
             if (view := await rig.told(name)) is not None:
                 rig.truth.add("view", by=name, **view)
-        rig.truth.add("alive", names=rig.running())
+        rig.truth.add("alive", names=[rig.called[name] for name in rig.running()])
         await rig.end_load()
         told("ending")
         await rig.term(*rig.running())
--- a/thistleshore/rig/world.py
+++ b/thistleshore/rig/world.py
@@ -42,6 +42,7 @@
     to: list[str] = []  # noqa: RUF012 - msgspec copies it
     both: bool = True
     amount: Zero = 1.0  # loss, repeat and reorder: a share; delay: s; slow: times; hog: processes beside it
+    name: str = ""  # restart: under this name from then on
 
     @property
     def ends(self) -> float:
@@ -115,6 +116,8 @@
         wanted = world.worker_names if workers else [*world.names, *world.worker_names, "load"]
         if not fault.who or set(fault.who) - set(wanted) or fault.kind in PROCESS and set(fault.who) - set(world.names):
             raise WorldError(f"fault[{n}].who: {fault.kind!r} is no fault of {', '.join(fault.who) or 'nobody'}")
+        if fault.name and (fault.kind != "restart" or len(fault.who) != 1):
+            raise WorldError(f"fault[{n}].name: only one process that restarts takes another")
         if fault.ends > SECONDS_MOST:
             raise WorldError(f"fault[{n}]: a world ends within {SECONDS_MOST:g} s")
     if world.draw is not None and world.draw.least > world.draw.most:
