--- /dev/null
+++ b/tests/test_releases.py
@@ -0,0 +1,405 @@
+"""Who may be out: the pure parts, the store, and processes with faults between them."""
+
+from __future__ import annotations
+
+import itertools
+import random
+import re
+import sqlite3
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+import trio
+from hypothesis import given, strategies as st
+
+from tests.support import ROOT, steady
+from thistleshore import config
+from thistleshore.releases import places
+from thistleshore.releases.model import Limits, Refusal, Standing, Value
+from thistleshore.releases.register import Accept, Acceptor, Held, Prepare, Round, Unable
+from thistleshore.releases.store import FILE, Store, Unusable
+from thistleshore.rig import checks
+from thistleshore.rig.rig import STARTED, Rig, open_rig
+from thistleshore.rig.truth import of
+from thistleshore.rig.world import Fault, convert
+
+VALUE = Value(1, ("a", "b", "c"), Limits(dispatchers=1, hosts="20%", hosts_a_zone=1))
+NONE = frozenset[str]()
+SEEN = Standing({f"d{n}": 1 for n in range(5)}, NONE, {f"h{n}": ("s", f"z{n % 2}") for n in range(10)}, NONE)
+
+
+def taken(value: Value | Refusal) -> Value:
+    assert isinstance(value, Value), value
+    return value
+
+
+def ask(value: Value, kind: Any, name: str, seen: Standing = SEEN) -> Value | Refusal:
+    return places.ask(value, kind, name, "why", "d0", seen, 0.0)
+
+
+def test_a_place_is_given_while_the_limit_holds_and_a_refusal_names_who_is_out() -> None:
+    one = taken(ask(VALUE, "dispatcher", "d1"))
+    assert one.number == 2 and one.place("dispatcher", "d1") and ask(one, "dispatcher", "d1") == one
+    no = ask(one, "dispatcher", "d2")
+    assert isinstance(no, Refusal) and no.limit == "dispatchers" and no.out == ("d1",) and "d1" in no.told
+    # Whoever is down without having asked counts, and has no place of its own to give up.
+    down = SEEN._replace(dispatchers_down=frozenset({"d3"}))
+    assert isinstance(ask(VALUE, "dispatcher", "d2", down), Refusal)
+    assert isinstance(ask(VALUE, "dispatcher", "d3", down), Value)  # it is out already
+    assert isinstance(ask(VALUE, "dispatcher", "nobody"), Refusal)
+
+
+def test_hosts_have_a_limit_by_service_and_one_by_zone() -> None:
+    value = taken(ask(VALUE, "host", "h0"))
+    assert ask(value, "host", "h2").limit == "hosts_a_zone"  # type: ignore[union-attr]
+    value = taken(ask(value, "host", "h1"))
+    assert ask(value, "host", "h3").limit == "hosts"  # type: ignore[union-attr]
+    assert [places.allowed(bound, 10) for bound in (0, 3, "0%", "5%", "20%", "100%")] == [0, 3, 0, 1, 2, 10]
+
+
+def test_a_place_is_freed_by_its_return_alone_and_a_lowered_limit_calls_nobody_back() -> None:
+    value = taken(places.limit(VALUE, Limits(dispatchers=2), "d0", 0.0))
+    value = taken(ask(taken(ask(value, "dispatcher", "d1")), "dispatcher", "d2"))
+    value = taken(places.limit(value, Limits(dispatchers=1), "d0", 0.0))
+    assert len(value.places) == 2 and isinstance(ask(value, "dispatcher", "d3"), Refusal)
+    value = taken(places.free(value, "dispatcher", "d1", "back", "d1", 9e9))
+    assert isinstance(ask(value, "dispatcher", "d3"), Refusal)  # d2 is still out
+    number = value.place("dispatcher", "d2").number  # type: ignore[union-attr]
+    assert isinstance(places.begin(value, "dispatcher", "d2", number - 1, "d2", 0.0), Refusal)  # an earlier place
+    begun = taken(places.begin(value, "dispatcher", "d2", number, "d2", 0.0)).place("dispatcher", "d2")
+    assert begun is not None and begun.begun
+    assert [act.number for act in value.history] == list(range(2, value.number + 1))
+
+
+@steady
+@given(st.lists(st.tuples(st.sampled_from(["ask", "free", "down", "up"]), st.integers(0, 4)), max_size=30),
+       st.integers(0, 3))  # fmt: skip
+def test_whatever_is_asked_no_place_is_given_beyond_the_limit(acts: list[tuple[str, int]], most: int) -> None:
+    value, down = taken(places.limit(VALUE, Limits(dispatchers=most), "d0", 0.0)), set[str]()
+    for what, number in acts:
+        name = f"d{number}"
+        seen = SEEN._replace(dispatchers_down=frozenset(down))
+        if what == "ask":
+            before, found = value, ask(value, "dispatcher", name, seen)
+            if isinstance(found, Value) and found is not before:
+                value = found
+                assert len({p.name for p in value.places} | down) <= max(most, len(down))
+        elif what == "free" and value.place("dispatcher", name):
+            value = taken(places.free(value, "dispatcher", name, "", name, 0.0))
+        elif what == "down":
+            down.add(name)
+        elif what == "up":
+            down.discard(name)
+
+
+# -- the register
+
+
+class Cluster:
+    """Acceptors with disks, and rounds whose messages come in any order, late or never."""
+
+    def __init__(self, count: int = 3) -> None:
+        names = tuple("abcde"[:count])
+        value = msgspec.structs.replace(VALUE, voters=names, limits=Limits(dispatchers=1))
+        self.disks = {name: Held(7, name, (1, ""), (1, ""), value, 1) for name in names}
+        self.acceptors = {name: Acceptor(held) for name, held in self.disks.items()}
+
+    def answer(self, name: str, message: Prepare | Accept) -> Any:
+        acceptor = self.acceptors.get(name)
+        if acceptor is None:
+            return None
+        after, reply = acceptor.on_prepare(message) if isinstance(message, Prepare) else acceptor.on_accept(message)
+        if after is not None:
+            self.disks[name] = acceptor.held = after
+        return reply
+
+    def play(self, this: Round) -> Any:
+        queue = list(this.start().items())
+        while queue and this.outcome is None:
+            name, message = queue.pop(0)
+            queue += this.on_reply(name, self.answer(name, message)).items()
+        return this.outcome
+
+
+def test_a_round_changes_the_value_and_a_refusal_is_agreed_as_well() -> None:
+    cluster = Cluster()
+    done = cluster.play(Round(7, ("a", "b", "c"), (2, "x"), lambda v: ask(v, "dispatcher", "d1")))
+    assert done.what == "done" and done.refusal is None and done.value.number == 2
+    again = cluster.play(Round(7, ("a", "b", "c"), (3, "y"), lambda v: ask(v, "dispatcher", "d2")))
+    assert again.what == "done" and again.refusal.out == ("d1",) and again.value.number == 2
+    late = cluster.play(Round(7, ("a", "b", "c"), (2, "z"), lambda v: v))
+    assert late.what == "again" and late.higher[0] == 3
+    cluster.acceptors["a"] = cluster.acceptors["b"] = None  # type: ignore[assignment]
+    lost = cluster.play(Round(7, ("a", "b", "c"), (9, "y"), lambda v: v))
+    assert lost.what == "lost" and "a: no answer" in lost.told
+
+
+def test_voters_change_one_at_a_time_by_both_majorities() -> None:
+    cluster = Cluster(3)
+    cluster.disks["d"] = Held(7, "d")
+    cluster.acceptors["d"] = Acceptor(cluster.disks["d"])
+
+    def put(votes: bool, name: str) -> Callable[[Value], Value | Refusal]:
+        return lambda v: places.change_voter(v, name, votes, "x", 0.0)
+
+    done = cluster.play(Round(7, ("a", "b", "c"), (2, "x"), put(True, "d")))
+    assert done.what == "done" and done.value.voters == ("a", "b", "c", "d")
+    # One that still goes by the old voters is told of the new ones.
+    assert cluster.play(Round(7, ("a", "b", "c"), (3, "x"), lambda v: v)).what == "voters"
+    for gone in ("a", "b"):
+        cluster.acceptors[gone] = None  # type: ignore[assignment]
+    assert cluster.play(Round(7, done.value.voters, (4, "x"), lambda v: v)).what == "lost"  # two of four are none
+
+
+def test_a_voter_that_was_set_back_does_not_vote_once_others_have_seen_it_ahead() -> None:
+    cluster = Cluster()
+    old = cluster.disks["a"]
+    for number in (2, 3):
+        assert cluster.play(Round(7, ("a", "b", "c"), (number, "x"), lambda v: v)).what == "done"
+    cluster.acceptors["a"] = Acceptor(old)
+    cluster.acceptors["c"] = None  # type: ignore[assignment]
+    found = cluster.play(Round(7, ("a", "b", "c"), (9, "x"), lambda v: v))
+    assert found.what == "lost" and "older copy" in found.told
+    assert isinstance(Acceptor(old).on_prepare(Prepare(7, (9, "x"), {"a": 99}))[1], Unable)
+    assert isinstance(Acceptor(old).on_prepare(Prepare(8, (9, "x")))[1], Unable)
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_rounds_that_meet_crash_and_lose_messages_never_pass_the_limit(seed: int) -> None:
+    """What a round reports as done is in the value of each that begins later; one place at most is ever given."""
+    at, cluster = random.Random(seed), Cluster()
+    rounds: list[tuple[Round, list[tuple[str, Any]], int]] = []
+    done: list[Value] = []
+    for step in range(400):  # of three proposers at most
+        if len(rounds) < 3 and at.random() < 0.2:
+            name = f"d{at.randrange(5)}"
+            change = at.choice([lambda v, n=name: ask(v, "dispatcher", n), lambda v, n=name: places.free(
+                v, "dispatcher", n, "", n, 0.0)])  # type: ignore[misc]
+            this = Round(7, ("a", "b", "c"), (step + 2, f"p{step}"), change)
+            rounds.append((this, list(this.start().items()), max((value.number for value in done), default=1)))
+        if rounds:
+            this, queue, least = at.choice(rounds)
+            if queue:
+                name, message = queue.pop(at.randrange(len(queue)))
+                if at.random() < 0.15:
+                    continue  # lost, there or on the way back
+                queue += this.on_reply(name, cluster.answer(name, message)).items()
+                if at.random() < 0.1:
+                    cluster.answer(name, message)  # repeated
+            if this.outcome is not None or not queue:
+                rounds.remove((this, queue, least))
+                if this.outcome is not None and this.outcome.what == "done":
+                    value = this.outcome.value
+                    assert value is not None and len(value.places) <= 1
+                    assert value.number >= least  # all that was done before it began
+                    same = [before for before in done if before.number == value.number]
+                    assert all(before == value for before in same)
+                    done.append(value)
+        if at.random() < 0.05:
+            name = at.choice("abc")
+            cluster.acceptors[name] = Acceptor(cluster.disks[name])  # killed and started again
+    assert len(done) > 3
+
+
+# -- the store
+
+
+def test_what_was_written_is_read_and_nothing_else_passes_for_it(tmp_path: Path) -> None:
+    store = Store(tmp_path)
+    assert store.read() is None
+    held = Held(7, "a", (2, "x"), (1, ""), VALUE, 3, {"b": 4})
+    store.write(held)
+    assert store.read() == held
+    with pytest.raises(Unusable, match="another process"):
+        Store(tmp_path)
+    store.close()
+    again = Store(tmp_path)
+    assert again.read() == held
+    file = tmp_path / FILE
+    whole = file.read_bytes()
+
+    def changed(statement: str) -> None:
+        with sqlite3.connect(file) as base:
+            base.execute(statement)
+        base.close()
+
+    for spoil, told in (
+        (lambda: changed("UPDATE held SET format = 2"), "format 2"),
+        (lambda: changed("UPDATE held SET sum = 5"), "torn"),
+        (lambda: changed("DELETE FROM held"), "empty"), (lambda: file.write_bytes(whole[: len(whole) // 2]), "torn"),
+        (lambda: file.write_bytes(b"x" * 5000), "torn"),
+    ):  # fmt: skip
+        file.write_bytes(whole)
+        spoil()
+        with pytest.raises(Unusable, match=told):
+            again.read()
+    file.write_bytes(whole)
+    assert again.read() == held
+    again.set_aside()
+    assert again.read() is None and file.with_suffix(".unusable").exists()
+    again.close()
+
+
+def test_a_disk_that_takes_nothing_is_told(tmp_path: Path) -> None:
+    store = Store(tmp_path)
+    (tmp_path / FILE).mkdir()  # nothing can be written there, not even by root
+    with pytest.raises(Unusable, match="takes nothing"):
+        store.write(Held(7, "a"))
+    store.close()
+
+
+# -- processes
+
+WORLD = {"name": "kigali", "processes": 5, "voters": 3, "out": {"dispatchers": 1, "hosts": 1},
+         "workers": {"count": 3}, "load": {"rate": 10.0}}  # fmt: skip
+
+
+def with_register(out: Path, scenario: Callable[[Rig], Awaitable[None]], **changes: Any) -> Rig:
+    async def run() -> Rig:
+        async with open_rig(convert({**WORLD, **changes}), 1, out) as rig:
+            rig.truth.add("limit", limit=1)
+            assert (await rig.told("p0", "begin"))["status"] == "done"
+            rig.load(200.0)
+            await scenario(rig)
+            await rig.end_load()
+            await rig.term(*rig.running())
+        return rig
+
+    rig = trio.run(run)
+    assert checks.judge(rig.truth.rows, [name for name in checks.CHECKS if name != "settled"]) == []
+    return rig
+
+
+async def agreed(rig: Rig, name: str, holds: Callable[[Any], bool], bound: float = 6.0) -> Any:
+    """What `out` says there, once it holds."""
+    found: Any = None
+    with trio.move_on_after(bound):
+        while True:
+            found = await rig.told(name, "out")
+            if found is not None and holds(found):
+                return found
+            await trio.sleep(0.1)
+    raise AssertionError(f"{name}: {found}")
+
+
+def has(kind: str, name: str, state: str) -> Callable[[Any], bool]:
+    return lambda found: any(row["kind"] == kind and row["name"] == name and row["state"] == state
+                             for row in found["places"])  # fmt: skip
+
+
+def excuse(rig: Rig, *names: str) -> None:
+    rig.truth.add("fault", kind="term", who=list(names), to=[], amount=1, until=rig.truth.now + 12.0)
+
+
+def test_one_dispatcher_and_one_host_are_out_at_a_time_whoever_asks(tmp_path: Path) -> None:
+    async def scenario(rig: Rig) -> None:
+        # Two operators in the same instant, at two instances: one of them is refused, and told by whom.
+        excuse(rig, "p3", "p4")
+        answers: dict[str, Any] = {}
+
+        async def drain(at: str, name: str) -> None:
+            answers[name] = await rig.told(at, f"drain dispatcher {name} new kernel")
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(drain, "p0", "p3")
+            nursery.start_soon(drain, "p1", "p4")
+        assert sorted(answer["status"] for answer in answers.values()) == ["done", "refused"]
+        gone = next(name for name, answer in answers.items() if answer["status"] == "done")
+        other = next(name for name in answers if name != gone)
+        assert answers[other]["out"] == [gone] and answers[other]["limit"] == "dispatchers"
+        # Its holder goes out by itself, and ends its drain with status 0.
+        assert await rig.processes[gone].ended(12.0) == 0
+        await agreed(rig, "p2", has("dispatcher", gone, "out"), 12.0)
+        # Time frees nothing; and asking twice is asking once.
+        await trio.sleep(4.0)
+        assert (await rig.told("p1", f"drain dispatcher {other} again"))["status"] == "refused"
+        assert (await rig.told("p1", f"drain dispatcher {gone} again"))["status"] == "done"
+        rig.start(gone)
+        await agreed(rig, "p2", lambda found: not found["places"], STARTED + 10.0)
+        assert await rig.settle(rig.terms.healed(5) + STARTED) is not None
+
+        # A host: out once every live dispatcher has said so, and then nothing comes to it.
+        assert (await rig.told("p1", "drain host w0 disk"))["status"] == "done"
+        await agreed(rig, "p2", has("host", "w0", "out"))
+        since = rig.truth.now
+        no = await rig.told("p4", "drain host w1 disk")
+        assert no["status"] == "refused" and no["out"] == ["w0"]
+        # One dispatcher that starts meanwhile hears of it before it serves for long.
+        rig.truth.add("fault", kind="kill", who=["p4"], to=[], amount=1, until=rig.truth.now + 4.0)
+        rig.kill("p4")
+        rig.start("p4")
+        assert await rig.settle(rig.terms.detected(5) + STARTED) is not None
+        await agreed(rig, "p4", has("host", "w0", "out"))
+        sent = [row for row in of(rig.truth.rows, "sent") if row["worker"] == "w0" and row["t"] > since]
+        assert {row["by"] for row in sent} <= {"p4"} and len(sent) < 20
+        assert (await rig.told("p0", "return host w0 done"))["status"] == "done"
+        before = rig.truth.now
+        assert await rig.until(lambda: any(row["worker"] == "w0" and row["t"] > before
+                                           for row in of(rig.truth.rows[-400:], "sent")), 8.0) is not None  # fmt: skip
+
+    with_register(tmp_path, scenario)
+
+
+def test_a_minority_changes_nothing_and_a_lost_vote_is_taken_in_again(tmp_path: Path) -> None:
+    async def scenario(rig: Rig) -> None:
+        # p0 votes, alone on its side of a cut.
+        others = [name for name in rig.processes if name != "p0"]
+        rig.cut(["p0"], others)
+        no = await rig.told("p0", "drain dispatcher p0 alone")
+        assert no["status"] == "no-majority" and "no answer" in no["told"]
+        assert not (await rig.told("p0", "out"))["agreed"]
+        # The others give it a place: its holder has no majority, and does not begin.
+        excuse(rig, "p0")
+        assert await rig.settle(rig.terms.detected(5) + rig.terms.spread(5), among=others) is not None
+        given = await rig.told("p1", "drain dispatcher p0 from here")
+        assert given["status"] == "done" and given["state"] == "given"
+        await trio.sleep(1.5)
+        assert rig.processes["p0"].lives and (await rig.call("p0", "PING")).startswith("OK")
+        assert (await rig.told("p2", "drain dispatcher p4 too"))["status"] == "refused"
+        assert (await rig.told("p1", "return dispatcher p0 never mind"))["status"] == "done"
+        rig.heal()
+        assert await rig.settle(rig.terms.healed(5)) is not None
+        await agreed(rig, "p0", lambda found: found["agreed"] and not found["places"])
+
+        # The holder of a place is killed: the place stays, over the death of all, until it serves again.
+        excuse(rig, *rig.processes)
+        assert (await rig.told("p1", "drain host w2 disk"))["status"] == "done"
+        rig.kill(*rig.processes)
+        (tmp_path / "register-p2" / FILE).unlink()  # and one disk is lost
+        rig.start()
+        assert await rig.settle(rig.terms.healed(5) + STARTED) is not None
+        found = await agreed(rig, "p4", has("host", "w2", "out"))
+        assert found["voters"] == ["p0", "p1", "p2"]
+        assert "lost" in (await rig.told("p2", "out"))["votes_here"]
+        assert (await rig.told("p4", "return host w2 back"))["status"] == "done"  # two of three are a majority
+        assert (await rig.told("p3", "voters p2"))["status"] == "done"
+        assert (await rig.told("p2", "out"))["votes_here"] == "yes"
+        # With it the majority bears the loss of another.
+        rig.kill("p0")
+        assert (await rig.told("p3", "drain host w1 disk"))["status"] == "done"
+
+    with_register(tmp_path, scenario)
+
+
+def test_fault_kinds_of_the_rig_are_all_of_a_world() -> None:
+    assert Fault("restart", 0.0, ["p0"], name="p9").ends == 0.0
+    assert len(set(itertools.chain(checks.CHECKS))) == len(checks.CHECKS)
+
+
+def test_the_supplied_file_and_its_faults(tmp_path: Path) -> None:
+    text = (ROOT / "deploy" / "releases.toml").read_text()
+    plan = config.operator_file(str(ROOT / "deploy" / "releases.toml"), 0.0).releases
+    assert plan is not None and plan.limits == Limits(1, "20%", 1) and len(plan.voters) == 3
+    for old, new, fault in (
+        ('hosts = "20%"', 'hosts = "x"', "fleet.out: "), ('hosts = "20%"', "host = 1", "fleet.out: "),
+        ('dir = "register"', "", "fleet.register.dir: missing"), ("kigali-1 = ", "kigali-9 = ", "none of the voters"),
+        ('"127.0.0.1:7961"', '"here"', "fleet.register.voters.kigali-2"), ("[fleet.register]", "[fleet.x]", "fleet.x"),
+    ):  # fmt: skip
+        assert old in text
+        file = tmp_path / "faulty.toml"
+        file.write_text(text.replace(old, new))
+        with pytest.raises(config.ConfigError, match=re.escape(fault)):
+            config.operator_file(str(file), 0.0)
--- a/thistleshore/admin/codec.py
+++ b/thistleshore/admin/codec.py
@@ -14,7 +14,10 @@
 TAKES_HOST = {"PING": False, "INFO": False, "DETACH": True, "ATTACH": True}
 
 
-FLEET = {"members": False, "status": False, "events": True, "leave": False, "forget": True}  # with an argument or not
+# Calls of the fleet, and how many words they take behind their name.
+FLEET = {"members": (0, 0), "status": (0, 0), "events": (1, 1), "leave": (0, 0), "forget": (1, 1),
+         "out": (0, 0), "begin": (0, 0), "voters": (1, 1), "limits": (1, 1), "drain": (2, 40),
+         "return": (2, 40)}  # fmt: skip
 
 
 class Call(NamedTuple):
@@ -59,9 +62,10 @@
         raise BadCall("the line is not text")
     name, *rest = text.split() or [""]
     if name == "FLEET":
-        if not rest or rest[0] not in FLEET or len(rest) != 1 + FLEET[rest[0]]:
-            raise BadCall("FLEET takes members, status, events NUMBER, leave or forget NAME")
-        return Call(name, *rest)
+        least, most = FLEET.get(rest[0], (1, 0)) if rest else (1, 0)
+        if not least <= len(rest) - 1 <= most:
+            raise BadCall(f"FLEET takes one of {', '.join(FLEET)}, with what it is about")
+        return Call(name, rest[0], " ".join(rest[1:]))
     if name not in TAKES_HOST:
         raise BadCall(f"unknown call; one of {', '.join(TAKES_HOST)} is wanted")
     if len(rest) != TAKES_HOST[name]:
--- a/thistleshore/admin/listener.py
+++ b/thistleshore/admin/listener.py
@@ -98,7 +98,10 @@
         if call.name == "FLEET":
             if self.fleet is None:
                 return codec.no("no [fleet] in the file")
-            done, told = await self.fleet(call.host, call.more)
+            try:
+                done, told = await self.fleet(call.host, call.more)
+            except ValueError as problem:
+                return codec.no(str(problem).replace("\n", " "))
             return codec.figures(told) if done else codec.no(str(told))
         asked = BanAsked(call.host.encode(), call.name == "DETACH")
         with trio.move_on_after(ANSWER_WITHIN):
--- a/thistleshore/cli/fleet.py
+++ b/thistleshore/cli/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import time
 from typing import Any
 
@@ -101,3 +102,118 @@
         echo_json(found)
     else:
         click.echo(told_of(found))
+
+
+# -- who may be out, by agreement
+
+DONE, REFUSED, NO_MAJORITY, LATE = 0, 3, 4, 5
+REASON = click.option("--for", "reason", required=True, help="Why; it is kept in the history.")
+WAIT = click.option("--wait", type=float, default=None, metavar="SECONDS", help="Wait so long until it is so.")
+KIND = click.argument("kind", type=click.Choice(["dispatcher", "host"]))
+
+
+def _agreed(file: str, *words: str) -> Any:
+    """A call that the fleet has to agree on; ends with its status where it did not."""
+    return told(ask(file, None, codec.Call("FLEET", words[0], " ".join(words[1:]))))
+
+
+def _end(found: Any, as_json: bool, late: bool = False) -> None:
+    status = {"done": DONE, "refused": REFUSED, "no-majority": NO_MAJORITY}.get(found["status"], REFUSED)
+    if as_json:
+        echo_json(found)
+    elif found["status"] == "done":
+        waits = f", waiting for {', '.join(found['waiting_for'])}" if found.get("waiting_for") else ""
+        click.echo(f"done: {found.get('state', 'change')}{waits}")
+    else:
+        click.echo(f"{found['status']}: {found.get('told', '')}", err=True)
+    raise SystemExit(LATE if late and status == DONE else status)
+
+
+@command.command()
+@KIND
+@click.argument("name")
+@REASON
+@WAIT
+@CONFIG
+@JSON
+def drain(kind: str, name: str, reason: str, wait: float | None, file: str, as_json: bool) -> None:
+    """Ask for a place to be out for dispatcher or host NAME, and have it go out.
+
+    Ends with status 0 where it has the place (with --wait: where it is out), 3 where a limit refuses it, 4 without a
+    majority, and 5 where it is not out in time.
+    """
+    found = _agreed(file, "drain", kind, name, *reason.split())
+    until = time.monotonic() + (wait or 0.0)
+    while found["status"] == "done" and wait is not None and found["state"] != "out" and time.monotonic() < until:
+        time.sleep(LOOK)
+        rows = _agreed(file, "out")["places"]
+        row = next((row for row in rows if row["kind"] == kind and row["name"] == name), None)
+        state, late = (row["state"], row["waiting_for"]) if row is not None else ("back", [])
+        found = {**found, "state": state, "waiting_for": late}
+    _end(found, as_json, late=wait is not None and found.get("state") != "out")
+
+
+@command.command("return")
+@KIND
+@click.argument("name")
+@REASON
+@CONFIG
+@JSON
+def give_up(kind: str, name: str, reason: str, file: str, as_json: bool) -> None:
+    """Give the place of dispatcher or host NAME up: it is back, or never went.
+
+    A dispatcher that serves again gives its place up itself.
+    """
+    _end(_agreed(file, "return", kind, name, *reason.split()), as_json)
+
+
+@command.command()
+@CONFIG
+@JSON
+def out(file: str, as_json: bool) -> None:
+    """Who has a place to be out, for what, and how far; the limits, the voters, and the last changes."""
+    found = _agreed(file, "out")
+    if as_json:
+        echo_json(found)
+        return
+    word = "agreed now" if found["agreed"] else "as last known: no majority says so now"
+    click.echo(f"change {found['number']}, {word}; voters {', '.join(found['voters']) or 'none'}; "
+               f"votes here: {found.get('votes_here')}")  # fmt: skip
+    for row in found["places"]:
+        waits = f", waiting for {', '.join(row['waiting_for'])}" if row["waiting_for"] else ""
+        click.echo(f"{row['kind']} {row['name']}: {row['state']}{waits}; {row['reason']} (by {row['by']})")
+    for act in found.get("history", [])[-5:]:
+        when = time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(act["when"]))
+        click.echo(f"  {act['number']} {when} {act['what']} {act['name']} {act['reason']} (by {act['by']})")
+
+
+@command.command()
+@CONFIG
+@JSON
+def begin(file: str, as_json: bool) -> None:
+    """Begin the register, once, with all voters of the file up and none of them holding one."""
+    _end(_agreed(file, "begin"), as_json)
+
+
+@command.command()
+@click.argument("name")
+@CONFIG
+@JSON
+def voter(name: str, file: str, as_json: bool) -> None:
+    """Take voter NAME in again, whose file was lost or cannot be used."""
+    _end(_agreed(file, "voters", name), as_json)
+
+
+@command.command()
+@click.option("--dispatchers", help="At once: a number, or a share such as 20%.")
+@click.option("--hosts", help="Of each service.")
+@click.option("--hosts-a-zone", help="Of each service in each zone.")
+@CONFIG
+@JSON
+def limits(dispatchers: str | None, hosts: str | None, hosts_a_zone: str | None, file: str, as_json: bool) -> None:
+    """Set the limits of who may be out; those not named stay.  Nobody who is out is called back."""
+    found = _agreed(file, "out").get("limits", {})
+    for key, value in (("dispatchers", dispatchers), ("hosts", hosts), ("hosts_a_zone", hosts_a_zone)):
+        if value is not None:
+            found[key] = int(value) if value.isdigit() else value
+    _end(_agreed(file, "limits", json.dumps(found, separators=(",", ":"))), as_json)
--- a/thistleshore/config/__init__.py
+++ b/thistleshore/config/__init__.py
@@ -15,13 +15,15 @@
     SOCKETS_SPARE,
     Address,
     Plan,
+    ReleasesPlan,
     address,
     platform_file,
     platform_plan,
 )
 
-__all__ = ["SOCKETS_SPARE", "Address", "ConfigError", "Plan", "address", "load", "operator_file", "operator_plan",
-           "platform_plan"]  # fmt: skip
+__all__ = ["SOCKETS_SPARE", "Address", "ConfigError", "Plan", "ReleasesPlan", "address", "load", "operator_file",
+           "operator_plan", "platform_plan"]  # fmt: skip
+
 
 
 def load(environ: Mapping[str, str], epoch: float, before: Plan | None = None) -> Plan:
--- a/thistleshore/config/operator.py
+++ b/thistleshore/config/operator.py
@@ -13,6 +13,8 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
+
 from oxbowarch.interface import Effect, Entry, Group, State
 from thistleshore.beanstalkd.codec import NAME
 from thistleshore.beanstalkd.downstream import REPLY_PREFIX
@@ -20,8 +22,8 @@
 from thistleshore.beanstalkd.upstream import HOST_PREFIX, HostSeat
 from thistleshore.config.errors import ConfigError
 from thistleshore.config.platform import (
-    IDLE_SHARE, SOCKETS, SOCKETS_SPARE, Address, BeanstalkdPlan, ExchangePlan, FleetPlan, HttpPlan, Plan, address,
-    number, path_of,
+    IDLE_SHARE, SOCKETS, SOCKETS_SPARE, Address, BeanstalkdPlan, ExchangePlan, FleetPlan, HttpPlan, Plan,
+    ReleasesPlan, address, number, path_of,
 )  # fmt: skip
 from thistleshore.contracts import Agreements, ContractTerms, MemberTerms, Retries
 from thistleshore.contracts.book import Book, Budget, Contract
@@ -32,6 +34,7 @@
 from thistleshore.logs import FORMATS
 from thistleshore.expressions import Limits, NetworkError, Rule, Source, address_set, request_environment
 from thistleshore.expressions.networks import AddressSet, address as network_address
+from thistleshore.releases.model import Limits as OutLimits
 from thistleshore.platform.messages import ListNames, Routes
 from thistleshore.platform.routed import HttpRouter
 from thistleshore.routing import Live, RouteTable, TableError, Terms
@@ -203,6 +206,7 @@
         agreements = self._agreements(contracts, services, balancers)
         exchange = self._exchange(balancers, agreements)
         fleet = self._fleet(name)
+        releases = self._releases(name)
         metrics, form = None, "plain"
         if "metrics" in self.conf:
             with self._section("metrics") as part:
@@ -225,7 +229,7 @@
         return Plan(name, int.from_bytes(os.urandom(8), "big"), settings, http, tubes, tuple(known), epoch,
                     connect_within, IDLE_SHARE * idle, sockets, streams, live, agreements, exchange, metrics, form,
                     self.conf, class_names=tuple(_names(contracts)), admin=admin, restart=restart,
-                    fleet=fleet)  # fmt: skip
+                    fleet=fleet, releases=releases)  # fmt: skip
 
     def _services(self) -> dict[str, int]:
         services: dict[str, int] = {}
@@ -386,7 +390,9 @@
         if "fleet" not in self.conf:
             return None
         usual = FleetTerms()
-        with self._section("fleet") as part:
+        # What is agreed about the fleet has tables of its own, see `_releases`.
+        found_here = {key: value for key, value in dict(self.conf["fleet"]).items() if key not in ("out", "register")}
+        with Section(found_here, "fleet", self.faults) as part:
             fleet, listen, zone = part.text("name"), part.address("listen"), part.text("zone", "")
             advertise = part.address("advertise") if "advertise" in part.left else listen
             seeds, networks = part.addresses("seeds"), part.texts("from")
@@ -411,6 +417,36 @@
                 part.fault("from", str(problem))
         return FleetPlan(fleet, listen, advertise, tuple(seeds), zone, tuple(networks), terms)
 
+    def _releases(self, name: str) -> ReleasesPlan | None:
+        """`[fleet.register]` and `[fleet.out]`."""
+        tables = self.conf.get("fleet")
+        if not isinstance(tables, Mapping) or not {"out", "register"} & set(tables):
+            return None
+        limits = OutLimits()
+        try:
+            limits = msgspec.convert(tables.get("out", {}), OutLimits)
+        except msgspec.ValidationError as problem:
+            self.faults.append(f"fleet.out: {problem}")
+        if "register" not in tables:
+            self.faults.append("fleet.register: missing: limits are kept by agreement alone")
+            return None
+        voters: dict[str, Address] = {}
+        with Section(tables["register"], "fleet.register", self.faults) as part:
+            listed = part._take("voters", None, {})
+            if not isinstance(listed, Mapping) or not listed:
+                part.fault("voters", "a table of names and addresses is wanted")
+                listed = {}
+            for voter, text in listed.items():
+                try:
+                    voters[voter] = address(text, f"fleet.register.voters.{voter}")
+                except ConfigError as problem:
+                    self.faults += problem.problems
+            listen = part.address("listen") if "listen" in part.left or name in voters else None
+            folder = part.text("dir", None if listen is not None else "")
+            if listen is not None and name not in voters:
+                part.fault("listen", f"{name!r} is none of the voters")
+        return ReleasesPlan(voters, limits, listen, folder)
+
     # -- the rules ----------------------------------------------------------------------------
 
     def _live(self, contracts: Sequence[Contract]) -> Live | None:
--- a/thistleshore/config/platform.py
+++ b/thistleshore/config/platform.py
@@ -24,6 +24,7 @@
     from thistleshore.contracts import Agreements
     from thistleshore.contracts.exchange import Terms as ExchangeTerms
     from thistleshore.fleet.model import Terms as FleetTerms
+    from thistleshore.releases.model import Limits
     from thistleshore.routing import Live
 
 Address = tuple[str, int]
@@ -75,6 +76,16 @@
     terms: FleetTerms
 
 
+@dataclass(frozen=True, slots=True)
+class ReleasesPlan:
+    """Who votes on who may be out, where; `listen` and `folder` where this instance is one of them."""
+
+    voters: Mapping[str, Address]
+    limits: Limits
+    listen: Address | None = None
+    folder: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class PeersPlan:
     """Where datagrams of the other dispatchers of the tier come in, from where, and the address of all of them."""
@@ -111,6 +122,7 @@
     class_names: tuple[str, ...] = ()  # by their numbers
     numbered: Mapping[str, Any] = field(default_factory=dict, repr=False)  # the platform's settings, see `in_place`
     fleet: FleetPlan | None = None  # None: it is in no view of a fleet
+    releases: ReleasesPlan | None = None  # None: nothing is agreed
 
     def changed(self, other: Plan) -> list[str]:
         """The keys in which another reading of the file differs and which hold until a restart."""
--- a/thistleshore/dispatcher.py
+++ b/thistleshore/dispatcher.py
@@ -13,7 +13,7 @@
 from oxbowarch.interface import ListKind
 from thistleshore import config
 from thistleshore.core.broker import Broker
-from thistleshore.core.model import HostsTold, SettingsTold
+from thistleshore.core.model import BanAsked, HostsTold, SettingsTold
 from thistleshore.gate import Gate
 from thistleshore.platform.discovery import Discovery
 from thistleshore.platform.downstream import Downstream
@@ -24,6 +24,7 @@
 if TYPE_CHECKING:  # an operator's; the platform keeps no shares
     from thistleshore.contracts import Ledger
     from thistleshore.fleet.carrier import Carrier
+    from thistleshore.releases.carrier import Releases
     from thistleshore.restart.carrier import Inherited
     from thistleshore.restart.estate import Estate
 
@@ -127,6 +128,9 @@
                 nursery.start_soon(left_here.live_beside, inherited, serving_now)
         if fleet is not None and inherited is None:
             nursery.start_soon(fleet.run)
+        if fleet is not None and plan.releases is not None:
+            fleet.releases = _agree(plan.releases, fleet, broker, ready, drain)
+            nursery.start_soon(fleet.releases.run)
         async with trio.open_nursery() as serving:
             for front, address in fronts:
                 await serving.start(front.run, address)
@@ -194,6 +198,26 @@
     )  # fmt: skip
 
 
+def _agree(plan: config.ReleasesPlan, fleet: Carrier, broker: Broker, ready: Callable[[], bool],
+           drain: trio.Event) -> Releases:  # fmt: skip
+    """This process's part in what the fleet agrees on: who may be out."""
+    from thistleshore.releases.carrier import Releases
+    from thistleshore.releases.standing import standing
+
+    async def ban(host: str, out: bool) -> None:
+        asked = BanAsked(host.encode(), out)
+        await broker.inbox.send(asked)
+        await asked.done.wait()
+
+    def clear(host: str) -> bool:
+        worker = broker.brain.workers.get(host.encode())
+        return worker is None or not worker.out
+
+    return Releases(plan, fleet.machine.me.name, fleet.machine.me.life,
+                    lambda: standing(fleet.machine, broker, trio.current_time()),
+                    ban, clear, ready, drain)  # fmt: skip
+
+
 async def _serve_metrics(broker: Broker, address: config.Address, nursery: trio.Nursery,
                          fleet: Carrier | None) -> None:  # fmt: skip
     """Start the page for Prometheus: the figures, and what the contracts come to where shares are kept."""
--- a/thistleshore/fleet/carrier.py
+++ b/thistleshore/fleet/carrier.py
@@ -9,7 +9,7 @@
 import time
 from collections.abc import Callable, Mapping
 from math import inf
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import trio
 
@@ -21,6 +21,9 @@
 from thistleshore.fleet.machine import Fleet
 from thistleshore.fleet.model import Action, Changed, Record, Send, Service, State
 
+if TYPE_CHECKING:
+    from thistleshore.releases.carrier import Releases
+
 log = logging.getLogger("thistleshore")
 
 LOOK = 0.1  # s between two looks at how this process serves
@@ -61,6 +64,7 @@
         now = trio.current_time()
         self.machine = Fleet(plan.name, me, plan.terms, plan.seeds, now, int.from_bytes(os.urandom(8), "big"), allowed,
                              number)  # fmt: skip
+        self.releases: Releases | None = None
         self.subscribers: list[trio.MemorySendChannel[Changed]] = []
         self.socket: trio.socket.SocketType | None = (
             trio.socket.from_stdlib_socket(inherited) if inherited is not None else None
@@ -194,6 +198,10 @@
 
     async def on_call(self, name: str, argument: str) -> tuple[bool, Any]:
         """One call of the admin interface: whether it was done, and what there is to say."""
+        if name in ("out", "begin", "voters", "limits", "drain", "return"):
+            if self.releases is None:
+                return False, "no [fleet.register] in the file"
+            return True, await self.releases.on_call(name, tuple(argument.split()))
         if name == "members":
             return True, self.members()
         if name == "status":
--- /dev/null
+++ b/thistleshore/releases/carrier.py
@@ -0,0 +1,481 @@
+"""The register over TCP: a voter's listener, the proposer that any instance is, and the task that follows the value.
+
+A message is four bytes of length and MessagePack; one question and one answer a connection.
+"""
+
+from __future__ import annotations
+
+import logging
+import random
+import struct
+import time
+from collections.abc import Awaitable, Callable, Mapping
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import trio
+
+from thistleshore.config import Address
+from thistleshore.config.platform import ReleasesPlan
+from thistleshore.releases import places
+from thistleshore.releases.model import Limits, Refusal, Standing, Value
+from thistleshore.releases.register import (
+    NONE, Accept, Acceptor, Ballot, Change, Held, Outcome, Prepare, Promise, Accepted, Rejected, Reply, Round, Unable,
+    merged,
+)  # fmt: skip
+from thistleshore.releases.store import Store, Unusable
+
+log = logging.getLogger("thistleshore")
+
+ANSWER = 0.5  # s for a voter's answer
+CHANGE = 3.0  # s for a change, with all its rounds
+AGAIN = (0.01, 0.08)  # s before a round that met another is made again, doubled each time
+LOOK = 0.25  # s between two looks at the value
+FRESH = 1.0  # s for which what a majority said counts as now
+REPORT_KEPT = 3.0  # s for which a voter tells what an instance reported
+FRAME = struct.Struct("!I")
+FRAME_MOST = 1 << 20
+SERVED_MOST = 64  # connections at a time
+TAKEN_PAUSE = 1.0  # s before an address that is taken is tried again
+
+
+class NoMajority(Exception):
+    """No majority of the voters answered in time; the text names who did not, and why."""
+
+
+class Report(msgspec.Struct, frozen=True):
+    """What an instance says of itself with each look: up to which change it has acted, and where it sends no more."""
+
+    name: str
+    life: int
+    applied: int
+    clear: tuple[str, ...] = ()  # hosts that are out and at which nothing of it is left
+
+
+class Learn(msgspec.Struct, frozen=True, tag=True):
+    """What do you hold?  With a report, where the asker is an instance that follows."""
+
+    report: Report | None = None
+
+
+class Known(msgspec.Struct, frozen=True, tag=True):
+    """What a voter holds, whether it votes, and what instances reported to it lately."""
+
+    accepted: Ballot
+    value: Value | None
+    register: int
+    writes: int
+    why: str  # "" where it votes
+    reports: tuple[Report, ...] = ()
+
+
+class Install(msgspec.Struct, frozen=True, tag=True):
+    """Begin the register, or take a voter in again: all that it is to hold."""
+
+    held: Held
+    begin: bool  # only where nothing ever was
+
+
+Question = Prepare | Accept | Learn | Install
+_questions = msgspec.msgpack.Decoder(Question)
+_answers = msgspec.msgpack.Decoder(Promise | Accepted | Rejected | Unable | Known)
+
+
+class Voter:
+    """This instance's vote, where it has one: nothing is answered before it is on the disk."""
+
+    def __init__(self, name: str, folder: Path) -> None:
+        self.name, self.why = name, ""
+        self.store: Store | None = None
+        self.acceptor: Acceptor | None = None
+        self.reports: dict[str, tuple[float, Report]] = {}
+        try:
+            self.store = Store(folder)
+            held = self.store.read()
+            if held is None:
+                self.why = "it holds nothing yet, or its file was lost"
+            elif held.voter != name:
+                self.why = f"its file is that of {held.voter}"
+            else:
+                self.acceptor = Acceptor(held)
+        except Unusable as problem:
+            self.why = str(problem)
+        if self.why:
+            log.warning("register: no vote here: %s", self.why)
+
+    def answer(self, asked: Question, now: float) -> Reply | Known:
+        """What to answer; the state it speaks of is durable by then."""
+        if isinstance(asked, Learn):
+            return self._known(asked.report, now)
+        if isinstance(asked, Install):
+            return self._install(asked)
+        if self.acceptor is None or self.store is None:
+            return Unable(self.why)
+        after, reply = self.acceptor.on_prepare(asked) if isinstance(asked, Prepare) else self.acceptor.on_accept(asked)
+        if after is not None:
+            try:
+                self.store.write(after)
+            except Unusable as problem:
+                return Unable(str(problem))
+            self.acceptor.held = after
+        return reply
+
+    def _known(self, report: Report | None, now: float) -> Known:
+        if report is not None:
+            self.reports[report.name] = now, report
+        held = self.acceptor.held if self.acceptor is not None else Held(0, self.name)
+        fresh = tuple(report for at, report in self.reports.values() if now - at <= REPORT_KEPT)
+        return Known(held.accepted, held.value, held.register, held.writes, self.why, fresh)
+
+    def _install(self, asked: Install) -> Reply:
+        if self.store is None or asked.held.voter != self.name:
+            return Unable(self.why or "that is another voter's state")
+        if self.acceptor is not None and (asked.begin or asked.held.register != self.acceptor.held.register):
+            return Unable("it holds a register already")
+        try:
+            if asked.begin and self.store.read() is not None:
+                return Unable("it holds a register already")
+            if not asked.begin:
+                self.store.set_aside()
+            self.store.write(asked.held)
+        except Unusable as problem:
+            return Unable(str(problem))
+        self.acceptor, self.why = Acceptor(asked.held), ""
+        log.info("register: this instance votes")
+        return Accepted(asked.held.accepted, asked.held.writes)
+
+
+class Releases:
+    """One instance's part.  `standing` says what it sees; `ban` takes a host out at the module, or calls it back."""
+
+    def __init__(self, plan: ReleasesPlan, name: str, life: int, standing: Callable[[], Standing],
+                 ban: Callable[[str, bool], Awaitable[None]], clear: Callable[[str], bool], ready: Callable[[], bool],
+                 drain: trio.Event) -> None:  # fmt: skip
+        self.plan, self.name, self.life, self.standing = plan, name, life, standing
+        self.ban, self.clear, self.ready, self.drain = ban, clear, ready, drain
+        self.voter = Voter(name, Path(plan.folder)) if plan.listen is not None else None
+        self.known: Value | None = None  # the latest that is known, agreed or not
+        self.fresh_until = 0.0  # until then a majority has said so
+        self.applied = 0
+        self.reports: dict[str, Report] = {}
+        self.out: set[str] = set()  # hosts that are out here by the register
+        self._number, self._seen = 0, dict[str, int]()
+        self._register = 0
+        self._random = random.Random()
+
+    # -- questions and answers ----------------------------------------------------------------------
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Vote, and follow the value, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            if self.voter is not None and self.plan.listen is not None:
+                nursery.start_soon(self._listen, self.plan.listen)
+            nursery.start_soon(self._follow)
+            task_status.started()
+
+    async def _listen(self, address: Address) -> None:
+        while True:
+            try:
+                (listener,) = await trio.open_tcp_listeners(address[1], host=address[0])
+                break
+            except OSError as problem:
+                log.error("register: no vote on %s:%d yet: %s", *address, problem)
+                await trio.sleep(TAKEN_PAUSE)
+        log.info("register on %s:%d", *address)
+        room = trio.CapacityLimiter(SERVED_MOST)
+
+        async def serve(stream: trio.SocketStream) -> None:
+            assert self.voter is not None
+            with trio.move_on_after(2 * ANSWER):
+                try:
+                    async with room:
+                        asked = _questions.decode(await _read(stream))
+                        # One at a time: the disk is written in here, and this task does not wait meanwhile.
+                        await _write(stream, self.voter.answer(asked, trio.current_time()))
+                except (OSError, EOFError, trio.BrokenResourceError, trio.ClosedResourceError, msgspec.MsgspecError):
+                    pass
+                except Exception:
+                    # A fault at one question must not end the program.
+                    log.exception("fault at a question to the register")
+            stream.socket.close()
+
+        await trio.serve_listeners(serve, [listener])
+
+    async def _ask(self, voter: str, question: Question) -> Reply | Known | None:
+        """A voter's answer; None where none came in time."""
+        if voter == self.name and self.voter is not None:
+            return self.voter.answer(question, trio.current_time())
+        address = self.plan.voters.get(voter)
+        if address is None:
+            return Unable("this instance's file has no address of it")
+        with trio.move_on_after(ANSWER):
+            try:
+                async with await trio.open_tcp_stream(*address) as stream:
+                    await _write(stream, question)
+                    found: Reply | Known = _answers.decode(await _read(stream))
+                    return found
+            except (OSError, EOFError, trio.BrokenResourceError, trio.ClosedResourceError, msgspec.MsgspecError):
+                return None
+        return None
+
+    async def _ask_all(self, questions: Mapping[str, Question]) -> dict[str, Reply | Known | None]:
+        found: dict[str, Reply | Known | None] = {}
+
+        async def one(voter: str, question: Question) -> None:
+            found[voter] = await self._ask(voter, question)
+
+        async with trio.open_nursery() as nursery:
+            for voter, question in questions.items():
+                nursery.start_soon(one, voter, question)
+        return found
+
+    # -- changes ----------------------------------------------------------------------------------------
+
+    async def change(self, change: Change, within: float = CHANGE) -> Value | Refusal:
+        """Change the value, or be refused; NoMajority where neither came about (and it may yet, by another's round)."""
+        told, wait = "no voter answered", AGAIN[0]
+        voters = self.known.voters if self.known is not None else tuple(self.plan.voters)
+        until = trio.current_time() + within
+        while trio.current_time() < until:
+            outcome = await self._round(voters, change)
+            if outcome.what == "done":
+                assert outcome.value is not None
+                self._learned(outcome.value, True)
+                return outcome.refusal if outcome.refusal is not None else outcome.value
+            if outcome.what == "voters" and outcome.value is not None:
+                voters = outcome.value.voters
+                continue
+            if outcome.what == "lost":
+                told = outcome.told
+            self._number = max(self._number, outcome.higher[0])
+            await trio.sleep(self._random.uniform(0.5, 1.5) * wait)
+            wait = min(4 * AGAIN[1], 2 * wait) if outcome.what == "again" else AGAIN[1]
+        raise NoMajority(told)
+
+    async def _round(self, voters: tuple[str, ...], change: Change) -> Outcome:
+        if not self._register:
+            await self._look()
+            if not self._register:
+                return Outcome("lost", told="no voter holds the register; has it been begun?")
+        self._number += 1
+        # Two processes never use one ballot: its second part names the life as well.
+        ballot = (self._number, f"{self.name}.{self.life}")
+        this = Round(self._register, voters, ballot, change, self._seen)
+        send, receive = trio.open_memory_channel[tuple[str, Reply | None]](64)
+        async with trio.open_nursery() as nursery:
+
+            async def one(voter: str, question: Question) -> None:
+                reply = await self._ask(voter, question)
+                await send.send((voter, None if isinstance(reply, Known) else reply))
+
+            def ask(questions: Mapping[str, Prepare | Accept]) -> int:
+                for voter, question in questions.items():
+                    nursery.start_soon(one, voter, question)
+                return len(questions)
+
+            waiting = ask(this.start())
+            while this.outcome is None and waiting:
+                voter, reply = await receive.receive()
+                waiting += ask(this.on_reply(voter, reply)) - 1
+            nursery.cancel_scope.cancel()
+        self._seen = merged(self._seen, this.seen)
+        return this.outcome or Outcome("lost", told="; ".join(f"{n}: {why}" for n, why in sorted(this.unable.items())))
+
+    # -- following -----------------------------------------------------------------------------------------
+
+    def _learned(self, value: Value, agreed: bool) -> None:
+        if self.known is None or value.number >= self.known.number:
+            self.known = value
+            if agreed:
+                self.fresh_until = trio.current_time() + FRESH
+
+    def _report(self) -> Report:
+        return Report(self.name, self.life, self.applied, tuple(host for host in sorted(self.out) if self.clear(host)))
+
+    async def _look(self) -> None:
+        """Ask all voters what they hold, and tell them how far this instance is."""
+        voters = self.known.voters if self.known is not None else tuple(self.plan.voters)
+        found = await self._ask_all(dict.fromkeys({*voters, *self.plan.voters}, Learn(self._report())))
+        held = {voter: reply for voter, reply in found.items() if isinstance(reply, Known)}
+        self.reports = {}
+        for reply in held.values():
+            for report in reply.reports:
+                before = self.reports.get(report.name)
+                if before is None or (report.life, report.applied) >= (before.life, before.applied):
+                    self.reports[report.name] = report
+        voting = {voter: reply for voter, reply in held.items() if not reply.why and reply.value is not None}
+        if not voting:
+            return
+        self._register = next(iter(voting.values())).register
+        latest = max(voting.values(), key=lambda reply: reply.accepted)
+        assert latest.value is not None
+        same = [voter for voter, reply in voting.items()
+                if reply.accepted == latest.accepted and voter in latest.value.voters]  # fmt: skip
+        agreed = 2 * len(same) > len(latest.value.voters)
+        if not agreed and 2 * len(set(voting) & set(latest.value.voters)) > len(latest.value.voters):
+            # Accepted by some: whether by a majority is for a round to say, which also brings the others up.
+            try:
+                await self.change(lambda value: value, ANSWER)
+            except NoMajority:
+                return
+        else:
+            self._learned(latest.value, agreed)
+
+    async def _follow(self) -> None:
+        while True:
+            await self._look()
+            try:
+                await self._act()
+            except NoMajority as problem:
+                log.warning("register: %s", problem)
+            await trio.sleep(LOOK * self._random.uniform(0.75, 1.25))
+
+    async def _act(self) -> None:
+        """Do here what the value says."""
+        value = self.known
+        if value is None:
+            return
+        wanted = {place.name for place in value.places if place.kind == "host"}
+        for host in sorted(wanted ^ self.out):
+            await self.ban(host, host in wanted)
+            log.info("register: host %s is %s", host, "out" if host in wanted else "back")
+        self.out = wanted
+        self.applied = value.number
+        place = value.place("dispatcher", self.name)
+        if place is None or trio.current_time() > self.fresh_until:
+            return  # without a majority that says so now, nobody begins
+        if place.begun or place.life != self.life:
+            if place.life != self.life and self.ready():
+                # Its holder serves again: what was a place to be out is of no use any more.
+                back = "serves again"
+                await self.change(lambda v: places.free(v, "dispatcher", self.name, back, self.name, time.time()))
+        elif not self.drain.is_set():
+            begun = await self.change(
+                lambda v: places.begin(v, "dispatcher", self.name, place.number, self.name, time.time())
+            )
+            if isinstance(begun, Value):
+                log.info("register: this instance goes out: %s", place.reason)
+                self.drain.set()
+
+    # -- what operators ask -----------------------------------------------------------------------------------
+
+    async def on_call(self, name: str, arguments: tuple[str, ...]) -> dict[str, Any]:
+        """One call; `status` is done, refused, no-majority or begun."""
+        try:
+            return await self._call(name, arguments)
+        except NoMajority as problem:
+            return {"status": "no-majority", "told": str(problem), "known": self.told()}
+
+    async def _call(self, name: str, arguments: tuple[str, ...]) -> dict[str, Any]:
+        now = time.time()
+        if name == "out":
+            return {"status": "done", **self.told()}
+        if name == "begin":
+            return await self._begin()
+        if name == "voters":
+            return await self._replace(arguments[0])
+        if name == "limits":
+            limits = msgspec.json.decode(arguments[0], type=Limits)
+            return self._outcome(await self.change(lambda value: places.limit(value, limits, self.name, now)))
+        kind, which, reason = arguments[0], arguments[1], " ".join(arguments[2:])
+        if kind not in ("dispatcher", "host"):
+            return {"status": "refused", "told": "dispatcher or host is wanted"}
+        known: Any = kind
+        if name == "drain":
+            seen = self.standing()
+            found = await self.change(lambda value: places.ask(value, known, which, reason, self.name, seen, now))
+        else:
+            found = await self.change(lambda value: places.free(value, known, which, reason, self.name, now))
+        if isinstance(found, Value):
+            await self._act()
+        return {**self._outcome(found), **self.state(kind, which)}
+
+    @staticmethod
+    def _outcome(found: Value | Refusal) -> dict[str, Any]:
+        if isinstance(found, Refusal):
+            return {"status": "refused", "limit": found.limit, "allowed": found.allowed, "out": list(found.out),
+                    "told": found.told}  # fmt: skip
+        return {"status": "done", "number": found.number}
+
+    def state(self, kind: str, name: str) -> dict[str, Any]:
+        """How far one that goes out is: `out` only once all that live have said that they send nothing there."""
+        value, seen = self.known, self.standing()
+        place = value.place(kind, name) if value is not None else None
+        if place is None:
+            return {"state": "back", "waiting_for": []}
+        live = [member for member in seen.dispatchers if member not in seen.dispatchers_down]
+        if kind == "dispatcher":
+            if place.begun and name not in live:
+                return {"state": "out", "waiting_for": []}
+            return {"state": "begun" if place.begun else "given", "waiting_for": [name]}
+        late = [member for member in sorted(live) if not self._clear(member, name, place.number)]
+        return {"state": "begun" if late else "out", "waiting_for": late}
+
+    def _clear(self, member: str, host: str, number: int) -> bool:
+        report = self._report() if member == self.name else self.reports.get(member)
+        return report is not None and report.applied >= number and host in report.clear
+
+    def told(self) -> dict[str, Any]:
+        """The value as it is known here, marked where no majority has said so lately."""
+        value = self.known
+        if value is None:
+            return {"number": 0, "agreed": False, "places": [], "voters": []}
+        return {
+            "number": value.number, "agreed": trio.current_time() <= self.fresh_until, "voters": list(value.voters),
+            "limits": msgspec.to_builtins(value.limits),
+            "votes_here": None if self.voter is None else self.voter.why or "yes",
+            "places": [{**msgspec.to_builtins(place), **self.state(place.kind, place.name)} for place in value.places],
+            "history": [msgspec.to_builtins(act) for act in value.history],
+        }  # fmt: skip
+
+    async def _begin(self) -> dict[str, Any]:
+        """Begin the register, where none of its voters holds one."""
+        voters = tuple(sorted(self.plan.voters))
+        found = await self._ask_all(dict.fromkeys(voters, Learn()))
+        if missing := [name for name, reply in found.items() if not isinstance(reply, Known)]:
+            raise NoMajority(f"all voters are needed to begin: no answer from {', '.join(missing)}")
+        if holds := [name for name, reply in found.items() if isinstance(reply, Known) and reply.value is not None]:
+            return {"status": "refused", "told": f"{', '.join(holds)} hold a register already"}
+        register = random.SystemRandom().getrandbits(62) + 1
+        value = Value(1, voters, self.plan.limits)
+        installs = {name: Install(Held(register, name, (1, ""), (1, ""), value, 1), True) for name in voters}
+        replies = await self._ask_all(installs)
+        if failed := {name: reply for name, reply in replies.items() if not isinstance(reply, Accepted)}:
+            told = "; ".join(f"{n}: {r.why if isinstance(r, Unable) else 'no answer'}" for n, r in failed.items())
+            return {"status": "refused", "told": told}
+        await self._look()
+        return {"status": "done", "number": 1}
+
+    async def _replace(self, name: str) -> dict[str, Any]:
+        """Take a voter in again whose file was lost: out of the voters, its state anew, and in again."""
+        if name not in self.plan.voters:
+            return {"status": "refused", "told": f"no voter of that name is in this instance's file: {name}"}
+        now = time.time()
+        found = await self.change(lambda value: places.change_voter(value, name, False, self.name, now))
+        if isinstance(found, Refusal):
+            return self._outcome(found)
+        writes = self._seen.get(name, 0) + 1
+        held = Held(self._register, name, NONE, NONE, None, writes)
+        reply = await self._ask(name, Install(held, False))
+        if not isinstance(reply, Accepted):
+            told = f"{name} is no voter now, and could not be taken in: "
+            return {"status": "refused", "told": told + (reply.why if isinstance(reply, Unable) else "no answer")}
+        return self._outcome(await self.change(lambda value: places.change_voter(value, name, True, self.name, now)))
+
+
+async def _read(stream: trio.SocketStream) -> bytes:
+    data = b""
+    while len(data) < FRAME.size or len(data) < FRAME.size + FRAME.unpack_from(data)[0]:
+        if len(data) >= FRAME.size and FRAME.unpack_from(data)[0] > FRAME_MOST:
+            raise EOFError
+        part = await stream.receive_some(65536)
+        if not part:
+            raise EOFError
+        data += part
+    return data[FRAME.size :]
+
+
+async def _write(stream: trio.SocketStream, message: object) -> None:
+    data = msgspec.msgpack.encode(message)
+    await stream.send_all(FRAME.pack(len(data)) + data)
--- /dev/null
+++ b/thistleshore/releases/places.py
@@ -0,0 +1,105 @@
+"""Who may go out, and why not: pure functions from a value and what is seen to the next value, or a refusal.
+
+A place is given only while the limit holds, with whoever is down without having asked counted as out.  It is freed when
+its holder is seen to serve again, or when an operator gives it up, and by nothing else.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+
+from thistleshore.releases.model import (
+    HISTORY_MOST, PLACES_MOST, REASON_MOST, Act, Kind, Limit, Limits, Place, Refusal, Standing, Value,
+)  # fmt: skip
+
+
+def allowed(limit: Limit, known: int) -> int:
+    """How many of so many; a share that comes to less than one allows one, but 0 % none."""
+    if isinstance(limit, int):
+        return limit
+    share = int(limit[:-1])
+    return max(1, known * share // 100) if share else 0
+
+
+def _changed(value: Value, what: str, name: str, reason: str, by: str, when: float, **fields: object) -> Value:
+    act = Act(value.number + 1, what, name, reason[:REASON_MOST], by, when)
+    history = (*value.history, act)[-HISTORY_MOST:]
+    return msgspec.structs.replace(value, number=value.number + 1, history=history, **fields)
+
+
+def _within(limit: str, bound: Limit, known: Iterable[str], out: Iterable[str], name: str) -> Refusal | None:
+    """A refusal where one more than those that are out would be too many."""
+    others = tuple(sorted(set(out) - {name}))
+    most = allowed(bound, len(set(known) | set(others) | {name}))
+    if len(others) < most:
+        return None
+    return Refusal(limit, most, others, f"{limit} allows {most} out, and out are: {', '.join(others) or 'none'}")
+
+
+def ask(value: Value, kind: Kind, name: str, reason: str, by: str, seen: Standing, when: float) -> Value | Refusal:
+    """A place for it.  Whoever has one already keeps it, and the value is as before."""
+    if value.place(kind, name) is not None:
+        return value
+    if len(value.places) >= PLACES_MOST:
+        return Refusal("places", PLACES_MOST, (), "no more places are kept")
+    if kind == "dispatcher":
+        if name not in seen.dispatchers:
+            return Refusal("known", 0, (), f"no dispatcher is named {name!r}")
+        held = {place.name for place in value.places if place.kind == kind}
+        refused = _within("dispatchers", value.limits.dispatchers, seen.dispatchers, held | seen.dispatchers_down, name)
+        place = Place(kind, name, reason[:REASON_MOST], by, value.number + 1, life=seen.dispatchers[name])
+    else:
+        if name not in seen.hosts:
+            return Refusal("known", 0, (), f"no host is named {name!r}")
+        service, zone = seen.hosts[name]
+        refused = None
+        for limit, bound, group in (
+            ("hosts", value.limits.hosts, {h for h, (s, _) in seen.hosts.items() if s == service}),
+            ("hosts_a_zone", value.limits.hosts_a_zone, {h for h, at in seen.hosts.items() if at == (service, zone)}),
+        ):
+            held = {
+                place.name for place in value.places
+                if place.kind == kind and place.service == service and (limit == "hosts" or place.zone == zone)
+            }  # fmt: skip
+            refused = refused or _within(limit, bound, group, held | (seen.hosts_down & group), name)
+        place = Place(kind, name, reason[:REASON_MOST], by, value.number + 1, service, zone)
+    if refused is not None:
+        return refused
+    return _changed(value, f"{kind} may go out", name, reason, by, when, places=(*value.places, place))
+
+
+def begin(value: Value, kind: Kind, name: str, number: int, by: str, when: float) -> Value | Refusal:
+    """Its holder goes out now; only by the very place that it was given."""
+    place = value.place(kind, name)
+    if place is None or place.number != number:
+        return Refusal("place", 0, (), f"{name} has no place of number {number}")
+    if place.begun:
+        return value
+    places = tuple(msgspec.structs.replace(p, begun=True) if p is place else p for p in value.places)
+    return _changed(value, f"{kind} goes out", name, place.reason, by, when, places=places)
+
+
+def free(value: Value, kind: Kind, name: str, reason: str, by: str, when: float) -> Value | Refusal:
+    """It is back, or an operator gives its place up."""
+    place = value.place(kind, name)
+    if place is None:
+        return Refusal("place", 0, (), f"{kind} {name} has no place")
+    places = tuple(p for p in value.places if p is not place)
+    return _changed(value, f"{kind} is back", name, reason, by, when, places=places)
+
+
+def limit(value: Value, limits: Limits, by: str, when: float) -> Value | Refusal:
+    """Other limits from now on.  Nobody who is out is called back; nobody else goes out while there are too many."""
+    return value if limits == value.limits else _changed(value, "limits", "", "", by, when, limits=limits)
+
+
+def change_voter(value: Value, name: str, votes: bool, by: str, when: float) -> Value | Refusal:
+    """One voter more, or one fewer."""
+    if votes == (name in value.voters):
+        return value
+    voters = (*value.voters, name) if votes else tuple(v for v in value.voters if v != name)
+    if not voters:
+        return Refusal("voters", 1, (), "the last voter stays")
+    return _changed(value, "votes" if votes else "votes no more", name, "", by, when, voters=tuple(sorted(voters)))
--- /dev/null
+++ b/thistleshore/releases/register.py
@@ -0,0 +1,205 @@
+"""The register as two sans-IO machines: a voter's acceptor, and one proposer's round (CASPaxos).
+
+A round asks the voters to promise its ballot, takes the value of the highest ballot that any of them has accepted,
+changes it, and asks them to accept the result.  Two majorities of one set of voters share a voter, so whatever was
+accepted by one is seen by the next.  A change of voters is accepted by a majority of the old and of the new set.
+
+What an acceptor has promised or accepted is durable before it answers: `on_*` return the state to be written, and the
+answer that may leave only then.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import msgspec
+
+from thistleshore.releases.model import Refusal, Value
+
+Ballot = tuple[int, str]  # a number, and who proposes
+NONE: Ballot = (0, "")
+Change = Callable[[Value], Value | Refusal]
+
+
+class Held(msgspec.Struct, frozen=True):
+    """A voter's durable state."""
+
+    register: int  # drawn when the register was begun
+    voter: str
+    promised: Ballot = NONE
+    accepted: Ballot = NONE
+    value: Value | None = None
+    writes: int = 0  # of this voter, ever
+    seen: dict[str, int] = {}  # noqa: RUF012 - how many writes of each other voter are known of
+
+
+class Prepare(msgspec.Struct, frozen=True, tag=True):
+    register: int
+    ballot: Ballot
+    seen: dict[str, int] = {}  # noqa: RUF012
+
+
+class Accept(msgspec.Struct, frozen=True, tag=True):
+    register: int
+    ballot: Ballot
+    value: Value
+    seen: dict[str, int] = {}  # noqa: RUF012
+
+
+class Promise(msgspec.Struct, frozen=True, tag=True):
+    ballot: Ballot
+    accepted: Ballot
+    value: Value | None
+    writes: int
+    seen: dict[str, int]
+
+
+class Accepted(msgspec.Struct, frozen=True, tag=True):
+    ballot: Ballot
+    writes: int
+
+
+class Rejected(msgspec.Struct, frozen=True, tag=True):
+    """Another ballot was promised meanwhile."""
+
+    promised: Ballot
+
+
+class Unable(msgspec.Struct, frozen=True, tag=True):
+    """It does not vote, and why."""
+
+    why: str
+
+
+Reply = Promise | Accepted | Rejected | Unable
+
+
+def merged(*tables: dict[str, int]) -> dict[str, int]:
+    """The most that any table says of each."""
+    found: dict[str, int] = {}
+    for table in tables:
+        for name, writes in table.items():
+            found[name] = max(writes, found.get(name, 0))
+    return found
+
+
+class Acceptor:
+    """One voter's decisions; `held` is what is on its disk."""
+
+    def __init__(self, held: Held) -> None:
+        self.held = held
+
+    def on_prepare(self, asked: Prepare) -> tuple[Held | None, Reply]:
+        held = self.held
+        if problem := self._strange(asked.register, asked.seen):
+            return None, problem
+        if asked.ballot < held.promised:
+            return None, Rejected(held.promised)
+        after = msgspec.structs.replace(held, promised=asked.ballot, writes=held.writes + 1,
+                                        seen=merged(held.seen, asked.seen))  # fmt: skip
+        return after, Promise(asked.ballot, held.accepted, held.value, after.writes, after.seen)
+
+    def on_accept(self, asked: Accept) -> tuple[Held | None, Reply]:
+        held = self.held
+        if problem := self._strange(asked.register, asked.seen):
+            return None, problem
+        if asked.ballot < held.promised:
+            return None, Rejected(held.promised)
+        after = msgspec.structs.replace(held, promised=asked.ballot, accepted=asked.ballot, value=asked.value,
+                                        writes=held.writes + 1, seen=merged(held.seen, asked.seen))  # fmt: skip
+        return after, Accepted(asked.ballot, after.writes)
+
+    def _strange(self, register: int, seen: dict[str, int]) -> Unable | None:
+        if register != self.held.register:
+            return Unable("its file is of another register")
+        if seen.get(self.held.voter, 0) > self.held.writes:
+            # It has promised or accepted what it no longer knows of.
+            return Unable("its file was set back to an older copy")
+        return None
+
+
+class Outcome(NamedTuple):
+    """How a round ended: `done` with a value, and the refusal where the change was none; or what to do next."""
+
+    what: str  # done, again (another ballot is higher), voters (the value names others), lost (no majority can come)
+    value: Value | None = None
+    refusal: Refusal | None = None
+    higher: Ballot = NONE
+    told: str = ""
+
+
+class Round:
+    """One proposer's attempt with one ballot."""
+
+    def __init__(self, register: int, voters: tuple[str, ...], ballot: Ballot, change: Change,
+                 seen: dict[str, int] | None = None) -> None:  # fmt: skip
+        self.register, self.voters, self.ballot, self.change = register, frozenset(voters), ballot, change
+        self.seen = dict(seen or {})
+        self.outcome: Outcome | None = None
+        self.unable: dict[str, str] = {}
+        self._promises: dict[str, Promise] = {}
+        self._accepted: set[str] = set()
+        self._value: Value | None = None
+        self._refusal: Refusal | None = None
+        self._next: frozenset[str] = self.voters
+
+    def start(self) -> dict[str, Prepare | Accept]:
+        """What to send to whom."""
+        return {voter: Prepare(self.register, self.ballot, self.seen) for voter in sorted(self.voters)}
+
+    def on_reply(self, voter: str, reply: Reply | None) -> dict[str, Prepare | Accept]:
+        """Take an answer in (None: none came); what to send to whom next.  `outcome` is set once the round is over."""
+        if self.outcome is not None:
+            return {}
+        match reply:
+            case Rejected(promised=higher):
+                self.outcome = Outcome("again", higher=higher)
+            case Promise() if reply.ballot == self.ballot and self._value is None:
+                return self._promised(voter, reply)
+            case Accepted() if reply.ballot == self.ballot and self._value is not None:
+                self._accepted.add(voter)
+                if self._majority(self._accepted, self.voters) and self._majority(self._accepted, self._next):
+                    self.outcome = Outcome("done", self._value, self._refusal)
+            case _:
+                self.unable[voter] = reply.why if isinstance(reply, Unable) else "no answer"
+                self._look_lost()
+        return {}
+
+    def _promised(self, voter: str, reply: Promise) -> dict[str, Prepare | Accept]:
+        self._promises[voter] = reply
+        self.seen = merged(self.seen, reply.seen)
+        for name, promise in list(self._promises.items()):
+            if self.seen.get(name, 0) > promise.writes:
+                del self._promises[name]  # set back: its word is not worth a vote
+                self.unable[name] = "its file was set back to an older copy"
+        if not self._majority(set(self._promises), self.voters):
+            self._look_lost()
+            return {}
+        self.seen = merged(self.seen, {name: promise.writes for name, promise in self._promises.items()})
+        found = max(self._promises.values(), key=lambda promise: promise.accepted)
+        if found.value is None:
+            self.outcome = Outcome("lost", told="the register was never begun")
+            return {}
+        if frozenset(found.value.voters) != self.voters:
+            self.outcome = Outcome("voters", found.value)
+            return {}
+        changed = self.change(found.value)
+        # A refusal is agreed as well, by writing the value back: else it might rest on one that is no longer in force.
+        self._refusal = changed if isinstance(changed, Refusal) else None
+        self._value = found.value if isinstance(changed, Refusal) else changed
+        self._next = frozenset(self._value.voters)
+        self.unable = {name: why for name, why in self.unable.items() if name not in self._promises}
+        message = Accept(self.register, self.ballot, self._value, self.seen)
+        return dict.fromkeys(sorted(self.voters | self._next), message)
+
+    def _look_lost(self) -> None:
+        """Whether too many cannot vote for a majority still to come."""
+        for voters in (self.voters, self._next):
+            if 2 * len(voters - self.unable.keys()) <= len(voters):
+                told = "; ".join(f"{name}: {why}" for name, why in sorted(self.unable.items()))
+                self.outcome = Outcome("lost", told=told)
+
+    @staticmethod
+    def _majority(some: set[str], voters: frozenset[str]) -> bool:
+        return 2 * len(some & voters) > len(voters)
--- /dev/null
+++ b/thistleshore/releases/standing.py
@@ -0,0 +1,35 @@
+"""What one instance sees of who is there and who is down, out of its view of the fleet and its module's hosts."""
+
+from __future__ import annotations
+
+from oxbowarch.interface import State as HostState
+from thistleshore.core.broker import Broker
+from thistleshore.fleet import Fleet, Service, State
+from thistleshore.releases.model import Standing
+
+COLD = 2.0  # s after its start for which a host counts as cold, and so as out
+
+
+def standing(fleet: Fleet, broker: Broker, now: float) -> Standing:
+    """As of now.  Whoever is down, suspect, not ready, cold or shunned by the module counts as out."""
+    lives: dict[str, int] = {}
+    down: set[str] = set()
+    for record in [fleet.me, *(member.record for member in fleet.members.values())]:
+        if record.state == State.LEFT and record.by:
+            continue  # an operator said that it will not come back
+        lives[record.name] = record.life
+        if record.state != State.ALIVE or record.service != Service.READY:
+            down.add(record.name)
+    hosts: dict[str, tuple[str, str]] = {}
+    hosts_down: set[str] = set()
+    for name, host in broker.hosts.items():
+        entry = host.entry
+        if entry.state is HostState.GONE:
+            continue
+        hosts[name.decode()] = str(entry.kind), str(entry.zone)
+        worker = broker.brain.workers.get(name)
+        cold = entry.started_at > 0.0 and now - entry.started_at < COLD
+        shunned = worker is not None and now < worker.shunned_until
+        if entry.state is not HostState.READY or cold or shunned:
+            hosts_down.add(name.decode())
+    return Standing(lives, frozenset(down), hosts, frozenset(hosts_down))
--- /dev/null
+++ b/thistleshore/releases/store.py
@@ -0,0 +1,86 @@
+"""A voter's durable state: one SQLite file, written whole before any answer leaves, and held by one process."""
+
+from __future__ import annotations
+
+import fcntl
+import os
+import sqlite3
+import zlib
+from pathlib import Path
+
+import msgspec
+
+from thistleshore.releases.register import Held
+
+FORMAT = 1
+FILE, LOCK = "register.sqlite", "register.lock"
+
+
+class Unusable(Exception):
+    """The file cannot vote; the text says why.  An operator has to have the voter taken in again."""
+
+
+class Store:
+    """The file in one folder, locked while it is open."""
+
+    def __init__(self, folder: Path) -> None:
+        """Raises Unusable where another process holds it, or the folder cannot be used."""
+        self.folder = folder
+        try:
+            folder.mkdir(parents=True, exist_ok=True)
+            self._lock = os.open(folder / LOCK, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        except OSError as problem:
+            raise Unusable(f"its folder cannot be used: {problem.strerror}") from None
+        try:
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            os.close(self._lock)
+            raise Unusable("another process holds its file") from None
+
+    def close(self) -> None:
+        os.close(self._lock)
+
+    def read(self) -> Held | None:
+        """What is there, None where nothing ever was; Unusable where it is torn or of a newer version."""
+        path = self.folder / FILE
+        if not path.exists():
+            return None
+        try:
+            with sqlite3.connect(f"file:{path}?mode=rw", uri=True) as base:
+                row = base.execute("SELECT format, sum, data FROM held").fetchone()
+            base.close()
+        except sqlite3.Error as problem:
+            raise Unusable(f"its file is torn: {problem}") from None
+        if row is None:
+            raise Unusable("its file is empty")
+        form, total, data = row
+        if form != FORMAT:
+            raise Unusable(f"its file has format {form}, and this program reads {FORMAT}")
+        if not isinstance(data, bytes) or zlib.crc32(data) != total:
+            raise Unusable("its file is torn: the checksum is wrong")
+        try:
+            return msgspec.msgpack.decode(data, type=Held)
+        except msgspec.MsgspecError as problem:
+            raise Unusable(f"its file is torn: {problem}") from None
+
+    def write(self, held: Held) -> None:
+        """Durable once this returns; Unusable where the disk takes nothing (then nothing may be answered)."""
+        data = msgspec.msgpack.encode(held)
+        try:
+            base = sqlite3.connect(self.folder / FILE, isolation_level=None)
+            try:
+                base.execute("PRAGMA synchronous = FULL")
+                base.execute("BEGIN IMMEDIATE")
+                base.execute("CREATE TABLE IF NOT EXISTS held (id INTEGER PRIMARY KEY, format, sum, data)")
+                base.execute("INSERT OR REPLACE INTO held VALUES (1, ?, ?, ?)", (FORMAT, zlib.crc32(data), data))
+                base.execute("COMMIT")
+            finally:
+                base.close()
+        except sqlite3.Error as problem:
+            raise Unusable(f"its disk takes nothing: {problem}") from None
+
+    def set_aside(self) -> None:
+        """Keep what cannot be used under another name, for whoever looks into it."""
+        path = self.folder / FILE
+        if path.exists():
+            os.replace(path, path.with_suffix(".unusable"))
--- a/thistleshore/rig/checks.py
+++ b/thistleshore/rig/checks.py
@@ -101,6 +101,25 @@
             if member["state"] in ("dead", "left") and member["name"] in alive]  # fmt: skip
 
 
+def limited(rows: Sequence[Row]) -> list[Finding]:
+    """By the fleet's own doing never more dispatchers are out than the limit, by who answered PING with yes."""
+    limit = next((row["limit"] for row in of(rows, "limit")), None)
+    if limit is None:
+        return []
+    found, out, served = [], set[str](), set[str]()
+    for row in of(rows, "serves", "began"):
+        if row["what"] == "began":
+            served.discard(row["name"])
+        elif row["yes"]:
+            out.discard(row["name"])
+            served.add(row["name"])
+        elif row["own"] and row["name"] in served:  # one that starts is no more out than before
+            out.add(row["name"])
+            if len(out) > limit:
+                found.append(Finding("limited", row["t"], f"{', '.join(sorted(out))} are out, and {limit} may be"))
+    return found
+
+
 def clean(rows: Sequence[Row]) -> list[Finding]:
     """A process that was told to end by SIGTERM ends with status 0, in time."""
     return [Finding("clean", row["t"], f"{row['name']} ended with {row['status']}")
@@ -109,6 +128,7 @@
 
 CHECKS: Mapping[str, Callable[[Sequence[Row]], list[Finding]]] = {
     "answers": answers, "keyed": keyed, "drained": drained, "settled": settled, "living": living, "clean": clean,
+    "limited": limited,
 }  # fmt: skip
 
 
--- a/thistleshore/rig/processes.py
+++ b/thistleshore/rig/processes.py
@@ -27,12 +27,13 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Ports on loopback that nobody has now, for UDP and TCP."""
+    """Ports on loopback that nobody has now, for UDP and TCP; of no seed, as two rigs of one seed must not meet."""
+    chance = random.SystemRandom()
     found: list[int] = []
     held: list[socket.socket] = []
     try:
         while len(found) < count:
-            port = random.randrange(*PORTS)
+            port = chance.randrange(*PORTS)
             pair = (socket.socket(socket.AF_INET, socket.SOCK_STREAM), socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
             held += pair
             try:
--- a/thistleshore/rig/rig.py
+++ b/thistleshore/rig/rig.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import random
 import signal
 from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
@@ -23,6 +22,7 @@
 
 LOOK = 0.1  # s between two questions to each process about its view
 ANSWER = 1.0  # s for an answer
+CHANGE = 10.0  # s for what the fleet has to agree on
 STARTED = 10.0  # s for a process to start, on a machine that is busy
 ENDS = 12.0  # s for a drain: what was taken is finished
 WINDOW = 7.5
@@ -46,7 +46,7 @@
 zone = "{zone}"
 from = ["127.0.0.0/8"]
 period = {period}
-
+{register}
 [[service]]
 name = "ticketing"
 
@@ -98,6 +98,8 @@
         self.admin: dict[str, Address] = {}
         self.fronts: dict[str, Address] = {}
         self.views: dict[str, dict[str, Any]] = {}
+        self.votes: dict[str, Address] = {}
+        self.serves: dict[str, bool] = {}  # whether each answered PING with yes, when it was last asked
         self.listens: dict[str, Address] = {}  # where each hears datagrams, behind its relay
         self.advertised: dict[str, Address] = {}
         self.senders: list[Sender] = []
@@ -119,7 +121,9 @@
             worker = Worker(name, bays[n % 2], world.workers.seconds, world.workers.slots, self.truth, self.links)
             await self.nursery.start(worker.run)
             self.workers[name] = worker
-        ports = free_ports(3 * count)
+        ports = free_ports(3 * count + world.voters)
+        for voter, port in zip(world.names[: world.voters], ports[3 * count :], strict=True):
+            self.votes[voter] = ("127.0.0.1", port)
         sockets = {}
         for n, name in enumerate(world.names):
             self.fronts[name], self.admin[name], self.listens[name] = (
@@ -136,7 +140,7 @@
             for number, (to, worker) in enumerate(self.workers.items()):
                 port = await self._connections(name, to, ("127.0.0.1", worker.port))
                 hosts.append(HOST.format(name=to, bay=1 + number % 2, port=port))
-            self._write(name, n, "\n".join(hosts))
+            self._write(name, n, "\n".join(hosts), await self._register(name))
             self.fronts[name] = ("127.0.0.1", await self._connections("load", name, self.fronts[name]))
 
     async def _connections(self, sender: str, receiver: str, target: Address) -> int:
@@ -145,7 +149,20 @@
         self.nursery.start_soon(carry_connections, self.links, sender, receiver, target, listener)
         return int(listener.socket.getsockname()[1])
 
-    def _write(self, name: str, number: int, hosts: str) -> None:
+    async def _register(self, name: str) -> str:
+        """The tables of who votes, each other voter behind a relay."""
+        if not self.votes:
+            return ""
+        voters = {voter: address if voter == name else ("127.0.0.1", await self._connections(name, voter, address))
+                  for voter, address in self.votes.items()}  # fmt: skip
+        lines = ["", "[fleet.register]"]
+        if name in self.votes:
+            lines += [f'listen = "127.0.0.1:{self.votes[name][1]}"', f'dir = "{self.out / ("register-" + name)}"']
+        lines += ["[fleet.register.voters]", *(f'{voter} = "127.0.0.1:{port}"' for voter, (_, port) in voters.items())]
+        lines += ["[fleet.out]", *(f"{key} = {json.dumps(limit)}" for key, limit in self.world.out.items()), ""]
+        return "\n".join(lines)
+
+    def _write(self, name: str, number: int, hosts: str, register: str) -> None:
         world = self.world
         file = self.out / f"{name}.toml"
         first = world.names[: world.seeds]
@@ -153,7 +170,8 @@
             name=name, count=world.processes, http=self.fronts[name][1], admin=self.admin[name][1], fleet=world.name,
             udp=self.listens[name][1], relay=self.advertised[name][1], zone=world.zones[number % len(world.zones)],
             seeds=", ".join(f'"127.0.0.1:{self.advertised[seed][1]}"' for seed in first), period=world.period,
-            hosts=hosts, window=WINDOW, restart=f'restart = "{self.out}"' if world.hot else ""))  # fmt: skip
+            hosts=hosts, register=register, window=WINDOW,
+            restart=f'restart = "{self.out}"' if world.hot else ""))  # fmt: skip
         self.processes[name] = Process(name, file, self.command)
 
     # -- processes -----------------------------------------------------------------------------------
@@ -211,10 +229,10 @@
 
     # -- what they say -----------------------------------------------------------------------------------
 
-    async def call(self, name: str, line: str) -> str:
+    async def call(self, name: str, line: str, within: float = ANSWER) -> str:
         """One call of a process's admin interface; "" where there is no whole answer."""
         data = b""
-        with trio.move_on_after(ANSWER) as limit:
+        with trio.move_on_after(within) as limit:
             try:
                 async with await trio.open_tcp_stream(*self.admin[name]) as stream:
                     await stream.send_all(line.encode() + b"\n")
@@ -225,18 +243,32 @@
         return "" if limit.cancelled_caught else data.decode(errors="replace")
 
     async def told(self, name: str, what: str = "members") -> Any:
-        """A call of the view, read; None where there is no answer."""
-        answer = await self.call(name, f"FLEET {what}")
+        """A call of the view, read; None where there is no answer.  What is agreed takes its rounds."""
+        agrees = what.split()[0] in ("begin", "drain", "return", "voters", "limits")
+        answer = await self.call(name, f"FLEET {what}", CHANGE if agrees else ANSWER)
         try:
             return json.loads(answer.split("\n")[0])
         except ValueError:
             return None
 
+    async def _ping(self, name: str) -> None:
+        """Put down whether it serves, by its own word and its life, with the change of it."""
+        process = self.processes[name]
+        life, ran = process.child, process.runs
+        serves = ran and (await self.call(name, "PING")).startswith("OK")
+        if process.child is life and process.runs == ran and serves != self.serves.get(name):
+            self.serves[name] = serves
+            # By its own doing: it lives and is not ready, or has ended with status 0, and the rig has not asked it to.
+            own = process.runs or (not process.lives and process.child is not None and process.child.poll() == 0)
+            own = own and name not in self._asked_to_end
+            self.truth.add("serves", name=name, yes=serves, own=own)
+
     async def _look(self, name: str) -> None:
         """Ask one process for its view again and again."""
         said = ""
         while True:
             process = self.processes[name]
+            await self._ping(name)
             if process.runs:
                 life = process.child
                 found = await self.told(name)
@@ -453,7 +485,6 @@
 async def open_rig(world: World, seed: int, out: Path, command: Sequence[str] = PROGRAM,
                    start: bool = True) -> AsyncIterator[Rig]:  # fmt: skip
     """A rig whose processes have started and whose view is settled; whatever happens, none of them is left."""
-    random.seed(seed)
     out.mkdir(parents=True, exist_ok=True)
     async with trio.open_nursery() as nursery:
         rig = Rig(world, seed, out, command, nursery)
