--- a/thistleshore/rig/workers.py
+++ b/thistleshore/rig/workers.py
@@ -60,11 +60,11 @@
         self.mode, self.times = mode, times if mode == "slow" else 1.0
 
     async def _connection(self, stream: trio.SocketStream) -> None:
-        caller = self.links.callers.get(stream.socket.getpeername()[1], "")
         try:
+            caller = self.links.callers.get(stream.socket.getpeername()[1], "")
             while await self._job(stream, caller):
                 pass
-        except (trio.BrokenResourceError, trio.ClosedResourceError, ValueError, KeyError):
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError, ValueError, KeyError):
             pass
         finally:
             stream.socket.close()
