--- a/benchmarks/check_fleet.py
+++ b/benchmarks/check_fleet.py
@@ -71,6 +71,7 @@
     made.members = {name: copy.copy(member) for name, member in node.members.items()}
     for member in made.members.values():
         member.by = set(member.by)
+    made._troubled = {name: made.members[name] for name in node._troubled}
     made._gossip, made.told, made._out = dict(node._gossip), node.told.copy(), []
     return made
 
--- a/thistleshore/fleet/machine.py
+++ b/thistleshore/fleet/machine.py
@@ -74,6 +74,7 @@
         self.born_life = me.life
         self.seeds = tuple(dict.fromkeys(seed for seed in seeds if seed != me.address))
         self.members: dict[str, Member] = {}
+        self._troubled: dict[str, Member] = {}  # those of them that are not alive: few, where there are many
         self.counts: Counter[str] = Counter()
         self.health = 0  # 0: sound; grows with every sign that it is this instance that is slow
         self.quiet = True  # not a member yet, or no longer
@@ -112,10 +113,10 @@
         if self._challenge is not None:
             times.append(self._challenge[2])
         times += [favour.until for favour in self._favours.values()]
-        for member in self.members.values():
+        for member in self._troubled.values():
             if member.record.state == State.SUSPECT:
                 times.append(self._expires(member))
-            elif member.record.state >= State.DEAD:
+            else:
                 times.append(min(member.call_at, self._ages(member)))
         return min(times)
 
@@ -175,7 +176,7 @@
             self._next_sync = now + self.terms.sync * (0.75 + 0.5 * self._random.random())
             if (alive := self._alive()):
                 self._compare(self._random.choice(alive), now)
-        for name, member in list(self.members.items()):
+        for name, member in list(self._troubled.items()):
             self._time_of(name, member, now)
         for number, favour in list(self._favours.items()):
             if now >= favour.until:
@@ -303,6 +304,7 @@
 
     def _drop(self, name: str) -> None:
         member = self.members.pop(name)
+        self._troubled.pop(name, None)
         self._gossip.pop(name, None)
         self._digest = self._buckets = None
         self._event("forgotten", member.record)
@@ -560,6 +562,7 @@
             self.members[record.name] = member = Member(record, now)
             if record.state == State.SUSPECT:
                 member.by = {record.by}
+                self._troubled[record.name] = member
             self._round.insert(self._random.randint(0, len(self._round)), record.name)
             self._told_of(record, now)
             self._event("joined", record)
@@ -578,6 +581,10 @@
             return
         assert TABLE[State(before.state), seen] == record.state
         member.record = record
+        if record.state == State.ALIVE:
+            self._troubled.pop(record.name, None)
+        else:
+            self._troubled[record.name] = member
         if record.life != before.life:
             member.digest = member.newest = -1
             member.seen_numbers = 0
