--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -14,6 +14,7 @@
 import trio
 from hypothesis import given, strategies as st
 
+from benchmarks import check_register
 from tests.support import ROOT, play_beside, steady
 from thistleshore import config
 from thistleshore.releases import places
@@ -407,3 +408,10 @@
         file.write_text(text.replace(old, new))
         with pytest.raises(config.ConfigError, match=re.escape(fault)):
             config.operator_file(str(file), 0.0)
+
+
+def test_the_model_checker_finds_each_flawed_form_and_nothing_in_the_register() -> None:
+    assert check_register.walk("", 400, 1)["broken"] == ""
+    assert check_register.explore("", 1500)["broken"] == ""
+    assert {flaw: bool(check_register.walk(flaw, 3000, 2)["broken"]) for flaw in check_register.FLAWS} == dict.fromkeys(
+        check_register.FLAWS, True)  # fmt: skip
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -13,6 +13,7 @@
 from hypothesis import given, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from benchmarks import check_fleet
 from benchmarks.fleet_net import Net, halves
 from tests.standins import Platform
 from tests.support import GARBAGE, ROOT, play, steady
@@ -555,3 +556,9 @@
         assert await at.call(b"FLEET members") == b"ERR no [fleet] in the file\n"
 
     play(Platform().run, scenario)
+
+
+def test_the_model_checker_finds_each_flawed_form_and_nothing_in_the_machine() -> None:
+    assert check_fleet.explore(Fleet, 400)["broken"] == ""
+    for kind in (check_fleet.Stubborn, check_fleet.Gullible, check_fleet.Hasty):
+        assert check_fleet.explore(kind, 1500)["broken"], kind
