--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -18,6 +18,7 @@
 from tests.support import ROOT, play_beside, steady
 from thistleshore import config
 from thistleshore.releases import places
+from thistleshore.releases.gate import Gate, Tally, Terms as GateTerms, Verdict
 from thistleshore.releases.model import Limits, Refusal, Standing, Value
 from thistleshore.releases.register import Accept, Acceptor, Held, Prepare, Round, Unable
 from thistleshore.releases.store import FILE, Store, Unusable
@@ -204,6 +205,51 @@
     assert len(done) > 3
 
 
+# -- the gate
+
+
+def gated(old: float, new: float, intervals: int = 30, tries: int = 100) -> Any:
+    gate, told = Gate(["all"], GateTerms(), 0.0), None
+    for second in range(1, intervals + 1):
+        both = Tally(8 * tries, round(8 * tries * old)), Tally(tries, round(tries * new))
+        told = gate.on_interval({"all": both}, float(second))
+        if told.verdict is Verdict.WORSE:
+            break
+    return told
+
+
+def test_the_gate_calls_worse_what_is_and_nothing_else() -> None:
+    assert gated(0.97, 0.97).verdict is Verdict.FINE
+    assert gated(0.40, 0.40).verdict is Verdict.FINE  # it goes badly with both
+    assert gated(0.97, 0.96).verdict is Verdict.FINE  # within the margin
+    assert gated(0.90, 0.97).verdict is Verdict.FINE  # better is not worse
+    worse = gated(0.97, 0.80)
+    assert worse.verdict is Verdict.WORSE and worse.stratum == "all" and worse.new == 0.8 and worse.chance < 0.01
+    assert gated(0.97, 0.5, 5, 8).verdict is Verdict.WAIT  # too few tries to say anything
+    assert gated(0.97, 0.5, 301, 0).verdict is Verdict.UNTOLD
+
+
+def test_a_change_of_weight_between_groups_in_a_surge_is_no_difference() -> None:
+    """The new group gets most of its tries while all goes badly: pooled over time it would look far worse."""
+    gate = Gate(["all"], GateTerms(), 0.0)
+    for second in range(1, 60):
+        bad = second > 30
+        old, new = (100, 400) if bad else (400, 20)
+        good = 0.5 if bad else 0.97
+        found = {"all": (Tally(old, round(old * good)), Tally(new, round(new * good)))}
+        assert gate.on_interval(found, float(second)).verdict is not Verdict.WORSE
+
+
+def test_a_regression_of_one_class_is_found_in_its_stratum_and_stays() -> None:
+    gate = Gate(["all", "search", "tickets"], GateTerms(), 0.0)
+    for second in range(1, 31):
+        tallies = {"search": (Tally(800, 776), Tally(100, 97)), "tickets": (Tally(80, 78), Tally(10, 4)),
+                   "all": (Tally(880, 854), Tally(110, 101))}  # fmt: skip
+        told = gate.on_interval(tallies, float(second))
+    assert told.verdict is Verdict.WORSE and told.stratum == "tickets"
+    assert gate.on_interval({"tickets": (Tally(800, 0), Tally(100, 100))}, 31.0).verdict is Verdict.WORSE
+
+
 # -- the store
 
 
--- /dev/null
+++ b/thistleshore/releases/gate.py
@@ -0,0 +1,129 @@
+"""Is a new version worse?  Those with it against those without it in the same intervals, by a sequential test.
+
+Sans-IO: counts of both groups in, a verdict out.  A surge, a slow pool or a bad link hits both groups in the same
+interval, so that only the difference between them counts.  Each stratum (a class, a member, or all together) has tests
+of its own; a regression of one class only would drown in the whole.
+
+The test is a mixture sequential probability ratio test of the difference of two shares (normal approximation): it
+may be looked at after every interval, and stopped at any time, and still the chance of calling a version worse that is
+not, over the whole life of a wave, is at most `error`, divided among the strata (Bonferroni).  A version counts as
+worse only where its share is lower by more than `margin`: a difference that nobody would undo a release for is none.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from enum import Enum
+from math import exp, inf, sqrt
+from typing import NamedTuple
+
+
+class Terms(NamedTuple):
+    """What counts as worse, and with what chance of being wrong."""
+
+    error: float = 0.01  # over all strata, and over the whole wave
+    margin: float = 0.02  # of a share: so much worse is not yet worse
+    typical: float = 0.08  # the difference that the test is tuned for; others are found too, later
+    least: int = 50  # tries in each group before a stratum says anything
+    enough: float = 30.0  # s after which a wave that nothing speaks against may go on
+    bound: float = 300.0  # s after which it is said that too few came to tell
+
+
+class Tally(NamedTuple):
+    """Tries of one group in one stratum and interval: how many, and how many were good (in time, first answer, ...)."""
+
+    tries: int
+    good: int
+
+
+class Verdict(Enum):
+    WAIT = "too little to tell yet"
+    FINE = "nothing speaks against it"
+    WORSE = "worse"
+    UNTOLD = "too few tries to tell, up to the bound"
+
+
+class Told(NamedTuple):
+    verdict: Verdict
+    stratum: str = ""
+    old: float = 0.0  # share of good tries without the new version
+    new: float = 0.0  # and with it
+    tries: int = 0  # with it
+    chance: float = 1.0  # of as much where it is no worse
+
+
+class Stratum:
+    """Sums of both groups, pooled over intervals by the weight of the smaller group in each.
+
+    Shares are compared interval by interval, so that a change that comes to both does not count, whatever part of the
+    tries each group has before and after it.
+    """
+
+    __slots__ = ("chance", "difference", "new", "old", "terms", "variance", "weight")
+
+    def __init__(self, terms: Terms) -> None:
+        self.terms = terms
+        self.old, self.new = Tally(0, 0), Tally(0, 0)
+        self.weight = self.difference = self.variance = 0.0
+        self.chance = 1.0
+
+    def add(self, old: Tally, new: Tally) -> None:
+        """One interval of both groups; one in which either had nothing tells nothing."""
+        self.old = Tally(self.old.tries + old.tries, self.old.good + old.good)
+        self.new = Tally(self.new.tries + new.tries, self.new.good + new.good)
+        if not old.tries or not new.tries:
+            return
+        weight = old.tries * new.tries / (old.tries + new.tries)
+        pooled = (old.good + new.good + 1.0) / (old.tries + new.tries + 2.0)  # never 0 or 1: their variance would be 0
+        self.weight += weight
+        self.difference += weight * (old.good / old.tries - new.good / new.tries)
+        self.variance += weight * pooled * (1.0 - pooled)
+
+    def look(self) -> float:
+        """The chance of a difference such as this, or greater at any look, where the new one is no worse."""
+        if min(self.old.tries, self.new.tries) < self.terms.least or not self.weight:
+            return self.chance
+        # `difference - margin` is normal with this variance where the shares differ by the margin.
+        beyond = self.difference - self.terms.margin * self.weight
+        if beyond > 0.0:
+            spread = self.terms.typical**2
+            grown = self.variance + spread * self.weight**2
+            ratio = sqrt(self.variance / grown) * exp(
+                min(700.0, spread * self.weight**2 * beyond**2 / (2.0 * self.variance * grown))
+            )
+            # Half of the mixture lies on the side of worse: the ratio of that half alone is at most twice this.
+            self.chance = min(self.chance, 1.0 / ratio if ratio > 0.0 else inf)
+        return self.chance
+
+
+class Gate:
+    """One wave's gate.  `on_interval` takes the tallies of one interval by stratum, and says what they come to."""
+
+    def __init__(self, strata: Iterable[str], terms: Terms, now: float) -> None:
+        self.terms, self.begun = terms, now
+        self.strata = {name: Stratum(terms) for name in strata}
+        self.worse: Told | None = None
+
+    def on_interval(self, tallies: Mapping[str, tuple[Tally, Tally]], now: float) -> Told:
+        """Tallies without and with the new version.  Once worse, always worse: a wave is not gated twice."""
+        for name, (old, new) in tallies.items():
+            if name in self.strata:
+                self.strata[name].add(old, new)
+        if self.worse is None:
+            for name, stratum in self.strata.items():
+                if (chance := stratum.look()) < self.terms.error / len(self.strata):
+                    self.worse = Told(Verdict.WORSE, name, _share(stratum.old), _share(stratum.new), stratum.new.tries,
+                                      chance)  # fmt: skip
+                    break
+        if self.worse is not None:
+            return self.worse
+        told = any(min(s.old.tries, s.new.tries) >= self.terms.least for s in self.strata.values())
+        if told and now - self.begun >= self.terms.enough:
+            return Told(Verdict.FINE)
+        if not told and now - self.begun >= self.terms.bound:
+            return Told(Verdict.UNTOLD)
+        return Told(Verdict.WAIT)
+
+
+def _share(tally: Tally) -> float:
+    return tally.good / tally.tries if tally.tries else 0.0
