--- a/thistleshore/load/plan.py
+++ b/thistleshore/load/plan.py
@@ -43,6 +43,7 @@
     path: str = ""  # "": a slash and the class
     size: Annotated[int, msgspec.Meta(ge=0, le=65536)] = 16  # bytes of a body
     deadline: Positive = 10.0  # a client waits so long for one try
+    patience: Zero = 0.0  # s beyond it for which an answer is still heard, to tell late from never
     wanted: Positive = 1.0  # answered within this, from when it was meant to be sent, it earns its worth
     worth: Zero = 1.0
     late_share: Part = 0.2  # of the worth, for what is answered later
--- a/thistleshore/load/run.py
+++ b/thistleshore/load/run.py
@@ -84,7 +84,7 @@
         for attempt in range(1 + again.most):
             self.result.tries += 1
             answer = None
-            with trio.move_on_after(source.deadline) as limit:
+            with trio.move_on_after(source.deadline + source.patience) as limit:
                 answer = await self._ask(source, arrival, meant if attempt == 0 else None, attempt > 0 and again.marked)
             if limit.cancelled_caught or answer is None:
                 outcome = "timeout"
