--- a/thistleshore/rig/checks.py
+++ b/thistleshore/rig/checks.py
@@ -10,6 +10,7 @@
 
 WINDOW = 7.5  # s in which a keyed job must not run twice
 DRAIN = 3.0  # s after which nothing new goes to a host that was taken out
+STARTS = 10.0  # s within which a process that was started again serves
 SLACK = 0.25  # s that a datagram, a line and a scheduler may take beside
 
 
@@ -45,9 +46,16 @@
 def _excused(rows: Sequence[Row]) -> list[tuple[str, float, float]]:
     """When a process could not answer by no fault of its own: it was killed, stopped, or its clients were cut off."""
     found = []
+    answered = defaultdict(list)
+    for row in of(rows, "answered"):
+        answered[row.get("to", "")].append(row["t"])
     for row in of(rows, "fault"):
-        if row["kind"] in ("kill", "stop", "restart", "term", "hog"):
+        if row["kind"] in ("stop", "hog"):
             found += [(who, row["t"], row["until"] + 2.0) for who in row["who"]]
+        if row["kind"] in ("kill", "restart", "term"):
+            for who in row["who"]:  # it has to start again, which takes a busy machine a while
+                again = next((t for t in answered[who] if t > row["until"]), row["until"])
+                found.append((who, row["t"], min(max(again, row["until"] + 2.0), row["until"] + STARTS)))
         if row["kind"] in ("reset", "cut", "silence", "delay") and "load" in (*row["who"], *row["to"]):
             found += [(who, row["t"], row["until"] + 2.0) for who in (*row["who"], *row["to"])]
     return found
--- a/thistleshore/rig/rig.py
+++ b/thistleshore/rig/rig.py
@@ -200,6 +200,7 @@
 
     def kill(self, *names: str) -> None:
         for name in names:
+            self._asked_to_end.discard(name)  # whatever it was told before, it is not how it ends
             self.processes[name].end()
             self.truth.add("exit", name=name, status=None, asked=False)
 
