Second reading: one step for suspecting and giving up, one check of faulty files

Cause: the second reading found the two steps of the fleet's model checker alike but for state and event, and the loop over faulty operator's files twice. Change: World._hold, and tests.support.refused; no assertion or bound is other than before.

--- a/benchmarks/check_fleet.py
+++ b/benchmarks/check_fleet.py
@@ -126,17 +126,15 @@
         return made
 
     def suspect(self, name: str, other: str) -> None:
-        node = self.nodes[name]
-        member = node.members[other]
-        record = msgspec.structs.replace(member.record, state=int(State.SUSPECT), by=name)
-        node._turn(member, record, Seen.UNANSWERED, 0.0)
-        self._say(name)
+        self._hold(name, other, State.SUSPECT, Seen.UNANSWERED)
 
     def give_up(self, name: str, other: str) -> None:
+        self._hold(name, other, State.DEAD, Seen.EXPIRED)
+
+    def _hold(self, name: str, other: str, state: State, seen: Seen) -> None:
         node = self.nodes[name]
         member = node.members[other]
-        record = msgspec.structs.replace(member.record, state=int(State.DEAD), by=name)
-        node._turn(member, record, Seen.EXPIRED, 0.0)
+        node._turn(member, msgspec.structs.replace(member.record, state=int(state), by=name), seen, 0.0)
         self._say(name)
 
     def restart(self, name: str) -> None:
--- a/tests/support.py
+++ b/tests/support.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import re
 import socket
 import subprocess
 import sys
@@ -12,10 +13,13 @@
 from pathlib import Path
 from typing import Any
 
+import pytest
 import trio
 import trio.testing
 from hypothesis import HealthCheck, settings, strategies as st
 
+from thistleshore import config
+
 ROOT = Path(__file__).parent.parent
 GARBAGE = st.binary(max_size=400)
 PAUSE = b""  # among parts to send: wait for what they bring about
@@ -35,6 +39,14 @@
     return trio.run(scenario, *args, clock=trio.testing.MockClock(autojump_threshold=0.02))
 
 
+def refused(text: str, old: str, new: str, fault: str, file: Path) -> None:
+    """An operator's file with that change is refused, and the fault is named."""
+    assert old in text
+    file.write_text(text.replace(old, new))
+    with pytest.raises(config.ConfigError, match=re.escape(fault)):
+        config.operator_file(str(file), 0.0)
+
+
 def play_beside(module: str, stories: Iterable[str], folder: Path, most: int = 5) -> dict[str, str]:
     """Play stories of several processes, each in a Python process of its own, so many at a time; what went wrong.
 
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import re
 import sqlite3
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -15,7 +14,7 @@
 from hypothesis import given, strategies as st
 
 from benchmarks import check_register
-from tests.support import ROOT, play_beside, steady
+from tests.support import ROOT, play_beside, refused, steady
 from thistleshore import config
 from thistleshore.releases import places
 from thistleshore.releases.gate import Gate, Tally, Terms as GateTerms, Verdict
@@ -449,11 +448,7 @@
         ('dir = "register"', "", "fleet.register.dir: missing"), ("kigali-1 = ", "kigali-9 = ", "none of the voters"),
         ('"127.0.0.1:7961"', '"here"', "fleet.register.voters.kigali-2"), ("[fleet.register]", "[fleet.x]", "fleet.x"),
     ):  # fmt: skip
-        assert old in text
-        file = tmp_path / "faulty.toml"
-        file.write_text(text.replace(old, new))
-        with pytest.raises(config.ConfigError, match=re.escape(fault)):
-            config.operator_file(str(file), 0.0)
+        refused(text, old, new, fault, tmp_path / "faulty.toml")
 
 
 def test_the_model_checker_finds_each_flawed_form_and_nothing_in_the_register() -> None:
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -4,7 +4,6 @@
 
 import itertools
 import random
-import re
 from pathlib import Path
 
 import msgspec
@@ -16,7 +15,7 @@
 from benchmarks import check_fleet
 from benchmarks.fleet_net import Net, halves
 from tests.standins import Platform
-from tests.support import GARBAGE, ROOT, play, steady
+from tests.support import GARBAGE, ROOT, play, refused, steady
 from thistleshore import config
 from thistleshore.admin import codec
 from thistleshore.cli import commands
@@ -521,11 +520,7 @@
         ('"127.0.0.1:7952"]', '"127.0.0.1"]', "fleet.seeds[1]: "),
         ('zone = "a"', "sort = 1", "fleet.sort: unknown key"),
     ):  # fmt: skip
-        assert old in text
-        file = tmp_path / "faulty.toml"
-        file.write_text(text.replace(old, new))
-        with pytest.raises(config.ConfigError, match=re.escape(fault)):
-            config.operator_file(str(file), 0.0)
+        refused(text, old, new, fault, tmp_path / "faulty.toml")
 
 
 def test_check_finds_what_clashes_across_files(tmp_path: Path) -> None:
