--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -68,6 +68,80 @@
     __main__.serve = served
 
 
+def _served(change: Any) -> None:
+    """Each answer passes there first: `change(self, answer)` gives the one that is sent."""
+    from thistleshore.platform.downstream import Downstream
+
+    spoken = Downstream._answer
+
+    async def answer(self: Any, peer: Any, answer: Any) -> Any:
+        return await spoken(self, peer, await change(self, answer))
+
+    Downstream._answer = answer  # type: ignore[method-assign]
+
+
+def sluggish() -> None:
+    """A version that answers, and late: half a second more."""
+    import trio
+
+    async def change(self: Any, answer: Any) -> Any:
+        await trio.sleep(0.6)
+        return answer
+
+    _served(change)
+
+
+def refusing() -> None:
+    """A version that refuses one request in three."""
+    from thistleshore.core.broker import Broker
+    from thistleshore.core.model import LocalReply
+
+    finish, count = Broker._finish, 0
+
+    def finished(self: Any, stream: Any, answer: Any) -> None:
+        nonlocal count
+        count += 1
+        finish(self, stream, LocalReply(0.0) if count % 3 == 0 else answer)
+
+    Broker._finish = finished  # type: ignore[method-assign]
+
+
+def refusing_tickets() -> None:
+    """A version that refuses one request in two of the second class only."""
+    from thistleshore.core.broker import Broker
+    from thistleshore.core.model import LocalReply
+
+    finish, count = Broker._finish, 0
+
+    def finished(self: Any, stream: Any, answer: Any) -> None:
+        nonlocal count
+        count += stream.job_class == 1
+        finish(self, stream, LocalReply(0.0) if stream.job_class == 1 and count % 2 else answer)
+
+    Broker._finish = finished  # type: ignore[method-assign]
+
+
+def never_ready() -> None:
+    """A version that starts and never serves."""
+    import time
+
+    time.sleep(600.0)
+
+
+def crashing() -> None:
+    """A version that serves and dies 1.5 s after its start."""
+    import threading
+
+    threading.Timer(1.5, lambda: os._exit(9)).start()
+
+
+def unlimited() -> None:
+    """Whoever asks may go out, however many are: `limited`."""
+    from thistleshore.releases import places
+
+    places._within = lambda *args: None
+
+
 def clock_back() -> None:
     """No fault: this machine's wall clock is an hour behind."""
     import time
@@ -77,7 +151,8 @@
 
 
 MUTANTS = {"clock_back": clock_back, "twice": twice, "deaf": deaf, "silent": silent, "unheeding": unheeding,
-           "rough": rough}  # fmt: skip
+           "rough": rough, "sluggish": sluggish, "refusing": refusing, "refusing_tickets": refusing_tickets,
+           "never_ready": never_ready, "crashing": crashing, "unlimited": unlimited}  # fmt: skip
 
 if __name__ == "__main__":
     MUTANTS[sys.argv.pop(1)]()
--- a/thistleshore/admin/codec.py
+++ b/thistleshore/admin/codec.py
@@ -11,13 +11,15 @@
 from typing import Any, NamedTuple
 
 LINE_MOST = 512  # bytes of a line; names of hosts are far shorter
+FLEET_MOST = 4096  # of one of FLEET: the longest says what a release is
 TAKES_HOST = {"PING": False, "INFO": False, "DETACH": True, "ATTACH": True}
 
 
 # Calls of the fleet, and how many words they take behind their name.
 FLEET = {"members": (0, 0), "status": (0, 0), "events": (1, 1), "leave": (0, 0), "forget": (1, 1),
          "out": (0, 0), "begin": (0, 0), "voters": (1, 1), "limits": (1, 1), "drain": (2, 40),
-         "return": (2, 40)}  # fmt: skip
+         "return": (2, 40), "release": (0, 0), "order": (0, 0), "start": (1, 200), "takes": (1, 1),
+         "arrived": (1, 1), "failed": (1, 60), "halt": (0, 40), "resume": (0, 40), "undo": (0, 40)}  # fmt: skip
 
 
 class Call(NamedTuple):
@@ -42,8 +44,9 @@
             raise BadCall("the line has no end" if self._held else "nothing was asked")
         self._held += data
         line, ended, more = self._held.partition(b"\n")
-        if len(line) > LINE_MOST:
-            raise BadCall(f"a line has at most {LINE_MOST} bytes")
+        most = FLEET_MOST if line.startswith(b"FLEET ") else LINE_MOST
+        if len(line) > most:
+            raise BadCall(f"a line has at most {most} bytes")
         if not ended:
             return None
         if more:
--- a/thistleshore/admin/listener.py
+++ b/thistleshore/admin/listener.py
@@ -21,7 +21,7 @@
 LINGER = 0.2  # s in which what a caller still sends is read, so that it gets to read its answer
 RECEIVE = 1024
 BACKLOG = 128
-TAKEN_PAUSE = 1.0  # s before an address that is taken is tried again
+TAKEN_PAUSE = 0.2  # s before an address that is taken is tried again
 
 
 class Admin:
@@ -34,20 +34,41 @@
         self.fleet: Callable[[str, str], Awaitable[tuple[bool, Any]]] | None = None
         # Callers that have not said their line, the longest silent first.
         self._silent: dict[trio.CancelScope, None] = {}
+        self._aside, self._back, self._accepting = False, trio.Event(), trio.CancelScope()
 
     async def run(self, address: tuple[str, int],
                   task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:  # fmt: skip
         """Serve until cancelled.  An address that cannot be had is tried again: clients are served without it."""
         task_status.started()
+        async with trio.open_nursery() as nursery:
+            while True:
+                with trio.CancelScope() as self._accepting:
+                    if self._aside:
+                        await self._back.wait()
+                    await self._accept(address, nursery)
+
+    def step_aside(self, aside: bool) -> None:
+        """Leave the address to the next process of a hot restart, which has the same; or have it again."""
+        self._aside = aside
+        if aside:
+            self._accepting.cancel()
+        else:
+            self._back.set()
+            self._back = trio.Event()
+
+    async def _accept(self, address: tuple[str, int], nursery: trio.Nursery) -> None:
+        told = False
         while True:
             try:
                 (listener,) = await trio.open_tcp_listeners(address[1], host=address[0], backlog=BACKLOG)
                 break
-            except OSError as problem:  # in an upgrade by hand the process before may still have it
-                log.error("no admin interface on %s:%d yet: %s", *address, problem)
+            except OSError as problem:  # in an upgrade the process before may still have it
+                if not told:
+                    log.error("no admin interface on %s:%d yet: %s", *address, problem)
+                    told = True
                 await trio.sleep(TAKEN_PAUSE)
         log.info("admin interface on %s:%d", *address)
-        async with listener, trio.open_nursery() as nursery:
+        async with listener:
             while True:
                 try:
                     socket = await listener.accept()
--- /dev/null
+++ b/thistleshore/cli/keep.py
@@ -0,0 +1,55 @@
+"""`thistleshore keep`."""
+
+from __future__ import annotations
+
+import logging
+import signal
+import sys
+
+import click
+
+from thistleshore import config
+from thistleshore.cli.shared import refuse
+
+
+@click.command()
+@click.option("--config", "file", required=True, type=click.Path(exists=True, dir_okay=False),
+              help="The operator's file of the dispatcher, with a [keep] in it.")  # fmt: skip
+def command(file: str) -> None:
+    """Keep a dispatcher: start it, start it again when it crashes, replace it as the fleet has agreed.
+
+    SIGTERM drains the dispatcher and ends with status 0.  Where the keeper dies the dispatcher serves on, and the next
+    keeper adopts it.  Ends with status 2 where the file cannot be used or another keeper has the folder, and with 3
+    after a loop of crashes.
+    """
+    import trio
+
+    from thistleshore.releases import keeping
+
+    try:
+        plan = config.operator_file(file, 0.0)
+    except config.ConfigError as problem:
+        refuse("\n".join(problem.problems), 2)
+    if plan.keep is None or plan.admin is None:
+        refuse(f"{file}: there is no [keep] in it", 2)
+    keep, admin = plan.keep, plan.admin
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
+
+    async def run() -> int:
+        ends = trio.Event()
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async with trio.open_nursery() as nursery:
+
+                async def obey() -> None:
+                    async for _ in signals:
+                        ends.set()
+
+                nursery.start_soon(obey)
+                status = await keeping.Carrier(keep, file, admin).run(ends)
+                nursery.cancel_scope.cancel()
+        return status
+
+    try:
+        sys.exit(trio.run(run, strict_exception_groups=False))
+    except (keeping.Busy, ValueError, OSError) as problem:
+        refuse(problem, 2)
--- a/thistleshore/config/operator.py
+++ b/thistleshore/config/operator.py
@@ -22,7 +22,7 @@
 from thistleshore.beanstalkd.upstream import HOST_PREFIX, HostSeat
 from thistleshore.config.errors import ConfigError
 from thistleshore.config.platform import (
-    IDLE_SHARE, SOCKETS, SOCKETS_SPARE, Address, BeanstalkdPlan, ExchangePlan, FleetPlan, HttpPlan, Plan,
+    IDLE_SHARE, SOCKETS, SOCKETS_SPARE, Address, BeanstalkdPlan, ExchangePlan, FleetPlan, HttpPlan, KeepPlan, Plan,
     ReleasesPlan, address, number, path_of,
 )  # fmt: skip
 from thistleshore.contracts import Agreements, ContractTerms, MemberTerms, Retries
@@ -45,7 +45,7 @@
 GROUPS = {"all": Group.ALL, "bay": Group.CELL}
 TOP = ("name", "balancers", "streams", "max_retry_after", "http", "beanstalkd", "discovery", "limits", "start",
        "budget", "service", "host", "contract", "match", "address_set", "expressions", "member", "contracts",
-       "exchange", "metrics", "log", "admin", "fleet")  # fmt: skip
+       "exchange", "metrics", "log", "admin", "fleet", "keep")  # fmt: skip
 PLAIN = TOP[:4]
 FILE_MOST = 8 * 1024 * 1024  # bytes; more is no file that somebody wrote
 
@@ -229,7 +229,7 @@
         return Plan(name, int.from_bytes(os.urandom(8), "big"), settings, http, tubes, tuple(known), epoch,
                     connect_within, IDLE_SHARE * idle, sockets, streams, live, agreements, exchange, metrics, form,
                     self.conf, class_names=tuple(_names(contracts)), admin=admin, restart=restart,
-                    fleet=fleet, releases=releases)  # fmt: skip
+                    fleet=fleet, releases=releases, keep=self._keep(restart))  # fmt: skip
 
     def _services(self) -> dict[str, int]:
         services: dict[str, int] = {}
@@ -447,6 +447,21 @@
                 part.fault("listen", f"{name!r} is none of the voters")
         return ReleasesPlan(voters, limits, listen, folder)
 
+    def _keep(self, restart: str) -> KeepPlan | None:
+        """`[keep]`."""
+        if "keep" not in self.conf:
+            return None
+        usual = KeepPlan("")
+        if not restart:
+            self.faults.append("keep: [admin] with `restart` is wanted: by it one version follows another")
+        with Section(self.conf["keep"], "keep", self.faults) as part:
+            return KeepPlan(
+                part.text("dir"), tuple(part.texts("command")) if "command" in part.left else (),
+                part.number("ready", usual.ready, 0.5), part.number("trial", usual.trial),
+                part.number("end", usual.end, 1.0), part.whole("crashes", usual.crashes, 1),
+                part.number("span", usual.span, 1.0),
+            )  # fmt: skip
+
     # -- the rules ----------------------------------------------------------------------------
 
     def _live(self, contracts: Sequence[Contract]) -> Live | None:
--- a/thistleshore/config/platform.py
+++ b/thistleshore/config/platform.py
@@ -86,6 +86,19 @@
     folder: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class KeepPlan:
+    """How `thistleshore keep` keeps this dispatcher.  Times in seconds."""
+
+    folder: str  # what it does, written before it does it
+    command: tuple[str, ...] = ()  # in front of `serve --config FILE`; this program where there is none
+    ready: float = 15.0  # for a process to answer PING
+    trial: float = 10.0  # that a newcomer serves while the one before could still take its place
+    end: float = 15.0  # for a drain, before SIGKILL
+    crashes: int = 5  # within `span`: then it is not started again
+    span: float = 60.0
+
+
 @dataclass(frozen=True, slots=True)
 class PeersPlan:
     """Where datagrams of the other dispatchers of the tier come in, from where, and the address of all of them."""
@@ -123,6 +136,7 @@
     numbered: Mapping[str, Any] = field(default_factory=dict, repr=False)  # the platform's settings, see `in_place`
     fleet: FleetPlan | None = None  # None: it is in no view of a fleet
     releases: ReleasesPlan | None = None  # None: nothing is agreed
+    keep: KeepPlan | None = None  # for `thistleshore keep`
 
     def changed(self, other: Plan) -> list[str]:
         """The keys in which another reading of the file differs and which hold until a restart."""
--- a/thistleshore/dispatcher.py
+++ b/thistleshore/dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import os
 import time
 from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING, Protocol
@@ -122,15 +123,19 @@
             follower.estate = left_here = estate.Estate(plan, broker, downstream, upstreams, peers, watch)
             if plan.admin is not None:
                 admin.tell_ban = left_here.succession.tell_ban
+                if fleet is not None:
+                    left_here.admin = admin
             left_here.fleet = fleet
+            nursery.start_soon(_give_back, drain, left_here)
             if inherited is not None:
                 left_here.inherit(inherited)
                 nursery.start_soon(left_here.live_beside, inherited, serving_now)
         if fleet is not None and inherited is None:
             nursery.start_soon(fleet.run)
         if fleet is not None and plan.releases is not None:
-            fleet.releases = _agree(plan.releases, fleet, broker, ready, drain)
-            nursery.start_soon(fleet.releases.run)
+            fleet.releases = _agree(plan, fleet, broker, ready, drain, fronts)
+            if inherited is None:
+                nursery.start_soon(fleet.releases.run)
         async with trio.open_nursery() as serving:
             for front, address in fronts:
                 await serving.start(front.run, address)
@@ -140,6 +145,8 @@
             serving_now.set()  # whoever is told so may start the next process
             if fleet is not None and inherited is not None:
                 nursery.start_soon(fleet.run)  # only now: until then the process before is the member
+                if fleet.releases is not None:
+                    nursery.start_soon(fleet.releases.run)
         if fleet is not None:
             await fleet.leave()
         log.info("drained: every stream that was taken is answered")
@@ -198,12 +205,25 @@
     )  # fmt: skip
 
 
-def _agree(plan: config.ReleasesPlan, fleet: Carrier, broker: Broker, ready: Callable[[], bool],
-           drain: trio.Event) -> Releases:  # fmt: skip
-    """This process's part in what the fleet agrees on: who may be out."""
+def _agree(plan: config.Plan, fleet: Carrier, broker: Broker, ready: Callable[[], bool], drain: trio.Event,
+           fronts: Sequence[tuple[Front, config.Address]]) -> Releases:  # fmt: skip
+    """This process's part in what the fleet agrees on: who may be out, and what they run."""
     from thistleshore.releases.carrier import Releases
+    from thistleshore.releases.figures import Counter
     from thistleshore.releases.standing import standing
 
+    assert plan.releases is not None
+    machine = fleet.machine
+    me = machine.me.name
+    counter = Counter(me, os.getpid(), os.environ.get("THISTLESHORE_VERSION", ""), plan.class_names,
+                      plan.settings.classes)  # fmt: skip
+    for front, _ in fronts:
+        if isinstance(front, Downstream):
+            front.told = counter.add
+
+    def zones() -> dict[str, str]:
+        return {record.name: record.zone for record in machine.living()}
+
     async def ban(host: str, out: bool) -> None:
         asked = BanAsked(host.encode(), out)
         await broker.inbox.send(asked)
@@ -213,9 +233,9 @@
         worker = broker.brain.workers.get(host.encode())
         return worker is None or not worker.out
 
-    return Releases(plan, fleet.machine.me.name, fleet.machine.me.life,
-                    lambda: standing(fleet.machine, broker, trio.current_time()),
-                    ban, clear, ready, drain)  # fmt: skip
+    return Releases(plan.releases, me, machine.me.life, lambda: standing(machine, broker, trio.current_time()),
+                    ban, clear, ready, zones, drain, counter.figures,
+                    lambda: (machine.settled, machine.majority))  # fmt: skip
 
 
 async def _serve_metrics(broker: Broker, address: config.Address, nursery: trio.Nursery,
@@ -248,6 +268,11 @@
             log.info("contract %s of %s", row.contract, row.member or "others", extra=fields)
 
 
+async def _give_back(drain: trio.Event, estate: Estate) -> None:
+    await drain.wait()
+    await estate.succession.on_drain()
+
+
 async def _drain(drain: trio.Event, draining: list[trio.Event]) -> None:
     await drain.wait()
     log.info("draining: not ready; finishing what was taken")
--- a/thistleshore/fleet/carrier.py
+++ b/thistleshore/fleet/carrier.py
@@ -198,7 +198,7 @@
 
     async def on_call(self, name: str, argument: str) -> tuple[bool, Any]:
         """One call of the admin interface: whether it was done, and what there is to say."""
-        if name in ("out", "begin", "voters", "limits", "drain", "return"):
+        if name not in ("members", "status", "events", "leave", "forget"):
             if self.releases is None:
                 return False, "no [fleet.register] in the file"
             return True, await self.releases.on_call(name, tuple(argument.split()))
@@ -244,6 +244,7 @@
             "seen": machine.seen, "known": machine.known, "health": machine.health,
             "unchanged": round(trio.current_time() - machine.changed_at, 3),
             "bound": round(machine.bound(), 3), "counts": dict(sorted(machine.counts.items())),
+            "pid": os.getpid(),
             "programs": {m.name: {"program": m.program, "wire": m.wire, "print": m.print}
                          for m in sorted(machine.living(), key=lambda m: m.name)},
         }  # fmt: skip
--- a/thistleshore/platform/downstream.py
+++ b/thistleshore/platform/downstream.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from contextlib import nullcontext, suppress
 from math import inf
 
@@ -25,6 +25,7 @@
 class Downstream:
     def __init__(self, routes: Routes, listed: trio.Event, inbox: trio.MemorySendChannel[Event], most: int) -> None:
         self.routes, self.listed, self.inbox, self.gate = routes, listed, inbox, Gate(most)
+        self.told: Callable[[Stream, float], None] | None = None  # of each stream that is over, and when it began
         self.names: set[str] = set()  # streams that are open
         self._past: dict[str, float] = {}  # streams that were, and when they ended, the longest ago first
 
@@ -88,7 +89,8 @@
             return await self._reply(peer, problem.status, problem.reason.encode(), close=True)
         passed = tuple((name, value) for name, value in request.headers if name in PASSED)
         # What comes late in a drain is answered before SIGKILL can end it.
-        deadline = min(trio.current_time() + terms.remaining, self.gate.answer_by)
+        began = trio.current_time()
+        deadline = min(began + terms.remaining, self.gate.answer_by)
         stream = Stream(terms.name, terms.job_class, deadline, Ask(request.target, passed, body), terms.tenant,
                         terms.key, terms.repeat, terms.member, len(body), self.gate.spare)  # fmt: skip
         self.names.add(stream.name)
@@ -99,7 +101,10 @@
         finally:
             self.names.discard(stream.name)
             self._past[stream.name] = trio.current_time()
-        return answer is not None and await self._answer(peer, answer)
+        goes_on = answer is not None and await self._answer(peer, answer)
+        if self.told is not None:
+            self.told(stream, began)
+        return goes_on
 
     def _was(self, name: str) -> bool:
         """Was a stream of that name open lately?  Every try of a client has a new one."""
--- a/thistleshore/releases/carrier.py
+++ b/thistleshore/releases/carrier.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import logging
+import os
 import random
 import struct
 import time
@@ -18,13 +19,15 @@
 
 from thistleshore.config import Address
 from thistleshore.config.platform import ReleasesPlan
-from thistleshore.releases import places
+from thistleshore.releases import places, waves
+from thistleshore.releases.driver import Driver, Figures, Seen
 from thistleshore.releases.model import Limits, Refusal, Standing, Value
 from thistleshore.releases.register import (
     NONE, Accept, Acceptor, Ballot, Change, Held, Outcome, Prepare, Promise, Accepted, Rejected, Reply, Round, Unable,
     merged,
 )  # fmt: skip
-from thistleshore.releases.store import Store, Unusable
+from thistleshore.releases.faults import point
+from thistleshore.releases.store import Busy, Store, Unusable
 
 log = logging.getLogger("thistleshore")
 
@@ -37,7 +40,7 @@
 FRAME = struct.Struct("!I")
 FRAME_MOST = 1 << 20
 SERVED_MOST = 64  # connections at a time
-TAKEN_PAUSE = 1.0  # s before an address that is taken is tried again
+TAKEN_PAUSE = 0.2  # s before an address or a file that another process has is tried again
 
 
 class NoMajority(Exception):
@@ -51,6 +54,7 @@
     life: int
     applied: int
     clear: tuple[str, ...] = ()  # hosts that are out and at which nothing of it is left
+    figures: Figures | None = None
 
 
 class Learn(msgspec.Struct, frozen=True, tag=True):
@@ -86,16 +90,42 @@
     """This instance's vote, where it has one: nothing is answered before it is on the disk."""
 
     def __init__(self, name: str, folder: Path) -> None:
-        self.name, self.why = name, ""
+        self.name, self.folder, self.why = name, folder, "it does not run yet"
         self.store: Store | None = None
         self.acceptor: Acceptor | None = None
         self.reports: dict[str, tuple[float, Report]] = {}
+
+    async def open(self) -> None:
+        """Have the file, once no other process holds it: in a hot restart the one before does, until it steps aside."""
+        while True:
+            try:
+                self.store = Store(self.folder)
+                break
+            except Busy as problem:
+                if self.why != str(problem):
+                    self.why = str(problem)
+                    log.warning("register: no vote here: %s", self.why)
+                await trio.sleep(TAKEN_PAUSE)
+            except Unusable as problem:
+                self.why = str(problem)
+                log.warning("register: no vote here: %s", self.why)
+                return
+        self._read(self.store)
+
+    def close(self) -> None:
+        """Vote no more, and leave the file to another process."""
+        if self.store is not None:
+            self.store.close()
+        self.store = self.acceptor = None
+        self.why = "the next process votes"
+
+    def _read(self, store: Store) -> None:
+        self.why = ""
         try:
-            self.store = Store(folder)
-            held = self.store.read()
+            held = store.read()
             if held is None:
                 self.why = "it holds nothing yet, or its file was lost"
-            elif held.voter != name:
+            elif held.voter != self.name:
                 self.why = f"its file is that of {held.voter}"
             else:
                 self.acceptor = Acceptor(held)
@@ -151,7 +181,11 @@
 
     def __init__(self, plan: ReleasesPlan, name: str, life: int, standing: Callable[[], Standing],
                  ban: Callable[[str, bool], Awaitable[None]], clear: Callable[[str], bool], ready: Callable[[], bool],
-                 drain: trio.Event) -> None:  # fmt: skip
+                 zones: Callable[[], Mapping[str, str]],
+                 drain: trio.Event, figures: Callable[[], Figures],
+                 view: Callable[[], tuple[bool, bool]]) -> None:  # fmt: skip
+        """`view` tells whether the view of the fleet is settled, and whether it has a majority."""
+        self.figures, self.view, self.zones, self.driver = figures, view, zones, Driver()
         self.plan, self.name, self.life, self.standing = plan, name, life, standing
         self.ban, self.clear, self.ready, self.drain = ban, clear, ready, drain
         self.voter = Voter(name, Path(plan.folder)) if plan.listen is not None else None
@@ -163,24 +197,48 @@
         self._number, self._seen = 0, dict[str, int]()
         self._register = 0
         self._random = random.Random()
+        self._aside, self._back, self._scope = False, trio.Event(), trio.CancelScope()
 
     # -- questions and answers ----------------------------------------------------------------------
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Vote, and follow the value, until cancelled."""
-        async with trio.open_nursery() as nursery:
-            if self.voter is not None and self.plan.listen is not None:
-                nursery.start_soon(self._listen, self.plan.listen)
-            nursery.start_soon(self._follow)
-            task_status.started()
+        task_status.started()
+        while True:
+            if self._aside:
+                await self._back.wait()
+            with trio.CancelScope() as self._scope:
+                try:
+                    async with trio.open_nursery() as nursery:
+                        if self.voter is not None and self.plan.listen is not None:
+                            nursery.start_soon(self._listen, self.plan.listen)
+                        nursery.start_soon(self._follow)
+                finally:
+                    if self.voter is not None:
+                        self.voter.close()
+
+    def step_aside(self, aside: bool) -> None:
+        """The next process of a hot restart votes and follows in this one's place; or it has gone."""
+        if aside != self._aside:
+            self._aside = aside
+            if aside:
+                self._back = trio.Event()
+                self._scope.cancel()
+            else:
+                self._back.set()
 
     async def _listen(self, address: Address) -> None:
+        assert self.voter is not None
+        await self.voter.open()
+        told = False
         while True:
             try:
                 (listener,) = await trio.open_tcp_listeners(address[1], host=address[0])
                 break
             except OSError as problem:
-                log.error("register: no vote on %s:%d yet: %s", *address, problem)
+                if not told:
+                    log.error("register: no vote on %s:%d yet: %s", *address, problem)
+                    told = True
                 await trio.sleep(TAKEN_PAUSE)
         log.info("register on %s:%d", *address)
         room = trio.CapacityLimiter(SERVED_MOST)
@@ -291,7 +349,8 @@
                 self.fresh_until = trio.current_time() + FRESH
 
     def _report(self) -> Report:
-        return Report(self.name, self.life, self.applied, tuple(host for host in sorted(self.out) if self.clear(host)))
+        clear = tuple(host for host in sorted(self.out) if self.clear(host))
+        return Report(self.name, self.life, self.applied, clear, self.figures())
 
     async def _look(self) -> None:
         """Ask all voters what they hold, and tell them how far this instance is."""
@@ -327,6 +386,7 @@
             await self._look()
             try:
                 await self._act()
+                await self._drive()
             except NoMajority as problem:
                 log.warning("register: %s", problem)
             await trio.sleep(LOOK * self._random.uniform(0.75, 1.25))
@@ -350,7 +410,7 @@
                 # Its holder serves again: what was a place to be out is of no use any more.
                 back = "serves again"
                 await self.change(lambda v: places.free(v, "dispatcher", self.name, back, self.name, time.time()))
-        elif not self.drain.is_set():
+        elif not place.release and not self.drain.is_set():  # by a place of a release it is the keeper who acts
             begun = await self.change(
                 lambda v: places.begin(v, "dispatcher", self.name, place.number, self.name, time.time())
             )
@@ -358,6 +418,76 @@
                 log.info("register: this instance goes out: %s", place.reason)
                 self.drain.set()
 
+    # -- the release -------------------------------------------------------------------------------------------
+
+    def leads(self, seen: Standing) -> bool:
+        """Whether it is this instance that carries a release forward: the first by name of those that are ready and
+        have reported to the voters lately.  Two that think so meet in the register."""
+        live = [name for name in seen.dispatchers if name not in seen.dispatchers_down and name in self.reports]
+        return bool(live) and min(live) == self.name
+
+    async def _drive(self) -> None:
+        now = trio.current_time()
+        if self.known is None or now > self.fresh_until:
+            return
+        seen = self.standing()
+        figures = [report.figures for report in self.reports.values() if report.figures is not None]
+        step = self.driver.on_look(self.known, Seen(seen, *self.view(), figures), now)
+        if step is None or not self.leads(seen):
+            return
+        point("driver-before")
+        found = await self.change(lambda value: step.change(value, self.name, time.time()))
+        point("driver-after")
+        if isinstance(found, Value):
+            log.info("release: %s", step.told)
+
+    async def _release(self, name: str, words: tuple[str, ...]) -> dict[str, Any]:
+        """Calls of operators and of this dispatcher's keeper."""
+        now, value, me = time.time(), self.known, self.name
+        if name == "release":
+            return {"status": "done", **self.told_release()}
+        if name == "order":
+            if value is None or trio.current_time() > self.fresh_until:
+                return {"status": "no-majority", "told": "nothing is agreed now", "pid": os.getpid()}
+            found = waves.order(value, me)
+            return {"status": "done", "pid": os.getpid(), "place": found.place, "begun": found.begun,
+                    "version": None if found.version is None else msgspec.to_builtins(found.version)}  # fmt: skip
+        if name == "start":
+            plan = waves.read(msgspec.json.decode(" ".join(words)))
+            zones = self.zones()
+            return self._outcome(await self.change(lambda v: waves.start(v, plan, zones, me, now)))
+        if name == "takes":
+            number = int(words[0])
+            return self._outcome(await self.change(lambda v: places.begin(v, "dispatcher", me, number, me, now)))
+        if name in ("arrived", "failed"):
+            version, told = words[0].removeprefix("-"), " ".join(words[1:])
+            if name == "arrived":
+                return self._outcome(await self.change(lambda v: waves.arrived(v, me, version, me, now)))
+            return self._outcome(await self.change(lambda v: waves.failed(v, me, version, told, me, now)))
+        if value is None or value.release is None:
+            return {"status": "refused", "told": "there is no release"}
+        number, told = value.release.number, " ".join(words)
+        state = {"halt": "halted", "undo": "undoing", "resume": "resume"}[name]
+        return self._outcome(await self.change(lambda v: waves.turn(v, number, state, told, me, now)))
+
+    def told_release(self) -> dict[str, Any]:
+        """The release as it is known here, who runs what, and why nothing goes on."""
+        value = self.known
+        if value is None or value.release is None:
+            return {"agreed": value is not None and trio.current_time() <= self.fresh_until, "release": None}
+        gate = self.driver.told
+        seen = self.standing()
+        live = sorted(name for name in self.reports if name not in seen.dispatchers_down)
+        return {
+            "agreed": trio.current_time() <= self.fresh_until, "release": msgspec.to_builtins(value.release),
+            "runs": {name: value.runs.get(name, "") for name in sorted({*value.release.former, *seen.dispatchers})},
+            "left": list(waves.todo(value)), "held": self.driver.held, "carried_on_by": live[0] if live else "",
+            "gate": None if gate is None else {**gate._asdict(), "verdict": gate.verdict.name.lower(),
+                                               "told": gate.verdict.value},
+            "out": [place.name for place in value.places if place.kind == "dispatcher"],
+            "history": [msgspec.to_builtins(act) for act in value.history],
+        }  # fmt: skip
+
     # -- what operators ask -----------------------------------------------------------------------------------
 
     async def on_call(self, name: str, arguments: tuple[str, ...]) -> dict[str, Any]:
@@ -369,6 +499,8 @@
 
     async def _call(self, name: str, arguments: tuple[str, ...]) -> dict[str, Any]:
         now = time.time()
+        if name in ("release", "order", "start", "takes", "arrived", "failed", "halt", "resume", "undo"):
+            return await self._release(name, arguments)
         if name == "out":
             return {"status": "done", **self.told()}
         if name == "begin":
--- /dev/null
+++ b/thistleshore/releases/driver.py
@@ -0,0 +1,203 @@
+"""What carries a release forward: the next change to propose, and the gate's figures out of what instances report.
+
+Sans-IO.  Every instance keeps one and feeds it, so that the death of the one that acts loses no evidence; who acts is
+decided by the carrier (`leads`).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+from typing import NamedTuple
+
+from thistleshore.releases import places, waves
+from thistleshore.releases.gate import Gate, Tally, Terms, Told, Verdict
+from thistleshore.releases.model import Refusal, Release, Standing, Value
+
+INTERVAL = 1.0  # s of one comparison
+WARM = 2.0  # s from the first word of a process for which it tells nothing: one that has just started is slower
+UNSETTLED_MOST = 15.0  # s for which a view that is not settled only holds a release
+OVER_MOST = 15.0  # s for which more that are out than the limit allows only hold it
+
+Counts = tuple[int, int, int, int, int]  # asked, in time, refused, within the aim, upstream requests: since a start
+
+
+class Figures(NamedTuple):
+    """What one process tells of itself: which version it is, which start of it, and its counts by class."""
+
+    name: str
+    boot: int
+    version: str
+    classes: Mapping[str, Counts]
+
+
+class Seen(NamedTuple):
+    """What the instance sees as of now."""
+
+    standing: Standing
+    settled: bool
+    majority: bool
+    figures: Iterable[Figures]
+
+
+class Step(NamedTuple):
+    """A change to propose, and why."""
+
+    change: Callable[[Value, str, float], Value | Refusal]
+    told: str
+
+
+def tallies(difference: Mapping[str, Iterable[Counts]]) -> dict[str, Tally]:
+    """The strata of one group in one interval, out of counts by class."""
+    found: dict[str, Tally] = {}
+
+    def add(stratum: str, tries: int, good: int) -> None:
+        before = found.get(stratum, Tally(0, 0))
+        found[stratum] = Tally(before.tries + tries, before.good + max(0, min(good, tries)))
+
+    for name, rows in difference.items():
+        for asked, in_time, refused, prompt, forwards in rows:
+            add("service", asked, in_time)
+            add(f"service of {name}", asked, in_time)
+            add(f"taken of {name}", asked, asked - refused)
+            add(f"attempts of {name}", forwards, in_time)
+            add(f"latency of {name}", in_time, prompt)
+    return found
+
+
+class Driver:
+    """One instance's; `on_look` takes what is agreed and seen, and gives the next change, or None and says why."""
+
+    def __init__(self) -> None:
+        self.held = ""  # why nothing goes on now
+        self.told: Told | None = None  # the gate's last word
+        self._release = (0, -1)  # the release and wave that the gate is about
+        self._gate: Gate | None = None
+        self._counts: dict[tuple[str, int], Mapping[str, Counts]] = {}
+        self._since: dict[tuple[str, int], float] = {}  # when each process was first heard of
+        self._looked = 0.0
+        self._troubles: dict[str, float] = {}
+        self._places: dict[int, float] = {}  # since when each place of the release is known here
+        self._alone = False
+        self._through: float | None = None  # since when nobody of the wave is left to change
+
+    def on_look(self, value: Value, seen: Seen, now: float) -> Step | None:
+        release = value.release
+        if release is None or release.state not in waves.LIVE:
+            self.held, self._release, self._gate, self._places = "", (0, -1), None, {}
+            self._troubles.clear()
+            return None
+        number = release.number
+        self._feed(value, release, seen, now)
+        if release.state == "going" and self.told is not None and self.told.verdict is Verdict.WORSE:
+            how = "undoing" if release.worse == "undo" else "halted"
+            told = self.told
+            why = f"{told.stratum}: {told.new:.1%} of {told.tries}, {told.old:.1%} without it"
+            return Step(lambda v, by, when: waves.turn(v, number, how, why, by, when), why)
+        if trouble := self._trouble(value, seen, now):
+            return Step(lambda v, by, when: waves.turn(v, number, "halted", trouble, by, when), trouble)
+        if self.held:
+            return None
+        return self._next(value, release, seen, now)
+
+    # -- what holds it, and what halts it
+
+    def _trouble(self, value: Value, seen: Seen, now: float) -> str:
+        """A reason to halt; `held` says what only holds it for a while."""
+        assert value.release is not None
+        down = seen.standing.dispatchers_down
+        held = {place.name for place in value.places if place.kind == "dispatcher"}
+        allowed = places.allowed(value.limits.dispatchers, len(seen.standing.dispatchers))
+        over = len(down | held) - allowed
+        found = {"the view has no majority": (not seen.majority, UNSETTLED_MOST),
+                 "the view is not settled": (not seen.settled, UNSETTLED_MOST),
+                 f"more are out than {allowed}: {', '.join(sorted(down | held))}": (over > 0, OVER_MOST)}  # fmt: skip
+        self._troubles = {text: self._troubles.get(text, now) for text, (so, _) in found.items() if so}
+        self.held = next(iter(self._troubles), "")
+        midway = {place.number: place for place in value.places if place.release}
+        self._places = {n: self._places.get(n, now) for n in midway}
+        for text, since in self._troubles.items():
+            if now - since >= found[text][1]:
+                return f"{text}, for {now - since:.0f} s"
+        for n, since in self._places.items():
+            if now - since >= value.release.within and value.release.state == "going":
+                return f"{midway[n].name} is not through after {now - since:.0f} s"
+        return ""
+
+    def _next(self, value: Value, release: Release, seen: Seen, now: float) -> Step | None:
+        number = release.number
+        left = waves.todo(value)
+        self._through = None if left else now if self._through is None else self._through
+        for name in left:
+            if value.place("dispatcher", name) is not None:
+                continue
+            outcome = waves.give(value, number, name, "", seen.standing, 0.0)
+            if isinstance(outcome, Refusal):
+                self.held = outcome.told
+                continue
+            return Step(lambda v, by, when, name=name: waves.give(v, number, name, by, seen.standing, when),  # type: ignore[misc]
+                        f"a place for {name}")  # fmt: skip
+        if left:
+            self.held = self.held or f"waiting for {', '.join(left)}"
+            return None
+        if release.state == "undoing":
+            return Step(lambda v, by, when: waves.turn(v, number, "undone", release.told, by, when), "all are back")
+        verdict = self.told.verdict if self.told is not None else Verdict.WAIT
+        if verdict is Verdict.UNTOLD:
+            text = "too few requests to tell whether it is worse"
+            return Step(lambda v, by, when: waves.turn(v, number, "halted", text, by, when), text)
+        last = release.wave + 1 == len(release.waves)
+        assert self._through is not None
+        if not self._alone and (verdict is not Verdict.FINE or now - self._through < release.enough):
+            self.held = f"the gate: {Verdict.WAIT.value}"  # and a wave is looked at for so long after its last one
+            return None
+        if last:
+            return Step(lambda v, by, when: waves.turn(v, number, "done", "", by, when), "all have it")
+        wave = release.wave
+        return Step(lambda v, by, when: waves.next_wave(v, number, wave, "", by, when), f"wave {wave + 2}")
+
+    # -- the gate
+
+    def _feed(self, value: Value, release: Release, seen: Seen, now: float) -> None:
+        """Feed the gate of the wave under way with what came since the last interval."""
+        if release.state != "going":
+            self._gate = self.told = None
+            return
+        if self._release != (release.number, release.wave):
+            # A gate for each wave: what was fine with few is asked again with more.
+            self._release, self._gate, self.told = (release.number, release.wave), None, None
+        new = release.version.name
+        runs = {figures.name: figures.version == new for figures in seen.figures}
+        # Where all have it there is none to compare with: those who are left had it before this release.
+        self._alone = bool(runs) and all(runs.values()) and not waves.todo(value)
+        if now - self._looked < INTERVAL:
+            return
+        self._looked = now
+        groups: tuple[dict[str, list[Counts]], dict[str, list[Counts]]] = ({}, {})
+        single: dict[str, tuple[int, int]] = {}
+        counts: dict[tuple[str, int], Mapping[str, Counts]] = {}
+        for figures in seen.figures:
+            key = figures.name, figures.boot
+            counts[key] = figures.classes
+            before = self._counts.get(key)
+            if before is None or now - self._since.setdefault(key, now) < WARM:
+                continue  # where counting begins
+            has = figures.version == new
+            for name, row in figures.classes.items():
+                last = before.get(name, (0, 0, 0, 0, 0))
+                difference: Counts = tuple(a - b for a, b in zip(row, last, strict=True))  # type: ignore[assignment]
+                groups[has].setdefault(name, []).append(difference)
+                if has:
+                    tries, good = single.get(figures.name, (0, 0))
+                    single[figures.name] = tries + difference[0], good + difference[1]
+        self._counts, self._since = counts, {key: self._since.get(key, now) for key in counts}
+        if not groups[1] or not groups[0]:
+            return
+        old, fresh = tallies(groups[0]), tallies(groups[1])
+        pairs = {stratum: (old.get(stratum, Tally(0, 0)), tally) for stratum, tally in fresh.items()}
+        for name, (tries, good) in single.items():
+            pairs[f"service at {name}"] = old.get("service", Tally(0, 0)), Tally(tries, max(0, min(good, tries)))
+        if self._gate is None:
+            strata = {*pairs, *(f"service at {name}" for wave in release.waves[: release.wave + 1] for name in wave)}
+            terms = Terms(error=release.error, margin=release.margin, enough=release.enough, bound=release.bound)
+            self._gate = Gate(sorted(strata), terms, now)
+        self.told = self._gate.on_interval(pairs, now)
--- a/thistleshore/releases/model.py
+++ b/thistleshore/releases/model.py
@@ -14,6 +14,11 @@
 Limit = Annotated[int, msgspec.Meta(ge=0)] | Annotated[str, msgspec.Meta(pattern=r"^(100|[0-9]{1,2})%$")]
 
 
+ReleaseState = Literal["going", "halted", "undoing", "done", "undone"]
+VERSION_NAME = r"^[A-Za-z0-9._-]{1,40}$"
+BASE = ""  # the version that a keeper's own file names
+
+
 class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """How many may be out at once: a number, or a share of those that are known, which allows one at least."""
 
@@ -34,6 +39,36 @@
     zone: str = ""
     life: int = 0  # of a dispatcher, when it was given
     begun: bool = False
+    release: int = 0  # of the release that it is for: the keeper goes, the dispatcher does not drain by itself
+
+
+class Version(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What a dispatcher is started as: a command in front of `serve --config FILE`, and that file."""
+
+    name: Annotated[str, msgspec.Meta(pattern=VERSION_NAME)]
+    command: tuple[str, ...] = ()  # the keeper's own where there is none
+    file: str = ""
+
+
+class Release(msgspec.Struct, frozen=True):
+    """The release under way, or the last one."""
+
+    number: int  # of the change that began it
+    version: Version
+    waves: tuple[tuple[str, ...], ...]
+    former: dict[str, str]  # the version that each runs before it
+    by: str
+    reason: str
+    state: ReleaseState = "going"
+    wave: int = 0
+    told: str = ""  # why it is in that state
+    halted_in: str = "going"  # what it goes on with when it is resumed
+    worse: Literal["undo", "halt"] = "undo"  # what the gate's word comes to
+    within: float = 90.0  # s for one dispatcher, from its place to its new version
+    enough: float = 30.0  # s that a wave is looked at
+    bound: float = 300.0  # s after which too few requests to tell halt it
+    margin: float = 0.02  # of a share: so much worse is not yet worse
+    error: float = 0.01  # chance of calling a clean version worse, a wave
 
 
 class Act(msgspec.Struct, frozen=True):
@@ -55,6 +90,9 @@
     limits: Limits = Limits()
     places: tuple[Place, ...] = ()
     history: tuple[Act, ...] = ()
+    release: Release | None = None
+    runs: dict[str, str] = {}  # noqa: RUF012 - the version of each dispatcher; BASE where it is not named
+    versions: dict[str, Version] = {}  # noqa: RUF012 - those that runs, the release or its way back name
 
     def place(self, kind: str, name: str) -> Place | None:
         return next((place for place in self.places if place.kind == kind and place.name == name), None)
--- a/thistleshore/releases/places.py
+++ b/thistleshore/releases/places.py
@@ -23,7 +23,7 @@
     return max(1, known * share // 100) if share else 0
 
 
-def _changed(value: Value, what: str, name: str, reason: str, by: str, when: float, **fields: object) -> Value:
+def changed(value: Value, what: str, name: str, reason: str, by: str, when: float, **fields: object) -> Value:
     act = Act(value.number + 1, what, name, reason[:REASON_MOST], by, when)
     history = (*value.history, act)[-HISTORY_MOST:]
     return msgspec.structs.replace(value, number=value.number + 1, history=history, **fields)
@@ -38,7 +38,8 @@
     return Refusal(limit, most, others, f"{limit} allows {most} out, and out are: {', '.join(others) or 'none'}")
 
 
-def ask(value: Value, kind: Kind, name: str, reason: str, by: str, seen: Standing, when: float) -> Value | Refusal:
+def ask(value: Value, kind: Kind, name: str, reason: str, by: str, seen: Standing, when: float,
+        release: int = 0) -> Value | Refusal:  # fmt: skip
     """A place for it.  Whoever has one already keeps it, and the value is as before."""
     if value.place(kind, name) is not None:
         return value
@@ -49,7 +50,8 @@
             return Refusal("known", 0, (), f"no dispatcher is named {name!r}")
         held = {place.name for place in value.places if place.kind == kind}
         refused = _within("dispatchers", value.limits.dispatchers, seen.dispatchers, held | seen.dispatchers_down, name)
-        place = Place(kind, name, reason[:REASON_MOST], by, value.number + 1, life=seen.dispatchers[name])
+        place = Place(kind, name, reason[:REASON_MOST], by, value.number + 1, life=seen.dispatchers[name],
+                      release=release)  # fmt: skip
     else:
         if name not in seen.hosts:
             return Refusal("known", 0, (), f"no host is named {name!r}")
@@ -67,7 +69,7 @@
         place = Place(kind, name, reason[:REASON_MOST], by, value.number + 1, service, zone)
     if refused is not None:
         return refused
-    return _changed(value, f"{kind} may go out", name, reason, by, when, places=(*value.places, place))
+    return changed(value, f"{kind} may go out", name, reason, by, when, places=(*value.places, place))
 
 
 def begin(value: Value, kind: Kind, name: str, number: int, by: str, when: float) -> Value | Refusal:
@@ -78,7 +80,7 @@
     if place.begun:
         return value
     places = tuple(msgspec.structs.replace(p, begun=True) if p is place else p for p in value.places)
-    return _changed(value, f"{kind} goes out", name, place.reason, by, when, places=places)
+    return changed(value, f"{kind} goes out", name, place.reason, by, when, places=places)
 
 
 def free(value: Value, kind: Kind, name: str, reason: str, by: str, when: float) -> Value | Refusal:
@@ -87,12 +89,12 @@
     if place is None:
         return Refusal("place", 0, (), f"{kind} {name} has no place")
     places = tuple(p for p in value.places if p is not place)
-    return _changed(value, f"{kind} is back", name, reason, by, when, places=places)
+    return changed(value, f"{kind} is back", name, reason, by, when, places=places)
 
 
 def limit(value: Value, limits: Limits, by: str, when: float) -> Value | Refusal:
     """Other limits from now on.  Nobody who is out is called back; nobody else goes out while there are too many."""
-    return value if limits == value.limits else _changed(value, "limits", "", "", by, when, limits=limits)
+    return value if limits == value.limits else changed(value, "limits", "", "", by, when, limits=limits)
 
 
 def change_voter(value: Value, name: str, votes: bool, by: str, when: float) -> Value | Refusal:
@@ -102,4 +104,4 @@
     voters = (*value.voters, name) if votes else tuple(v for v in value.voters if v != name)
     if not voters:
         return Refusal("voters", 1, (), "the last voter stays")
-    return _changed(value, "votes" if votes else "votes no more", name, "", by, when, voters=tuple(sorted(voters)))
+    return changed(value, "votes" if votes else "votes no more", name, "", by, when, voters=tuple(sorted(voters)))
--- a/thistleshore/releases/store.py
+++ b/thistleshore/releases/store.py
@@ -20,6 +20,10 @@
     """The file cannot vote; the text says why.  An operator has to have the voter taken in again."""
 
 
+class Busy(Unusable):
+    """Another process has it now."""
+
+
 class Store:
     """The file in one folder, locked while it is open."""
 
@@ -35,7 +39,7 @@
             fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError:
             os.close(self._lock)
-            raise Unusable("another process holds its file") from None
+            raise Busy("another process holds its file") from None
 
     def close(self) -> None:
         os.close(self._lock)
--- /dev/null
+++ b/thistleshore/releases/waves.py
@@ -0,0 +1,183 @@
+"""A release as pure functions from one value to the next, or to a refusal: start, give, take, arrive, halt, undo."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from typing import Any, NamedTuple
+
+import msgspec
+
+from thistleshore.releases import places
+from thistleshore.releases.model import BASE, REASON_MOST, Limit, Place, Refusal, Release, Standing, Value, Version
+
+LIVE = ("going", "undoing")
+
+
+class Plan(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What an operator asks for: the plan's file.  Waves are how many have the new version once each is through."""
+
+    version: Version
+    reason: str = ""
+    waves: tuple[Limit, ...] = (1, "5%", "20%", "100%")
+    worse: str = "undo"
+    within: float = 90.0
+    enough: float = 30.0
+    bound: float = 300.0
+    margin: float = 0.02
+    error: float = 0.01
+
+
+class PlanError(ValueError):
+    """A plan that cannot be carried out; the text names the key."""
+
+
+def read(tables: Any) -> Plan:
+    """A plan from its file's tables, or PlanError."""
+    try:
+        plan = msgspec.convert(tables, Plan, strict=False)
+    except msgspec.ValidationError as problem:
+        raise PlanError(str(problem)) from None
+    if plan.worse not in ("undo", "halt"):
+        raise PlanError(f"worse: undo or halt is wanted, not {plan.worse!r}")
+    if not plan.waves:
+        raise PlanError("waves: at least one is wanted")
+    for key, least, most in (("within", 1.0, 3600.0), ("enough", 0.0, 86400.0), ("bound", 1.0, 86400.0),
+                             ("margin", 0.0, 1.0), ("error", 1e-6, 0.5)):  # fmt: skip
+        if not least <= getattr(plan, key) <= most:
+            raise PlanError(f"{key}: {least:g} to {most:g} is wanted, not {getattr(plan, key):g}")
+    return plan
+
+
+def waves(shares: Iterable[Limit], zones: Mapping[str, str]) -> tuple[tuple[str, ...], ...]:
+    """Who goes in which wave: zone after zone, and all at the end whatever the last share says."""
+    order = sorted(zones, key=lambda name: (zones[name], name))
+    found, through = [], 0
+    for share in (*shares, "100%"):
+        most = min(len(order), places.allowed(share, len(order)))
+        if most > through:
+            found.append(tuple(order[through:most]))
+            through = most
+    return tuple(found)
+
+
+def start(value: Value, plan: Plan, zones: Mapping[str, str], by: str, when: float) -> Value | Refusal:
+    """Begin a release for the dispatchers that the asking instance knows."""
+    before = value.release
+    if before is not None and before.state in LIVE:
+        return Refusal("release", 1, (), f"release {before.number} is {before.state}: halt it, or wait for its end")
+    if held := [place.name for place in value.places if place.release]:
+        return Refusal("release", 0, tuple(held), f"of the last release {', '.join(held)} are still midway")
+    known = value.versions.get(plan.version.name)
+    if known is not None and known != plan.version:
+        return Refusal("version", 0, (), f"version {plan.version.name} is known with another command or file")
+    if not zones:
+        return Refusal("known", 0, (), "no dispatcher is known")
+    if all(value.runs.get(name, BASE) == plan.version.name for name in zones):
+        return Refusal("version", 0, (), f"all dispatchers have version {plan.version.name}")
+    former = {name: value.runs.get(name, BASE) for name in zones}
+    release = Release(value.number + 1, plan.version, waves(plan.waves, zones), former, by, plan.reason[:REASON_MOST],
+                      worse="halt" if plan.worse == "halt" else "undo", within=plan.within, enough=plan.enough,
+                      bound=plan.bound, margin=plan.margin, error=plan.error)  # fmt: skip
+    used = {*value.runs.values()}
+    versions = {name: version for name, version in value.versions.items() if name in used}
+    versions[plan.version.name] = plan.version
+    return places.changed(value, "release starts", plan.version.name, plan.reason, by, when, release=release,
+                          versions=versions)  # fmt: skip
+
+
+def turn(value: Value, number: int, state: str, told: str, by: str, when: float) -> Value | Refusal:
+    """Halt, resume, undo, or end the release of that number; whoever has a place and has not begun gives it back."""
+    now = value.release
+    if now is None or now.number != number:
+        return Refusal("release", 0, (), f"release {number} is not the one under way")
+    wanted = now.halted_in if state == "resume" else state
+    if wanted == now.state:
+        return value  # asked twice is asked once
+    allowed = {"halted": LIVE, "resume": ("halted",), "undoing": ("going", "halted", "done"), "done": ("going",),
+               "undone": ("undoing",)}[state]  # fmt: skip
+    if now.state not in allowed:
+        return Refusal("release", 0, (), f"release {number} is {now.state}")
+    halted_in = now.state if state == "halted" else "undoing" if wanted == "undoing" else "going"
+    after = msgspec.structs.replace(now, state=wanted, told=told[:REASON_MOST], halted_in=halted_in)
+    kept = tuple(place for place in value.places if not place.release or place.begun)
+    return places.changed(value, f"release {wanted}", now.version.name, told, by, when, release=after, places=kept)
+
+
+def next_wave(value: Value, number: int, wave: int, told: str, by: str, when: float) -> Value | Refusal:
+    now = value.release
+    if now is None or now.number != number or now.state != "going" or now.wave != wave:
+        return Refusal("release", 0, (), "another has carried it on")
+    after = msgspec.structs.replace(now, wave=wave + 1, told=told)
+    return places.changed(value, f"release wave {wave + 2}", now.version.name, told, by, when, release=after)
+
+
+def target(value: Value, name: str) -> str:
+    """The version that a dispatcher is to have, by the release that is live; else what it has."""
+    now, has = value.release, value.runs.get(name, BASE)
+    if now is None or now.state not in LIVE:
+        return has
+    if now.state == "undoing":
+        return now.former.get(name, has)
+    return now.version.name if any(name in wave for wave in now.waves[: now.wave + 1]) else has
+
+
+def todo(value: Value) -> tuple[str, ...]:
+    """Who is still to change, in order: in the wave under way, or of the latest wave that is not back."""
+    now = value.release
+    if now is None or now.state not in LIVE:
+        return ()
+    if now.state == "going":
+        return tuple(name for name in now.waves[now.wave] if value.runs.get(name, BASE) != target(value, name))
+    for wave in reversed(now.waves):
+        # One that has a place is midway, whatever it last ran.
+        if back := tuple(name for name in reversed(wave) if value.runs.get(name, BASE) != target(value, name)
+                         or _held(value, name) is not None):  # fmt: skip
+            return back
+    return ()
+
+
+def _held(value: Value, name: str) -> Place | None:
+    place = value.place("dispatcher", name)
+    return place if place is not None and place.release else None
+
+
+def give(value: Value, number: int, name: str, by: str, seen: Standing, when: float) -> Value | Refusal:
+    """A place for one that is to change."""
+    now = value.release
+    if now is None or now.number != number or name not in todo(value):
+        return Refusal("release", 0, (), "another has carried it on")
+    return places.ask(value, "dispatcher", name, f"release of {now.version.name}", by, seen, when, number)
+
+
+class Order(NamedTuple):
+    """What a keeper is told: the version its dispatcher is to have, and the number of the place to do it by (0: not
+    yet)."""
+
+    version: Version | None  # None: the keeper's own
+    place: int
+    begun: bool
+
+
+def order(value: Value, name: str) -> Order:
+    wanted, place = target(value, name), _held(value, name)
+    version = value.versions.get(wanted) if wanted != BASE else None
+    return Order(version, place.number if place is not None else 0, place is not None and place.begun)
+
+
+def arrived(value: Value, name: str, version: str, by: str, when: float) -> Value | Refusal:
+    """Its keeper says what it runs now: a place of the release has served its purpose."""
+    place = _held(value, name)
+    if place is None and value.runs.get(name, BASE) == version:
+        return value
+    kept = tuple(p for p in value.places if p is not place)
+    return places.changed(value, "runs", name, version or "its first version", by, when, places=kept,
+                          runs={**value.runs, name: version})  # fmt: skip
+
+
+def failed(value: Value, name: str, version: str, told: str, by: str, when: float) -> Value | Refusal:
+    """The change did not come about: it serves on with `version`, and the release halts."""
+    after = arrived(value, name, version, by, when)
+    now = value.release
+    if isinstance(after, Refusal) or now is None or now.state not in LIVE:
+        return after
+    return turn(after, now.number, "halted", f"{name}: {told}", by, when)
--- a/thistleshore/restart/carrier.py
+++ b/thistleshore/restart/carrier.py
@@ -110,6 +110,7 @@
     def __init__(self, path: str, heirs: Heirs) -> None:
         self.path, self.heirs = path, heirs
         self.links: list[Link] = []
+        self.before: Link | None = None  # to a process that would serve again in this one's place
 
     async def tell_ban(self, host: str, out: bool, source: Link | None = None) -> None:
         """Tell all others that live; those beyond hear it from them."""
@@ -117,14 +118,27 @@
             if link is not source:
                 await link.say(ban=host, out=out)
 
+    async def on_drain(self) -> None:
+        """This process ends: if the one before it still could serve it does so again, from now on and not only once
+        this one is gone; and one that comes after must not count on this one for that."""
+        before, self.before = self.before, None
+        if before is not None:
+            self.heirs.step_aside(True)
+            await before.say(ready=False)
+        for link in list(self.links):
+            if link is not before:
+                await link.say(drains=True)
+
     async def follow(self, link: Link, serving: trio.Event) -> None:
         """Say that this process serves once it does, and hear of bans until the one before has gone."""
         self.links.append(link)
         try:
             await serving.wait()
             await link.say(ready=True)
+            self.before = link
             await self._hear(link)
         finally:
+            self.before = None
             self.links.remove(link)
             link.sock.close()
 
@@ -135,6 +149,11 @@
             if values.get("ready") is True and not serves:
                 serves = True
                 self.heirs.step_aside(True)
+            if values.get("ready") is False and serves:
+                serves = False
+                self.heirs.step_aside(False)
+            if values.get("drains") is True and link is self.before:
+                self.before = None
             if isinstance(values.get("ban"), str):
                 await self.heirs.ban(values["ban"], values.get("out") is True, link)
         return serves
--- a/thistleshore/restart/estate.py
+++ b/thistleshore/restart/estate.py
@@ -24,6 +24,7 @@
 from thistleshore.restart.carrier import HasFile, Inherited, Link, Succession
 
 if TYPE_CHECKING:  # an operator's
+    from thistleshore.admin.listener import Admin
     from thistleshore.fleet.carrier import Carrier
 
 log = logging.getLogger("thistleshore")
@@ -71,6 +72,7 @@
         self.plan, self.broker, self.downstream, self.upstreams = plan, broker, downstream, upstreams
         self.peers, self.watch = peers, watch
         self.fleet: Carrier | None = None
+        self.admin: Admin | None = None  # where both processes have one address for it
         self.succession = Succession(plan.restart, self)
 
     def leave(self) -> tuple[dict[str, Any], Sequence[tuple[str, HasFile]]]:
@@ -107,6 +109,10 @@
             self.peers.step_aside(aside)
         if self.fleet is not None:
             self.fleet.step_aside(aside)
+            if self.fleet.releases is not None:
+                self.fleet.releases.step_aside(aside)
+        if self.admin is not None:
+            self.admin.step_aside(aside)
         settings = self.plan.settings
         if settings.budget is not None:
             # What is free in any span of time is the next process's now: together they must not spend it twice.
--- a/thistleshore/rig/processes.py
+++ b/thistleshore/rig/processes.py
@@ -10,10 +10,14 @@
 import subprocess
 import sys
 from collections.abc import Sequence
+from contextlib import suppress
 from pathlib import Path
 
 import trio
 
+from thistleshore.releases import keeping
+from thistleshore.releases.keeper import Child
+
 PORTS = (20000, 32000)  # below those that the system gives to whoever connects
 PROGRAM = (sys.executable, "-O", "-m", "thistleshore")
 DIES_WITH_PARENT = 1  # PR_SET_PDEATHSIG
@@ -52,6 +56,8 @@
     """One process of the program, through all its lives.  Must be started by the main thread: the system ends a child
     with the thread that started it."""
 
+    verb = "serve"
+
     def __init__(self, name: str, file: Path, command: Sequence[str] = PROGRAM) -> None:
         self.name, self.file, self.command = name, file, tuple(command)
         self.log = file.with_suffix(".log")
@@ -68,14 +74,19 @@
     def lives(self) -> bool:
         return self.child is not None and self.child.poll() is None
 
+    @property
+    def life(self) -> object:
+        """Equal as long as it is the same life."""
+        return self.child
+
     def start(self) -> None:
         """A new life, unless one lives."""
         if self.lives:
             return
         with self.log.open("ab") as log:
             self.child = subprocess.Popen(
-                [*self.command, "serve", "--config", str(self.file)], stdin=subprocess.DEVNULL, stdout=log, stderr=log,
-                preexec_fn=_die_with_parent,
+                [*self.command, self.verb, "--config", str(self.file)], stdin=subprocess.DEVNULL, stdout=log,
+                stderr=log, preexec_fn=_die_with_parent,
             )  # fmt: skip
         self.stopped = False
 
@@ -112,9 +123,84 @@
         if self.child is not None and self.lives:
             os.sched_setaffinity(self.child.pid, os.sched_getaffinity(0))
 
+    def crash(self) -> None:
+        """The dispatcher dies, at once."""
+        self.end()
+
     def end(self) -> None:
         """At once, whatever state it is in."""
         self.rest()
         if self.child is not None:
             self.child.kill()
             self.child.wait()
+
+
+class Kept(Process):
+    """A dispatcher with its keeper: `child` is the keeper, which starts the dispatcher in a session of its own."""
+
+    verb = "keep"
+
+    def __init__(self, name: str, file: Path, command: Sequence[str], folder: Path) -> None:
+        super().__init__(name, file, command)
+        self.folder = folder
+
+    @property
+    def kept(self) -> list[Child]:
+        """The dispatcher's processes that live: the one that serves, or did, and one beside it."""
+        try:
+            found = keeping.read(self.folder)
+        except ValueError:
+            return []
+        known = (found.serving, found.newcomer) if found is not None else ()
+        return [child for child in known if child is not None and keeping.lives(child)]
+
+    @property
+    def lives(self) -> bool:
+        return (self.child is not None and self.child.poll() is None) or bool(self.kept)
+
+    @property
+    def keeps(self) -> bool:
+        """Whether the keeper lives."""
+        return self.child is not None and self.child.poll() is None
+
+    @property
+    def life(self) -> object:
+        return [child.pid for child in self.kept]
+
+    def start(self) -> None:
+        if self.child is None or self.child.poll() is not None:
+            self.child = None
+            kept, self.folder = self.folder, self.folder / "none"  # the keeper alone is what is started
+            try:
+                super().start()
+            finally:
+                self.folder = kept
+
+    def signal(self, number: signal.Signals) -> None:
+        if number in (signal.SIGSTOP, signal.SIGCONT):
+            for child in self.kept:
+                os.kill(child.pid, number)
+            self.stopped = number == signal.SIGSTOP
+        else:
+            super().signal(number)
+
+    def crash(self) -> None:
+        for child in self.kept:
+            with suppress(ProcessLookupError):
+                os.kill(child.pid, signal.SIGKILL)
+
+    def crash_keeper(self) -> None:
+        """The keeper dies; its dispatcher serves on."""
+        if self.child is not None:
+            self.child.kill()
+            self.child.wait()
+
+    def end(self) -> None:
+        self.crash_keeper()
+        self.crash()
+
+
+def reaper(folder: Path) -> subprocess.Popen[bytes]:
+    """Ends what keepers below the folder have started once the rig is gone, however it goes."""
+    command = [sys.executable, "-m", "thistleshore.rig.reaper", str(folder)]
+    return subprocess.Popen(command, stdin=subprocess.PIPE, start_new_session=True)
--- a/thistleshore/rig/rig.py
+++ b/thistleshore/rig/rig.py
@@ -14,7 +14,7 @@
 from thistleshore.fleet.model import Terms
 from thistleshore.load.plan import convert as load_plan
 from thistleshore.load.run import Sender
-from thistleshore.rig.processes import PROGRAM, Process, free_ports
+from thistleshore.rig.processes import PROGRAM, Kept, Process, free_ports, reaper
 from thistleshore.rig.relay import Address, Links, carry_connections, carry_datagrams
 from thistleshore.rig.truth import Row, Truth
 from thistleshore.rig.workers import Bay, Worker
@@ -38,6 +38,7 @@
 [admin]
 listen = "127.0.0.1:{admin}"
 {restart}
+{keep}
 [fleet]
 name = "{fleet}"
 listen = "127.0.0.1:{udp}"
@@ -77,6 +78,13 @@
 attempts = 3
 path = "/ticket-issue"
 """
+KEEP = """\
+[keep]
+dir = "{folder}"
+command = {command}
+ready = 8.0
+trial = {trial}
+"""
 HOST = """\
 [[host]]
 name = "{name}"
@@ -171,8 +179,11 @@
             udp=self.listens[name][1], relay=self.advertised[name][1], zone=world.zones[number % len(world.zones)],
             seeds=", ".join(f'"127.0.0.1:{self.advertised[seed][1]}"' for seed in first), period=world.period,
             hosts=hosts, register=register, window=WINDOW,
-            restart=f'restart = "{self.out}"' if world.hot else ""))  # fmt: skip
-        self.processes[name] = Process(name, file, self.command)
+            restart=f'restart = "{self.out}"' if world.hot or world.trial else "",
+            keep=KEEP.format(folder=self.out / f"keep-{name}", trial=world.trial,
+                             command=json.dumps(list(self.command))) if world.trial else ""))  # fmt: skip
+        self.processes[name] = (Kept(name, file, self.command, self.out / f"keep-{name}") if world.trial
+                                else Process(name, file, self.command))  # fmt: skip
 
     # -- processes -----------------------------------------------------------------------------------
 
@@ -201,7 +212,9 @@
     def kill(self, *names: str) -> None:
         for name in names:
             self._asked_to_end.discard(name)  # whatever it was told before, it is not how it ends
-            self.processes[name].end()
+            if isinstance(self.processes[name], Kept):
+                self._asked_to_end.add(name)  # until its keeper has it serve again
+            self.processes[name].crash()
             self.truth.add("exit", name=name, status=None, asked=False)
 
     def stop(self, *names: str) -> None:
@@ -245,7 +258,7 @@
 
     async def told(self, name: str, what: str = "members") -> Any:
         """A call of the view, read; None where there is no answer.  What is agreed takes its rounds."""
-        agrees = what.split()[0] in ("begin", "drain", "return", "voters", "limits")
+        agrees = what.split()[0] not in ("members", "status", "events", "out", "release", "order")
         answer = await self.call(name, f"FLEET {what}", CHANGE if agrees else ANSWER)
         try:
             return json.loads(answer.split("\n")[0])
@@ -255,14 +268,16 @@
     async def _ping(self, name: str) -> None:
         """Put down whether it serves, by its own word and its life, with the change of it."""
         process = self.processes[name]
-        life, ran = process.child, process.runs
+        life, ran = process.life, process.runs
         serves = ran and (await self.call(name, "PING")).startswith("OK")
-        if process.child is life and process.runs == ran and serves != self.serves.get(name):
+        if process.life == life and process.runs == ran and serves != self.serves.get(name):
             self.serves[name] = serves
             # By its own doing: it lives and is not ready, or has ended with status 0, and the rig has not asked it to.
             own = process.runs or (not process.lives and process.child is not None and process.child.poll() == 0)
             own = own and name not in self._asked_to_end
             self.truth.add("serves", name=name, yes=serves, own=own)
+            if serves and isinstance(process, Kept):
+                self._asked_to_end.discard(name)
 
     async def _look(self, name: str) -> None:
         """Ask one process for its view again and again."""
@@ -272,15 +287,15 @@
             if self.votes:
                 await self._ping(name)
             if process.runs:
-                life = process.child
+                life = process.life
                 found = await self.told(name)
-                if found is not None and process.child is life and process.runs:
+                if found is not None and process.life == life and process.runs:
                     self.views[name] = found
                     text = json.dumps([found["digest"], [(m["name"], m["state"], m["life"]) for m in found["members"]]])
                     if text != said:  # the record holds changes
                         said = text
                         self.truth.add("view", by=name, **found)
-                elif process.child is life and not process.lives:
+                elif process.life == life and not process.lives:
                     self.views.pop(name, None)
             await trio.sleep(LOOK)
 
@@ -490,6 +505,7 @@
     out.mkdir(parents=True, exist_ok=True)
     async with trio.open_nursery() as nursery:
         rig = Rig(world, seed, out, command, nursery)
+        ends_all = reaper(out) if world.trial else None
         try:
             await rig.build()
             for name in world.names:
@@ -501,4 +517,6 @@
         finally:
             for process in rig.processes.values():
                 process.end()
+            if ends_all is not None:
+                ends_all.communicate()  # it sees that nothing is left
             nursery.cancel_scope.cancel()
