A process whose successor died is heard again: it goes on beyond all that that one said

Cause: a newcomer that died in its trial left the one before serving, and dead in every view. Seen by a story of four processes with keepers: p0 served on, all others logged 'died p0', p0 itself suspected all. Ruled out: the sockets (its datagrams left) and the address (the next process had been heard there). At fault: fleet/carrier.step_aside, which went on with the numbers of before; its successor's began 100,000 above, so that all it said counted as repeated. Change: Fleet.on_return jumps beyond numbers and incarnations of the successor. Keeper: what was owed at an adoption is done again, one that was not ready is begun again; a halt is of the release that the register holds. Tests of waves, driver, keeper and four stories of processes.

--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -129,10 +129,19 @@
 
 
 def crashing() -> None:
-    """A version that serves and dies 1.5 s after its start."""
+    """A version that serves, and dies 0.4 s after it has first said so."""
     import threading
 
-    threading.Timer(1.5, lambda: os._exit(9)).start()
+    from thistleshore.admin.listener import Admin
+
+    carry_out = Admin._carry_out
+
+    async def carried_out(self: Any, call: Any) -> bytes:
+        if call.name == "PING" and self.ready():
+            threading.Timer(0.4, lambda: os._exit(9)).start()
+        return await carry_out(self, call)
+
+    Admin._carry_out = carried_out  # type: ignore[method-assign]
 
 
 def unlimited() -> None:
--- /dev/null
+++ b/tests/test_keeper.py
@@ -0,0 +1,543 @@
+"""Releases in waves and the keeper: pure changes, decisions in virtual time, and stories of processes with keepers."""
+
+from __future__ import annotations
+
+import json
+import os
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+import trio
+from hypothesis import given, strategies as st
+
+from tests.support import ROOT, play_beside, refused, steady
+from thistleshore import config
+from thistleshore.releases import keeping, places, waves
+from thistleshore.releases.driver import Driver, Figures, Seen
+from thistleshore.releases.faults import POINTS
+from thistleshore.releases.keeper import BACK_OFF, Child, End, Keeper, Kept, Order, Plan, Say, Start
+from thistleshore.releases.model import Limits, Refusal, Standing, Value, Version
+from thistleshore.rig import checks
+from thistleshore.rig.processes import Kept as KeptProcess
+from thistleshore.rig.rig import STARTED, Rig, open_rig
+from thistleshore.rig.world import convert
+
+NAMES = tuple(f"d{n}" for n in range(6))
+ZONES = {name: "ab"[n % 2] for n, name in enumerate(NAMES)}
+SEEN = Standing(dict.fromkeys(NAMES, 1), frozenset(), {}, frozenset())
+V2 = Version("v2", ("new",))
+PLAN = waves.Plan(V2, waves=(1, "50%", "100%"), enough=2.0, within=20.0)
+
+
+def begun(plan: waves.Plan = PLAN, limit: int = 1) -> Value:
+    found = waves.start(Value(1, NAMES[:3], Limits(dispatchers=limit)), plan, ZONES, "me", 0.0)
+    assert isinstance(found, Value)
+    return found
+
+
+def value_of(found: Value | Refusal) -> Value:
+    assert isinstance(found, Value), found
+    return found
+
+
+# -- waves
+
+
+def test_waves_go_zone_by_zone_and_end_with_all() -> None:
+    assert waves.waves((1, "50%", "100%"), ZONES) == (("d0",), ("d2", "d4"), ("d1", "d3", "d5"))
+    assert waves.waves((2,), ZONES) == (("d0", "d2"), ("d4", "d1", "d3", "d5"))
+    assert waves.waves(("5%",), {"x": ""}) == (("x",),)
+
+
+def test_a_plan_is_read_or_its_fault_is_named() -> None:
+    assert waves.read({"version": {"name": "v2"}, "waves": [1, "20%"]}).waves == (1, "20%")
+    fine = {"version": {"name": "v"}}
+    for tables, fault in (({}, "version"), ({"version": {"name": "a b"}}, "name"), ({**fine, "x": 1}, "x"),
+                          ({**fine, "worse": "wait"}, "worse"), ({**fine, "waves": []}, "waves"),
+                          ({**fine, "waves": ["x"]}, "waves"), ({**fine, "error": 0.9}, "error")):  # fmt: skip
+        with pytest.raises(waves.PlanError, match=fault):
+            waves.read(tables)
+
+
+def test_nothing_goes_out_after_a_halt_and_undo_goes_the_newest_way_back() -> None:
+    value = begun()
+    number = value.number
+    assert waves.todo(value) == ("d0",) and waves.order(value, "d0") == (V2, 0, False)
+    value = value_of(waves.give(value, number, "d0", "me", SEEN, 0.0))
+    place = value.place("dispatcher", "d0")
+    assert place is not None and waves.order(value, "d0") == (V2, place.number, False)
+    halted = value_of(waves.turn(value, number, "halted", "wait", "me", 0.0))
+    assert isinstance(places.begin(halted, "dispatcher", "d0", place.number, "d0", 0.0), Refusal)
+    assert waves.target(halted, "d0") == "" and not waves.todo(halted)
+    assert isinstance(waves.give(halted, number, "d0", "me", SEEN, 0.0), Refusal)
+    assert isinstance(waves.start(value, PLAN, ZONES, "me", 0.0), Refusal)
+    value = value_of(waves.turn(halted, number, "resume", "", "me", 0.0))
+    for name in ("d0", "d2", "d4"):
+        if name == "d2":
+            value = value_of(waves.next_wave(value, number, 0, "", "me", 0.0))
+            assert isinstance(waves.next_wave(value, number, 0, "", "other", 0.0), Refusal)  # once
+        value = value_of(waves.give(value, number, name, "me", SEEN, 0.0))
+        value = value_of(waves.arrived(value, name, "v2", name, 0.0))
+        assert not value.places
+    value = value_of(waves.turn(value, number, "undoing", "worse", "me", 0.0))
+    assert waves.todo(value) == ("d4", "d2") and waves.target(value, "d4") == ""
+    for name in ("d4", "d2", "d0"):
+        assert name in waves.todo(value)
+        value = value_of(waves.arrived(value, name, "", name, 0.0))
+    assert not waves.todo(value)
+    assert value_of(waves.turn(value, number, "undone", "", "me", 0.0)).release.state == "undone"  # type: ignore[union-attr]
+
+
+def test_one_that_fails_halts_the_release_and_gives_its_place_back() -> None:
+    value = begun()
+    value = value_of(waves.give(value, value.number, "d0", "me", SEEN, 0.0))
+    value = value_of(waves.failed(value, "d0", "", "it ended with status 9", "d0", 0.0))
+    assert value.release is not None and value.release.state == "halted" and "status 9" in value.release.told
+    assert not value.places and value.runs == {"d0": ""}
+
+
+# -- the driver
+
+
+class Fleet:
+    """A value, and processes that count; the driver's steps are carried out at once."""
+
+    def __init__(self, good: Callable[[str, float], float], plan: waves.Plan = PLAN) -> None:
+        self.value, self.driver, self.good = begun(plan), Driver(), good
+        self.counts = {name: [0, 0] for name in NAMES}
+        self.settled, self.down, self.now, self.done = True, frozenset[str](), 0.0, list[str]()
+        self.most_out, self.stuck = 0, frozenset[str]()
+
+    def second(self) -> None:
+        self.now += 1.0
+        figures = []
+        for name, row in self.counts.items():
+            version = self.value.runs.get(name, "")
+            row[0] += 40
+            row[1] += round(40 * self.good(version, self.now))
+            count = (row[0], row[1], row[0] - row[1], row[1], row[0])
+            figures.append(Figures(name, hash(version) & 1, version, {"all": count}))
+        seen = Seen(SEEN._replace(dispatchers_down=self.down), self.settled, True, figures)
+        step = self.driver.on_look(self.value, seen, self.now)
+        if step is not None:
+            self.done.append(step.told)
+            self.value = value_of(step.change(self.value, "me", self.now))
+        self.most_out = max(self.most_out, len(self.value.places))
+        for place in self.value.places:
+            if place.name not in self.stuck:
+                version = waves.target(self.value, place.name)
+                self.value = value_of(waves.arrived(self.value, place.name, version, place.name, self.now))
+
+    def play(self, seconds: int) -> str:
+        for _ in range(seconds):
+            self.second()
+        assert self.value.release is not None
+        return self.value.release.state
+
+
+def test_a_clean_release_ends_done_also_in_a_surge() -> None:
+    fleet = Fleet(lambda version, now: 0.5 if 8 < now < 20 else 0.97)
+    assert fleet.play(120) == "done" and fleet.most_out == 1
+    assert set(fleet.value.runs.values()) == {"v2"}
+
+
+def test_a_regression_is_undone_and_a_resumed_one_is_judged_anew() -> None:
+    fleet = Fleet(lambda version, now: 0.6 if version == "v2" else 0.97)
+    assert fleet.play(40) == "undone" and set(fleet.value.runs.values()) == {""}
+    assert any("without it" in told for told in fleet.done)
+    fleet = Fleet(lambda version, now: 0.6 if version == "v2" and now < 10 else 0.97,
+                  msgspec.structs.replace(PLAN, worse="halt"))  # fmt: skip
+    assert fleet.play(15) == "halted" and fleet.value.runs["d0"] == "v2"
+    number = fleet.value.release.number  # type: ignore[union-attr]
+    fleet.value = value_of(waves.turn(fleet.value, number, "resume", "mended", "me", fleet.now))
+    assert fleet.play(120) == "done"
+
+
+@pytest.mark.parametrize(("change", "told"), [
+    ({"settled": False}, "not settled"), ({"down": frozenset(NAMES[1:3])}, "more are out"),
+    ({"stuck": frozenset(NAMES)}, "not through"),
+])  # fmt: skip
+def test_what_does_not_go_by_itself_halts_it_after_a_while(change: dict[str, Any], told: str) -> None:
+    fleet = Fleet(lambda version, now: 0.97)
+    vars(fleet).update(change)
+    assert fleet.play(6) == "going"
+    assert fleet.play(30) == "halted" and told in fleet.value.release.told  # type: ignore[union-attr]
+
+
+def test_few_requests_hold_it_and_then_halt_it() -> None:
+    fleet = Fleet(lambda version, now: 0.97, msgspec.structs.replace(PLAN, bound=20.0))
+    fleet.second()
+    fleet.counts = {}
+    assert fleet.play(10) == "going" and "too little" in fleet.driver.held
+
+
+# -- the keeper
+
+
+class Machine:
+    """A keeper with processes that do as they are told."""
+
+    def __init__(self, kept: Kept | None = None, alive: frozenset[int] = frozenset()) -> None:
+        self.now, self.pids = 0.0, iter(range(100, 999))
+        self.keeper = Keeper(Plan(crashes=3, trial=5.0), kept, alive, self.now)
+        self.said: list[Say] = []
+        self.ended: list[End] = []
+
+    def do(self, actions: list[Any], answer: str = "done") -> None:
+        for action in actions:
+            if isinstance(action, Start):
+                made = Child(action.child.version, next(self.pids), 1)
+                self.do(self.keeper.on_started(made, action.beside, self.now))
+            elif isinstance(action, Say):
+                self.said.append(action)
+                self.do(self.keeper.on_said(action, answer, self.now), answer)
+            else:
+                self.ended.append(action)
+
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+        self.do(self.keeper.on_time(self.now))
+
+    def gone(self, pid: int, status: int | None = 9) -> None:
+        self.do(self.keeper.on_ended(pid, status, self.now))
+        self.wait(0.0)
+
+    def order(self, version: Version | None, place: int = 7, taken: bool = False) -> None:
+        self.do(self.keeper.on_order(Order(version, place, taken), self.now))
+
+
+def midway() -> Machine:
+    """The newcomer, 101, is on trial beside 100."""
+    machine = Machine()
+    machine.wait(0.0)
+    machine.do(machine.keeper.on_ready(100, 0.0))
+    machine.order(V2, 0)
+    assert machine.keeper.kept.phase == "alone"  # without a place nothing is begun
+    machine.order(V2)
+    assert machine.said[-1] == Say("takes", ("7",)) and machine.keeper.kept.phase == "beside"
+    machine.do(machine.keeper.on_ready(101, 0.0))
+    assert machine.keeper.kept.phase == "trial"
+    return machine
+
+
+def test_one_version_follows_another_and_the_fleet_is_told() -> None:
+    machine = midway()
+    machine.wait(5.0)
+    assert machine.ended == [End(100)] and machine.keeper.kept.phase == "ending"
+    machine.gone(100, 0)
+    assert machine.keeper.kept == Kept(Child(V2, 101, 1), None, "alone")
+    assert machine.said[-1] == Say("arrived", ("-v2",))
+
+
+def test_a_newcomer_that_fails_leaves_the_one_before_serving() -> None:
+    machine = midway()
+    machine.gone(101)
+    assert machine.keeper.kept.serving.pid == 100 and machine.said[-1].what == "failed"
+    assert "within its trial" in " ".join(machine.said[-1].words)
+    machine = midway()
+    machine.order(None)  # undone meanwhile
+    assert machine.ended == [End(101)] and machine.keeper.kept.phase == "back"
+    machine.wait(15.0)
+    assert machine.ended[-1] == End(101, hard=True)
+    machine.gone(101, -9)
+    assert machine.said[-1] == Say("arrived", ("-",))
+    machine = midway()
+    machine.gone(100)  # the one before dies: the newcomer serves already
+    assert machine.keeper.kept.serving.pid == 101 and machine.said[-1] == Say("arrived", ("-v2",))
+
+
+def test_one_that_is_not_ready_in_time_is_ended() -> None:
+    machine = Machine()
+    machine.wait(0.0)
+    machine.order(V2)
+    machine.wait(15.0)
+    assert machine.ended == [End(101, hard=True)]
+    machine.gone(101, -9)
+    assert machine.keeper.kept.serving.pid == 100 and machine.said[-1].what == "failed"
+
+
+def test_crashes_wait_longer_each_time_and_a_loop_has_an_end() -> None:
+    machine = Machine()
+    machine.wait(0.0)
+    machine.gone(100)
+    assert machine.keeper.kept.phase == "down"
+    machine.wait(BACK_OFF[0])
+    assert machine.keeper.kept.serving.pid == 101
+    machine.gone(101)
+    machine.wait(BACK_OFF[0])
+    assert machine.keeper.kept.phase == "down"  # twice as long now
+    machine.wait(BACK_OFF[0])
+    assert machine.keeper.kept.serving.pid == 102
+    machine.gone(102)
+    machine.wait(100.0)
+    assert "3 crashes" in machine.keeper.lost and machine.keeper.kept.phase == "down"
+    machine = Machine()
+    machine.wait(0.0)
+    machine.gone(100, 0)  # drained as it was asked: that is no crash
+    assert machine.keeper.kept.serving.pid == 101
+
+
+@pytest.mark.parametrize(("phase", "alive", "serves", "word"), [
+    ("beside", {1, 2}, 1, ""), ("trial", {1, 2}, 1, ""), ("trial", {1}, 1, "failed"), ("beside", {1}, 1, ""),
+    ("ending", {1, 2}, 1, ""), ("trial", {2}, 2, "arrived"), ("back", {1}, 1, "arrived"),
+    ("ending", {2}, 2, "arrived"), ("ending", set(), 0, "failed"), ("alone", {1}, 1, ""),
+])  # fmt: skip
+def test_the_next_keeper_goes_on_from_what_lives(phase: Any, alive: set[int], serves: int, word: str) -> None:
+    newcomer = None if phase == "alone" else Child(V2, 2, 1)
+    machine = Machine(Kept(Child(None, 1, 1), newcomer, phase), frozenset(alive))
+    assert machine.keeper.kept.serving.pid == serves
+    if serves:
+        machine.wait(2.0)
+    else:
+        machine.wait(0.0)
+        machine.wait(2.0)
+        assert machine.keeper.kept.serving.version is None  # all of it was gone: the version that had served
+    assert [say.what for say in machine.said] == ([word] if word else [])
+    assert machine.ended == ([End(1)] if (phase, alive) == ("ending", {1, 2}) else [])
+
+
+@steady
+@given(st.lists(st.tuples(st.sampled_from(["time", "ready", "gone", "order", "back", "said"]), st.integers(0, 3)),
+                max_size=40))  # fmt: skip
+def test_whatever_happens_one_process_serves_or_is_started(events: list[tuple[str, int]]) -> None:
+    machine = Machine()
+    machine.wait(0.0)
+    for what, number in events:
+        kept = machine.keeper.kept
+        pids = [child.pid for child in (kept.serving, kept.newcomer) if child is not None and child.pid]
+        if what == "time":
+            machine.wait([0.1, 1.0, 5.0, 20.0][number])
+        elif what == "ready" and pids:
+            machine.do(machine.keeper.on_ready(pids[-1], machine.now))
+        elif what == "gone" and pids:
+            machine.gone(pids[number % len(pids)], [0, 9, None, -9][number])
+        elif what in ("order", "back"):
+            machine.order(V2 if what == "order" else None, number)
+        kept = machine.keeper.kept
+        assert (kept.newcomer is not None) == (kept.phase in ("beside", "trial", "ending", "back"))
+        assert kept.phase == "down" or kept.serving.pid
+        assert kept.newcomer is None or kept.newcomer.pid != kept.serving.pid
+        ended = any(end.pid == kept.serving.pid for end in machine.ended)
+        assert not ended or kept.phase in ("ending", "back", "alone")
+
+
+def test_a_process_is_known_by_its_birth_and_a_spoilt_state_is_told(tmp_path: Path) -> None:
+    here = Child(None, os.getpid(), keeping.born(os.getpid()))
+    assert keeping.lives(here) and not keeping.lives(msgspec.structs.replace(here, born=here.born + 1))
+    assert not keeping.lives(Child(None)) and keeping.read(tmp_path) is None
+    (tmp_path / keeping.FILE).write_text("{")
+    with pytest.raises(ValueError, match=keeping.FILE):
+        keeping.read(tmp_path)
+
+
+# -- processes with keepers
+
+WORLD = {"name": "kigali", "processes": 4, "voters": 3, "trial": 1.0, "out": {"dispatchers": 1, "hosts": 1},
+         "workers": {"count": 3}, "load": {"rate": 25.0}}  # fmt: skip
+THROUGH = 9.0  # s for one dispatcher: start, trial, drain, and twice a look
+
+
+def mutant(name: str) -> dict[str, Any]:
+    return {"name": name, "command": [sys.executable, "-O", "-m", "tests.mutants", name]}
+
+
+async def with_keepers(out: Path, scenario: Callable[[Rig], Awaitable[None]], **more: Any) -> None:
+    async with open_rig(convert({**WORLD, **more}), 1, out) as rig:
+        rig.truth.add("limit", limit=1)
+        done(await rig.told("p0", "begin"))
+        rig.load(200.0)
+        await scenario(rig)
+        await rig.end_load()
+        await rig.term(*rig.running())
+    assert checks.judge(rig.truth.rows, [name for name in checks.CHECKS if name != "settled"]) == []
+
+
+def done(answer: Any) -> None:
+    assert answer is not None and answer["status"] == "done", answer
+
+
+async def start(rig: Rig, at: str, **plan: Any) -> Any:
+    text = json.dumps({"enough": 2.0, "within": 40.0, **plan}, separators=(",", ":"))
+    return await rig.told(at, f"start {text}")
+
+
+async def until(rig: Rig, at: str, holds: Callable[[Any], bool], bound: float) -> Any:
+    found: Any = None
+    with trio.move_on_after(bound):
+        while True:
+            found = await rig.told(at, "release")
+            if found is not None and found.get("release") and holds(found):
+                return found
+            await trio.sleep(0.1)
+    raise AssertionError(f"{at}: {found}")
+
+
+def state(*names: str, version: str = "") -> Callable[[Any], bool]:
+    return lambda found: (found["release"]["state"] in names
+                          and version in ("", found["release"]["version"]["name"]))  # fmt: skip
+
+
+def kept(rig: Rig, name: str) -> KeptProcess:
+    process = rig.processes[name]
+    assert isinstance(process, KeptProcess)
+    return process
+
+
+def excuse(rig: Rig, *names: str, seconds: float = 4.0) -> None:
+    rig.truth.add("fault", kind="kill", who=list(names), to=[], amount=1, until=rig.truth.now + seconds)
+
+
+async def a_release_goes_through_while_keepers_and_its_driver_die(tmp_path: Path) -> None:
+    async def scenario(rig: Rig) -> None:
+        first = [child.pid for child in kept(rig, "p1").kept]
+        answers = [await start(rig, at, version={"name": "v2"}, waves=[1, "100%"]) for at in ("p1", "p2")]
+        assert [answer["status"] for answer in answers] == ["done", "refused"], answers  # one at a time
+        await until(rig, "p2", lambda found: "p0" in found["out"], 8.0)
+        # The keeper of the one that is midway dies; the next adopts what lives.
+        kept(rig, "p0").crash_keeper()
+        rig.start("p0")
+        found = await until(rig, "p2", lambda found: found["runs"]["p0"] == "v2", 2 * THROUGH + STARTED)
+        assert found["carried_on_by"] == "p0"
+        # The instance that carries it forward dies; another goes on, and its keeper has it back.
+        excuse(rig, "p0")
+        rig.kill("p0")
+        found = await until(rig, "p2", state("done", "halted"), 4 * THROUGH + STARTED + 30.0)
+        assert found["release"]["state"] == "done", found
+        assert set(found["runs"].values()) == {"v2"}
+        assert [child.name for child in kept(rig, "p1").kept] == ["v2"] != first
+        assert [act["what"] for act in found["history"]].count("release done") == 1
+
+    await with_keepers(tmp_path, scenario)
+
+
+async def a_regression_is_found_and_taken_back(tmp_path: Path) -> None:
+    async def scenario(rig: Rig) -> None:
+        done(await start(rig, "p3", version=mutant("refusing"), waves=[1, "100%"], enough=20.0))
+        found = await until(rig, "p1", state("undoing", "undone"), THROUGH + 25.0)
+        assert "without it" in found["release"]["told"]
+        found = await until(rig, "p1", state("undone"), 30.0)
+        assert set(found["runs"].values()) == {""}
+        # A halt and a word to go on at two instances, and an undo to a version whose command is gone.
+        script = tmp_path / "program"
+        script.write_text(f'#!/bin/sh\nexec {sys.executable} -O -m thistleshore "$@"\n')
+        script.chmod(0o755)
+        for name, command in (("v3", [str(script)]), ("v4", [])):
+            plan = {"version": {"name": name, "command": command}, "waves": [1, "100%"], "enough": 60.0}
+            done(await start(rig, "p0", **plan))
+            done(await rig.told("p1", "halt look"))
+            done(await rig.told("p2", "halt look"))  # twice is once
+            held = await until(rig, "p3", state("halted", version=name), 4.0)
+            assert held["release"]["told"] == "look"
+            await trio.sleep(0.5)
+            done(await rig.told("p3", "resume fine"))
+            await until(rig, "p1", lambda found, name=name: found["runs"]["p0"] == name, 3 * THROUGH)
+            if name == "v3":
+                done(await rig.told("p1", "halt enough"))
+        script.unlink()
+        done(await rig.told("p1", "undo no good"))
+        found = await until(rig, "p2", state("undone", "halted", version="v4"), 2 * THROUGH)
+        assert "cannot be started" in found["release"]["told"] and found["runs"]["p0"] == "v4" and not found["out"]
+
+    await with_keepers(tmp_path, scenario)
+
+
+async def a_newcomer_that_fails_halts_it_and_the_one_before_serves_on(tmp_path: Path) -> None:
+    async def scenario(rig: Rig) -> None:
+        before = [child.pid for child in kept(rig, "p0").kept]
+        for name, told in (("crashing", "within its trial"), ("never_ready", "before it was ready")):
+            done(await start(rig, "p1", version=mutant(name)))
+            found = await until(rig, "p2", state("halted", version=name), 8.0 + THROUGH + 5.0)
+            assert told in found["release"]["told"] and not found["out"], found["release"]
+        gone = {"name": "gone", "command": ["/nowhere/thistleshore"]}
+        done(await start(rig, "p1", version=gone))
+        found = await until(rig, "p2", state("halted", version="gone"), THROUGH)
+        assert "cannot be started" in found["release"]["told"]
+        assert [child.pid for child in kept(rig, "p0").kept] == before
+        # A dispatcher that is drained by its place comes back by its keeper, and gives the place up.
+        done(await rig.told("p1", "drain dispatcher p3 kernel"))
+        pid = [child.pid for child in kept(rig, "p3").kept]
+        excuse(rig, "p3", seconds=10.0)
+        assert await rig.until(lambda: [c.pid for c in kept(rig, "p3").kept] not in ([], pid), 8.0) is not None
+        await until(rig, "p1", lambda found: not found["out"], STARTED + 10.0)
+
+    await with_keepers(tmp_path, scenario)
+
+
+async def each_fault_point_is_survived(tmp_path: Path) -> None:
+    """Whoever dies between two steps, the release ends in a stated outcome and all serve."""
+    async def scenario(rig: Rig) -> None:
+        found = await start(rig, "p1", version={"name": "v2"}, waves=["100%"], enough=0.0, within=60.0)
+        done(found)
+        excuse(rig, *rig.processes, seconds=60.0)
+        with trio.move_on_after(4 * THROUGH + 60.0):
+            while True:
+                for name in rig.processes:  # a keeper that died at its point is started again
+                    if not kept(rig, name).keeps:
+                        rig.start(name)
+                found = await rig.told("p2", "release")
+                if found is not None and found.get("release") and found["release"]["state"] in ("done", "halted"):
+                    if not found["out"]:
+                        break
+                await trio.sleep(0.2)
+        assert found["release"]["state"] == "done", found
+        assert sorted(file.name for file in tmp_path.glob("died-*")) == sorted(f"died-{n}" for n in points)
+        assert await rig.settle(rig.terms.healed(4) + STARTED) is not None
+
+    points = {point: "p0" if point.startswith("driver") else f"p{n % 4}" for n, point in enumerate(POINTS)}
+    tmp_path.mkdir(parents=True, exist_ok=True)
+    wrapper = tmp_path / "python"
+    # Each process dies at the points that are its own; without -O, as they are dead under it.
+    text = FAULTY.format(points=points, folder=str(tmp_path), python=sys.executable)
+    wrapper.write_text(f"#!{sys.executable}\n{text}")
+    wrapper.chmod(0o755)
+    async with open_rig(convert(WORLD), 1, tmp_path, (str(wrapper), "-m", "thistleshore")) as rig:
+        rig.truth.add("limit", limit=1)
+        done(await rig.told("p0", "begin"))
+        rig.load(200.0)
+        await scenario(rig)
+        await rig.end_load()
+        await rig.term(*rig.running())
+    assert checks.judge(rig.truth.rows, ["keyed", "clean"]) == []
+
+
+FAULTY = """
+import os, sys
+name = os.path.basename(sys.argv[-1]).removesuffix(".toml")
+mine = [p for p, n in {points!r}.items() if n == name and p.startswith("keeper" if "keep" in sys.argv else "driver")]
+left = [p for p in mine if not os.path.exists({folder!r} + "/died-" + p)]
+if left:
+    os.environ["THISTLESHORE_FAULT"] = left[0] + "@" + {folder!r} + "/died-" + left[0]
+else:
+    os.environ.pop("THISTLESHORE_FAULT", None)
+os.execv({python!r}, [{python!r}, *sys.argv[1:]])
+"""
+
+STORIES = {story.__name__: story for story in (
+    a_release_goes_through_while_keepers_and_its_driver_die, a_regression_is_found_and_taken_back,
+    a_newcomer_that_fails_halts_it_and_the_one_before_serves_on, each_fault_point_is_survived,
+)}  # fmt: skip
+
+
+@pytest.fixture(scope="module")
+def played(tmp_path_factory: pytest.TempPathFactory) -> dict[str, str]:
+    return play_beside(__name__, STORIES, tmp_path_factory.mktemp("keepers"))
+
+
+@pytest.mark.parametrize("story", STORIES)
+def test_processes(story: str, played: dict[str, str]) -> None:
+    assert played[story] == ""
+
+
+def test_the_keys_of_a_keeper_are_checked(tmp_path: Path) -> None:
+    text = (ROOT / "deploy" / "releases.toml").read_text()
+    plan = config.operator_file(str(ROOT / "deploy" / "releases.toml"), 0.0).keep
+    assert plan is not None and plan.folder == "keep" and plan.crashes == 5
+    for old, new, fault in (
+        ('dir = "keep"', "", "keep.dir: missing"), ('dir = "keep"', 'dir = "keep"\nxx = 1', "keep.xx: unknown key"),
+        ("trial = 10.0", 'trial = "x"', "keep.trial"), ('restart = "run"', "", "keep: [admin] with `restart`"),
+    ):  # fmt: skip
+        refused(text, old, new, fault, tmp_path / "faulty.toml")
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -207,6 +207,26 @@
     assert not any(m.counts["repeated"] for m in net.live())
 
 
+@pytest.mark.parametrize("returns", [True, False])
+def test_one_whose_successor_died_is_heard_again_only_beyond_all_that_that_one_said(returns: bool) -> None:
+    net = fleet(5)
+    old = net.nodes["n1"].machine
+    assert old is not None
+    me = msgspec.structs.replace(old.me, incarnation=old.me.incarnation + 64)
+    new = Fleet("f", me, TERMS, [net.nodes["n0"].address], net.now, 1, number=old.number + 100_000)
+    net.nodes["n1"].machine = new
+    net._arm(net.nodes["n1"])
+    net.run(net.now + 2.0)
+    net.nodes["n1"].machine = old
+    if returns:
+        net._carry(net.nodes["n1"], old.on_return(128, 200_000, net.now))
+    else:
+        net._arm(net.nodes["n1"])
+    at = net.now
+    net.run(net.now + TERMS.detected(5) + TERMS.spread(5))
+    assert ("n1" in died(net, at)) != returns
+
+
 def test_a_joiner_whose_seeds_are_dead_joins_once_one_lives() -> None:
     net = fleet(3)
     alone = Net(["x", "y"], TERMS, 4)
--- a/thistleshore/cli/keep.py
+++ b/thistleshore/cli/keep.py
@@ -35,8 +35,12 @@
     keep, admin = plan.keep, plan.admin
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
 
-    async def run() -> int:
+    async def run() -> int | str:
         ends = trio.Event()
+        try:
+            carrier = keeping.Carrier(keep, file, admin)
+        except (keeping.Busy, ValueError, OSError) as problem:
+            return str(problem)
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async with trio.open_nursery() as nursery:
 
@@ -45,11 +49,11 @@
                         ends.set()
 
                 nursery.start_soon(obey)
-                status = await keeping.Carrier(keep, file, admin).run(ends)
+                status = await carrier.run(ends)
                 nursery.cancel_scope.cancel()
         return status
 
-    try:
-        sys.exit(trio.run(run, strict_exception_groups=False))
-    except (keeping.Busy, ValueError, OSError) as problem:
-        refuse(problem, 2)
+    status = trio.run(run)
+    if isinstance(status, str):
+        refuse(status, 2)
+    sys.exit(status)
--- a/thistleshore/config/operator.py
+++ b/thistleshore/config/operator.py
@@ -216,6 +216,7 @@
             with self._section("admin") as part:
                 admin, folder = part.address("listen"), part.text("restart", "")
             restart = path_of(folder, http.listen) if folder and http is not None else ""
+        keep = self._keep(restart)
         with self._section("log") as part:
             form = part.choice("format", {name: name for name in FORMATS}, "plain")
         book = Book(tuple(contracts), tuple(services), budget, balancers, advice, touches, warm_up, cold_from)
@@ -229,7 +230,7 @@
         return Plan(name, int.from_bytes(os.urandom(8), "big"), settings, http, tubes, tuple(known), epoch,
                     connect_within, IDLE_SHARE * idle, sockets, streams, live, agreements, exchange, metrics, form,
                     self.conf, class_names=tuple(_names(contracts)), admin=admin, restart=restart,
-                    fleet=fleet, releases=releases, keep=self._keep(restart))  # fmt: skip
+                    fleet=fleet, releases=releases, keep=keep)  # fmt: skip
 
     def _services(self) -> dict[str, int]:
         services: dict[str, int] = {}
@@ -456,7 +457,7 @@
             self.faults.append("keep: [admin] with `restart` is wanted: by it one version follows another")
         with Section(self.conf["keep"], "keep", self.faults) as part:
             return KeepPlan(
-                part.text("dir"), tuple(part.texts("command")) if "command" in part.left else (),
+                part.text("dir", None), tuple(part.texts("command")) if "command" in part.left else (),
                 part.number("ready", usual.ready, 0.5), part.number("trial", usual.trial),
                 part.number("end", usual.end, 1.0), part.whole("crashes", usual.crashes, 1),
                 part.number("span", usual.span, 1.0),
--- a/thistleshore/fleet/carrier.py
+++ b/thistleshore/fleet/carrier.py
@@ -70,7 +70,7 @@
             trio.socket.from_stdlib_socket(inherited) if inherited is not None else None
         )
         self._send, self._inbox = trio.open_memory_channel[tuple[bytes, str] | None](WAITING_MOST)
-        self._aside = False
+        self._aside = self._returns = False
         self._back = trio.Event()
         self._scope = trio.CancelScope()
 
@@ -101,6 +101,7 @@
                 self._back = trio.Event()
                 self._scope.cancel()
             else:
+                self._returns = True
                 self._back.set()
 
     def left_here(self) -> dict[str, Any]:
@@ -166,6 +167,9 @@
         """The one task that owns the machine."""
         machine = self.machine
         looked = trio.current_time()
+        if self._returns:
+            self._returns = False
+            await self._carry_out(machine.on_return(2 * APART, 2 * NUMBERS_APART, looked))
         while True:
             found = None
             with trio.move_on_at(max(trio.current_time(), min(machine.due, looked + LOOK))):
--- a/thistleshore/fleet/machine.py
+++ b/thistleshore/fleet/machine.py
@@ -242,6 +242,15 @@
             self._say(now)
         return self._done()
 
+    def on_return(self, apart: int, numbers: int, now: float) -> list[Action]:
+        """Take part again after another process has done so in this life: beyond all that it may have said.
+
+        Else whatever is sent from here counts as repeated, and this member is dead to all others while it serves."""
+        self.number += numbers
+        self.me = msgspec.structs.replace(self.me, incarnation=self.me.incarnation + apart)
+        self._say(now)
+        return self._done()
+
     def on_leave(self, now: float) -> list[Action]:
         """Say goodbye, to as many as one may at once; the others hear it from those."""
         if not self.leaving:
--- a/thistleshore/releases/carrier.py
+++ b/thistleshore/releases/carrier.py
@@ -464,11 +464,10 @@
             if name == "arrived":
                 return self._outcome(await self.change(lambda v: waves.arrived(v, me, version, me, now)))
             return self._outcome(await self.change(lambda v: waves.failed(v, me, version, told, me, now)))
-        if value is None or value.release is None:
-            return {"status": "refused", "told": "there is no release"}
-        number, told = value.release.number, " ".join(words)
-        state = {"halt": "halted", "undo": "undoing", "resume": "resume"}[name]
-        return self._outcome(await self.change(lambda v: waves.turn(v, number, state, told, me, now)))
+        told, state = " ".join(words), {"halt": "halted", "undo": "undoing", "resume": "resume"}[name]
+        # Of the release that the register holds by now, whatever is known here.
+        return self._outcome(await self.change(
+            lambda v: waves.turn(v, v.release.number if v.release is not None else 0, state, told, me, now)))
 
     def told_release(self) -> dict[str, Any]:
         """The release as it is known here, who runs what, and why nothing goes on."""
--- a/thistleshore/releases/driver.py
+++ b/thistleshore/releases/driver.py
@@ -85,6 +85,7 @@
         if release is None or release.state not in waves.LIVE:
             self.held, self._release, self._gate, self._places = "", (0, -1), None, {}
             self._troubles.clear()
+            self._counts = {}  # what comes while it is halted is no evidence of what follows
             return None
         number = release.number
         self._feed(value, release, seen, now)
--- a/thistleshore/releases/keeper.py
+++ b/thistleshore/releases/keeper.py
@@ -95,18 +95,23 @@
         self._say_at = -inf
         self._asked: Order | None = None
         self._starting = False
+        self._owed: list[Action] = []
         if kept is not None:
             self._adopt(kept, alive)
 
     def _adopt(self, kept: Kept, alive: frozenset[int]) -> None:
         old, new = kept.serving.pid in alive, kept.newcomer is not None and kept.newcomer.pid in alive
-        if old and new:
+        if old and new and kept.newcomer is not None:
             self._phase(kept.phase, kept.serving, kept.newcomer)
             self._ready = kept.phase != "beside"
+            if kept.phase in ("ending", "back"):
+                # What was on the disk may not have been done.
+                self._owed = [End(kept.serving.pid if kept.phase == "ending" else kept.newcomer.pid)]
         elif new and kept.newcomer is not None:
             self._alone(kept.newcomer, "arrived")  # the one before has gone meanwhile
         elif old:
-            word = "arrived" if kept.phase == "back" else "failed" if kept.newcomer is not None else ""
+            # One that was not ready, or had not even begun, is begun again, by the place that is held.
+            word = {"back": "arrived", "trial": "failed", "ending": "failed"}.get(kept.phase, "")
             self._alone(kept.serving, word, "its keeper found it gone")
         else:
             self._down(kept.serving, "failed" if kept.newcomer is not None else "", "all of it was gone")
@@ -131,13 +136,13 @@
             self._tell(word, child, why)
 
     def _tell(self, what: str, child: Child, why: str = "") -> None:
-        self._say = Say(what, (f"-{child.name}", *why.split()))
+        self._say, self._say_at = Say(what, (f"-{child.name}", *why.split())), -inf
 
     # -- what happens
 
     def on_time(self, now: float) -> list[Action]:
         """Whatever is due."""
-        self.now, actions = now, list[Action]()
+        self.now, actions, self._owed = now, self._owed, []
         kept = self.kept
         if self.over or self.lost:
             return actions
--- a/thistleshore/rig/rig.py
+++ b/thistleshore/rig/rig.py
@@ -189,9 +189,12 @@
 
     def start(self, *names: str) -> None:
         for name in names or self.processes:
-            if not self.processes[name].lives:
+            process = self.processes[name]
+            if isinstance(process, Kept) and process.kept:
+                process.start()  # the keeper, which adopts what lives
+            elif not process.lives:
                 self.views.pop(name, None)
-                self.processes[name].start()
+                process.start()
                 self._asked_to_end.discard(name)
                 self.truth.add("began", name=name)
 
