--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -24,6 +24,7 @@
 from thistleshore.rig import checks
 from thistleshore.rig.processes import Kept as KeptProcess
 from thistleshore.rig.rig import STARTED, Rig, open_rig
+from thistleshore.rig.truth import of
 from thistleshore.rig.world import convert
 
 NAMES = tuple(f"d{n}" for n in range(6))
@@ -504,6 +505,40 @@
     assert checks.judge(rig.truth.rows, ["keyed", "clean"]) == []
 
 
+async def ticket_workers_change_one_at_a_time_by_a_command(tmp_path: Path) -> None:
+    async def scenario(rig: Rig) -> None:
+        done_file = tmp_path / "done"
+        act = ["sh", "-c", f"sleep 0.4; echo {{host}} {{version}} >> {done_file}"]
+        plan = {"version": {"name": "w2"}, "service": "ticketing", "act": act, "former": "w1", "waves": [1, "100%"]}
+        done(await start(rig, "p0", **plan))
+
+        async def carry(seconds: float) -> int:
+            file = str(rig.processes["p1"].file)
+            command = [sys.executable, "-m", "thistleshore", "release", "carry", "--config", file, "--seconds",
+                       str(seconds)]  # fmt: skip
+            return (await trio.run_process(command, check=False, capture_stdout=True)).returncode
+
+        assert await carry(3.0) == 0  # whoever carries it out goes away; another goes on
+        begun = rig.truth.now
+        assert await carry(60.0) == 0
+        found = await until(rig, "p2", state("done", "halted"), 2.0)
+        assert found["release"]["state"] == "done" and set(found["runs"].values()) == {"w2"}, found
+        assert sorted(set(done_file.read_text().split("\n")) - {""}) == ["w0 w2", "w1 w2", "w2 w2"]
+        # All come back and are sent to; back to the first version by the same way.
+        assert {row["worker"] for row in of(rig.truth.rows, "sent") if row["t"] > begun} == {"w0", "w1", "w2"}
+        done(await rig.told("p3", "undo no good"))
+        assert await carry(60.0) == 0
+        found = await until(rig, "p2", state("undone", "halted"), 2.0)
+        assert found["release"]["state"] == "undone" and done_file.read_text().split("\n")[-2].endswith(" w1")
+        # A command that fails halts it, and the worker serves on.
+        done(await start(rig, "p0", **{**plan, "act": ["false"]}))
+        assert await carry(60.0) == 0
+        found = await until(rig, "p2", state("halted", version="w2"), 4.0)
+        assert "status 1" in found["release"]["told"] and not found["out"]
+
+    await with_keepers(tmp_path, scenario, trial=0.0)
+
+
 FAULTY = """
 import os, sys
 name = os.path.basename(sys.argv[-1]).removesuffix(".toml")
@@ -519,6 +554,7 @@
 STORIES = {story.__name__: story for story in (
     a_release_goes_through_while_keepers_and_its_driver_die, a_regression_is_found_and_taken_back,
     a_newcomer_that_fails_halts_it_and_the_one_before_serves_on, each_fault_point_is_survived,
+    ticket_workers_change_one_at_a_time_by_a_command,
 )}  # fmt: skip
 
 
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -4,6 +4,7 @@
 
 import random
 import sqlite3
+import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -424,8 +425,21 @@
     await with_register(tmp_path, scenario)
 
 
+async def a_program_that_heeds_no_limit_is_found_out(tmp_path: Path) -> None:
+    command = (sys.executable, "-O", "-m", "tests.mutants", "unlimited")
+    world = {**WORLD, "load": {"rate": 0.0}}
+    async with open_rig(convert(world), 1, tmp_path, command) as rig:
+        rig.truth.add("limit", limit=1)
+        assert (await rig.told("p0", "begin"))["status"] == "done"
+        await agreed(rig, "p2", lambda found: found["agreed"])
+        for name in ("p3", "p4"):
+            assert (await rig.told("p2", f"drain dispatcher {name} both"))["status"] == "done"
+        assert await rig.until(lambda: "limited" in {found.check for found in checks.judge(rig.truth.rows)}, 12.0)
+
+
 STORIES = {story.__name__: story for story in (
     one_is_out_at_a_time_whoever_asks, a_minority_changes_nothing_and_a_lost_vote_is_taken_in,
+    a_program_that_heeds_no_limit_is_found_out,
 )}  # fmt: skip
 
 
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -77,6 +77,7 @@
 
         rig.truth.add("fault", kind="kill", who=["p3"], to=[], amount=1, until=rig.truth.now + 3)
         rig.kill("p3")
+        await rig.term("p3")  # it is dead: how it ended was not by this
         await settles(rig, terms.detected(5), "after a crash")
         rig.start("p3")
         await settles(rig, terms.healed(5) + STARTED, "after a return")
--- a/thistleshore/admin/codec.py
+++ b/thistleshore/admin/codec.py
@@ -19,7 +19,9 @@
 FLEET = {"members": (0, 0), "status": (0, 0), "events": (1, 1), "leave": (0, 0), "forget": (1, 1),
          "out": (0, 0), "begin": (0, 0), "voters": (1, 1), "limits": (1, 1), "drain": (2, 40),
          "return": (2, 40), "release": (0, 0), "order": (0, 0), "start": (1, 200), "takes": (1, 1),
-         "arrived": (1, 1), "failed": (1, 60), "halt": (0, 40), "resume": (0, 40), "undo": (0, 40)}  # fmt: skip
+         "arrived": (1, 1), "failed": (1, 60),
+         "host-takes": (2, 2), "host-arrived": (2, 2), "host-failed": (2, 60),
+         "halt": (0, 40), "resume": (0, 40), "undo": (0, 40)}  # fmt: skip
 
 
 class Call(NamedTuple):
--- a/thistleshore/cli/release.py
+++ b/thistleshore/cli/release.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import subprocess
 import time
 import tomllib
 from pathlib import Path
@@ -89,6 +90,49 @@
         click.echo(f"  {name}: {version or 'its first version'}{out}")
 
 
+@command.command()
+@CONFIG
+@click.option("--seconds", type=float, default=None, help="End after so long; without it, once the release is over.")
+def carry(file: str, seconds: float | None) -> None:
+    """Bring the version to each ticket worker that the release has taken out: by the plan's `act`, or by hand.
+
+    It can be ended and begun again, on any machine.  What was begun and not told of is done again.  A command that
+    ends with another status than 0, or a no at the prompt, halts the release.
+    """
+    until = None if seconds is None else time.monotonic() + seconds
+    while until is None or time.monotonic() < until:
+        told = _agreed(file, "release")
+        release = told["release"]
+        if release is None or release["kind"] != "host":
+            refuse("no release of ticket workers is under way", 3)
+        if release["state"] in OVER and not told["hosts"]:
+            return
+        for row in told["hosts"]:
+            if told["agreed"] and row["state"] == "out":
+                _carry(file, row, release["act"], told["runs"][row["host"]])
+        time.sleep(LOOK)
+
+
+def _carry(file: str, row: dict[str, Any], act: list[str], has: str) -> None:
+    host, version = row["host"], row["version"]
+    if not row["begun"] and _agreed(file, "host-takes", host, str(row["place"]))["status"] != "done":
+        return  # it was halted meanwhile
+    if act:
+        words = [word.replace("{host}", host).replace("{version}", version) for word in act]
+        click.echo(f"{host}: {' '.join(words)}")
+        try:
+            status = subprocess.run(words, stdin=subprocess.DEVNULL, check=False).returncode
+            why = f"its command ended with status {status}"
+        except OSError as problem:
+            status, why = 1, f"its command cannot be run: {problem.strerror}"
+    else:
+        fine = click.confirm(f"{host}: bring it to version {version or 'its first version'}; is it there and sound?")
+        status, why = 0 if fine else 1, "an operator says no"
+    words = ["host-arrived", host, f"-{version}"] if status == 0 else ["host-failed", host, f"-{has}", *why.split()]
+    while _agreed(file, *words)["status"] == "no-majority":
+        time.sleep(LOOK)
+
+
 @command.command()
 @CONFIG
 @JSON
--- a/thistleshore/config/operator.py
+++ b/thistleshore/config/operator.py
@@ -230,7 +230,7 @@
         return Plan(name, int.from_bytes(os.urandom(8), "big"), settings, http, tubes, tuple(known), epoch,
                     connect_within, IDLE_SHARE * idle, sockets, streams, live, agreements, exchange, metrics, form,
                     self.conf, class_names=tuple(_names(contracts)), admin=admin, restart=restart,
-                    fleet=fleet, releases=releases, keep=keep)  # fmt: skip
+                    fleet=fleet, releases=releases, keep=keep, service_names=tuple(services))  # fmt: skip
 
     def _services(self) -> dict[str, int]:
         services: dict[str, int] = {}
--- a/thistleshore/config/platform.py
+++ b/thistleshore/config/platform.py
@@ -133,6 +133,7 @@
     admin: Address | None = None  # where operators call; None: nowhere
     restart: str = ""  # the Unix socket where the next process meets this one; "": no hot restart
     class_names: tuple[str, ...] = ()  # by their numbers
+    service_names: tuple[str, ...] = ()  # by the numbers that are kinds of hosts
     numbered: Mapping[str, Any] = field(default_factory=dict, repr=False)  # the platform's settings, see `in_place`
     fleet: FleetPlan | None = None  # None: it is in no view of a fleet
     releases: ReleasesPlan | None = None  # None: nothing is agreed
--- a/thistleshore/core/broker.py
+++ b/thistleshore/core/broker.py
@@ -46,6 +46,7 @@
         self.link_counts: Counter[str] = Counter()  # datagrams of the exchange, by fate
         self.carriers: dict[type, model.UpstreamFront] = {}  # by what a host's `dial` is
         self.notebook = Notebook()
+        self.on_attempt: Callable[[model.UpstreamRequest, Status, float], None] | None = None  # as each has ended
         self.tell: Callable[[bytes, tuple[int, ...] | None], None] | None = None  # to some dispatchers, or to all
         self.inbox, self._events = trio.open_memory_channel[model.Event](QUEUE)
         self.hosts: dict[bytes, model.UpstreamHost] = {}
@@ -205,6 +206,8 @@
         stream = request.stream
         self._left[stream.id] -= 1
         self.figures[outcome.status.value] += 1
+        if self.on_attempt is not None:
+            self.on_attempt(request, outcome.status, event.took)
         if self.ledger is not None:
             self.ledger.on_attempt_ended(stream.id, self._worked(event, now), now)
         if outcome.status is Status.OK and not stream.over and outcome.result is not None:
--- a/thistleshore/dispatcher.py
+++ b/thistleshore/dispatcher.py
@@ -11,7 +11,7 @@
 import trio
 
 from oxbowarch.brain import Brain
-from oxbowarch.interface import ListKind
+from oxbowarch.interface import ListKind, State
 from thistleshore import config
 from thistleshore.core.broker import Broker
 from thistleshore.core.model import BanAsked, HostsTold, SettingsTold
@@ -221,7 +221,13 @@
         if isinstance(front, Downstream):
             front.told = counter.add
 
-    def zones() -> dict[str, str]:
+    broker.on_attempt = counter.add_attempt
+
+    def zones(service: str) -> dict[str, str]:
+        if service:
+            kind = plan.service_names.index(service) if service in plan.service_names else None
+            return {name.decode(): str(host.entry.zone) for name, host in broker.hosts.items()
+                    if host.entry.kind == kind and host.entry.state is not State.GONE}  # fmt: skip
         return {record.name: record.zone for record in machine.living()}
 
     async def ban(host: str, out: bool) -> None:
--- a/thistleshore/releases/carrier.py
+++ b/thistleshore/releases/carrier.py
@@ -181,7 +181,7 @@
 
     def __init__(self, plan: ReleasesPlan, name: str, life: int, standing: Callable[[], Standing],
                  ban: Callable[[str, bool], Awaitable[None]], clear: Callable[[str], bool], ready: Callable[[], bool],
-                 zones: Callable[[], Mapping[str, str]],
+                 zones: Callable[[str], Mapping[str, str]],
                  drain: trio.Event, figures: Callable[[], Figures],
                  view: Callable[[], tuple[bool, bool]]) -> None:  # fmt: skip
         """`view` tells whether the view of the fleet is settled, and whether it has a majority."""
@@ -454,11 +454,19 @@
                     "version": None if found.version is None else msgspec.to_builtins(found.version)}  # fmt: skip
         if name == "start":
             plan = waves.read(msgspec.json.decode(" ".join(words)))
-            zones = self.zones()
+            zones = self.zones(plan.service)
             return self._outcome(await self.change(lambda v: waves.start(v, plan, zones, me, now)))
         if name == "takes":
             number = int(words[0])
             return self._outcome(await self.change(lambda v: places.begin(v, "dispatcher", me, number, me, now)))
+        if name in ("host-takes", "host-arrived", "host-failed"):
+            host, word, why = words[0], words[1], " ".join(words[2:])
+            if name == "host-takes":
+                return self._outcome(await self.change(lambda v: places.begin(v, "host", host, int(word), me, now)))
+            version = word.removeprefix("-")
+            if name == "host-arrived":
+                return self._outcome(await self.change(lambda v: waves.arrived(v, host, version, me, now, "host")))
+            return self._outcome(await self.change(lambda v: waves.failed(v, host, version, why, me, now, "host")))
         if name in ("arrived", "failed"):
             version, told = words[0].removeprefix("-"), " ".join(words[1:])
             if name == "arrived":
@@ -479,11 +487,14 @@
         live = sorted(name for name in self.reports if name not in seen.dispatchers_down)
         return {
             "agreed": trio.current_time() <= self.fresh_until, "release": msgspec.to_builtins(value.release),
-            "runs": {name: value.runs.get(name, "") for name in sorted({*value.release.former, *seen.dispatchers})},
+            "runs": {name: value.version_of(value.release.kind, name) for name in sorted(value.release.former)},
+            "hosts": [{"host": place.name, "place": place.number, "begun": place.begun, "service": place.service,
+                       "version": waves.target(value, place.name, "host"), **self.state("host", place.name)}
+                      for place in value.places if place.kind == "host" and place.release],
             "left": list(waves.todo(value)), "held": self.driver.held, "carried_on_by": live[0] if live else "",
             "gate": None if gate is None else {**gate._asdict(), "verdict": gate.verdict.name.lower(),
                                                "told": gate.verdict.value},
-            "out": [place.name for place in value.places if place.kind == "dispatcher"],
+            "out": [place.name for place in value.places if place.kind == value.release.kind],
             "history": [msgspec.to_builtins(act) for act in value.history],
         }  # fmt: skip
 
@@ -498,7 +509,7 @@
 
     async def _call(self, name: str, arguments: tuple[str, ...]) -> dict[str, Any]:
         now = time.time()
-        if name in ("release", "order", "start", "takes", "arrived", "failed", "halt", "resume", "undo"):
+        if name not in ("out", "begin", "voters", "limits", "drain", "return"):
             return await self._release(name, arguments)
         if name == "out":
             return {"status": "done", **self.told()}
--- a/thistleshore/releases/driver.py
+++ b/thistleshore/releases/driver.py
@@ -21,6 +21,9 @@
 Counts = tuple[int, int, int, int, int]  # asked, in time, refused, within the aim, upstream requests: since a start
 
 
+HostCounts = tuple[int, int, int]  # upstream requests that ended, those with a result, those within the aim
+
+
 class Figures(NamedTuple):
     """What one process tells of itself: which version it is, which start of it, and its counts by class."""
 
@@ -28,6 +31,7 @@
     boot: int
     version: str
     classes: Mapping[str, Counts]
+    hosts: Mapping[str, HostCounts] = {}  # noqa: RUF012 - of its upstream requests there
 
 
 class Seen(NamedTuple):
@@ -73,6 +77,8 @@
         self._release = (0, -1)  # the release and wave that the gate is about
         self._gate: Gate | None = None
         self._counts: dict[tuple[str, int], Mapping[str, Counts]] = {}
+        self._hosts: dict[str, float] = {}  # since when each has the new version
+        self._host_counts: dict[tuple[str, int], Mapping[str, HostCounts]] = {}
         self._since: dict[tuple[str, int], float] = {}  # when each process was first heard of
         self._looked = 0.0
         self._troubles: dict[str, float] = {}
@@ -85,6 +91,7 @@
         if release is None or release.state not in waves.LIVE:
             self.held, self._release, self._gate, self._places = "", (0, -1), None, {}
             self._troubles.clear()
+            self._hosts, self._host_counts = {}, {}
             self._counts = {}  # what comes while it is halted is no evidence of what follows
             return None
         number = release.number
@@ -129,7 +136,7 @@
         left = waves.todo(value)
         self._through = None if left else now if self._through is None else self._through
         for name in left:
-            if value.place("dispatcher", name) is not None:
+            if value.place(release.kind, name) is not None:
                 continue
             outcome = waves.give(value, number, name, "", seen.standing, 0.0)
             if isinstance(outcome, Refusal):
@@ -166,6 +173,9 @@
         if self._release != (release.number, release.wave):
             # A gate for each wave: what was fine with few is asked again with more.
             self._release, self._gate, self.told = (release.number, release.wave), None, None
+        if release.kind == "host":
+            self._feed_hosts(value, release, seen, now)
+            return
         new = release.version.name
         runs = {figures.name: figures.version == new for figures in seen.figures}
         # Where all have it there is none to compare with: those who are left had it before this release.
@@ -197,6 +207,37 @@
         pairs = {stratum: (old.get(stratum, Tally(0, 0)), tally) for stratum, tally in fresh.items()}
         for name, (tries, good) in single.items():
             pairs[f"service at {name}"] = old.get("service", Tally(0, 0)), Tally(tries, max(0, min(good, tries)))
+        self._judge(release, pairs, now)
+
+    def _feed_hosts(self, value: Value, release: Release, seen: Seen, now: float) -> None:
+        """Ticket workers of the new version against those without it, as all dispatchers saw them."""
+        new = {name for name in release.former if value.version_of("host", name) == release.version.name}
+        self._alone = not set(release.former) - new
+        for name in new:
+            self._hosts.setdefault(name, now)
+        if now - self._looked < INTERVAL:
+            return
+        self._looked = now
+        sums = [[0, 0, 0], [0, 0, 0]]
+        counts: dict[tuple[str, int], Mapping[str, HostCounts]] = {}
+        for figures in seen.figures:
+            key = figures.name, figures.boot
+            counts[key] = figures.hosts
+            for name, row in figures.hosts.items():
+                # One that has just come back is cold, which is no fault of its version.
+                if name not in release.former or key not in self._counts or name in new and (
+                        now - self._hosts[name] < 2 * WARM):  # fmt: skip
+                    continue
+                last = self._host_counts.get(key, {}).get(name, (0, 0, 0))
+                for n in range(3):
+                    sums[name in new][n] += row[n] - last[n]
+        self._host_counts, self._counts = counts, {key: {} for key in counts}
+        (old, old_ok, old_fast), (fresh, ok, fast) = sums
+        if old and fresh:
+            self._judge(release, {"results": (Tally(old, old_ok), Tally(fresh, min(ok, fresh))),
+                                  "run time": (Tally(old_ok, old_fast), Tally(ok, min(ok, fast)))}, now)  # fmt: skip
+
+    def _judge(self, release: Release, pairs: Mapping[str, tuple[Tally, Tally]], now: float) -> None:
         if self._gate is None:
             strata = {*pairs, *(f"service at {name}" for wave in release.waves[: release.wave + 1] for name in wave)}
             terms = Terms(error=release.error, margin=release.margin, enough=release.enough, bound=release.bound)
--- a/thistleshore/releases/figures.py
+++ b/thistleshore/releases/figures.py
@@ -6,9 +6,9 @@
 
 import trio
 
-from oxbowarch.interface import JobClass
-from thistleshore.core.model import LocalReply, Served, Stream
-from thistleshore.releases.driver import Counts, Figures
+from oxbowarch.interface import JobClass, Status
+from thistleshore.core.model import LocalReply, Served, Stream, UpstreamRequest
+from thistleshore.releases.driver import Counts, Figures, HostCounts
 
 
 class Counter:
@@ -18,6 +18,7 @@
         self.name, self.boot, self.version, self.names, self.classes = name, boot, version, names, classes
         self.counts = {name: [0, 0, 0, 0] for name in names}
         self.forwards = dict.fromkeys(names, 0)
+        self.hosts: dict[str, list[int]] = {}
 
     def add(self, stream: Stream, began: float) -> None:
         """A stream is over: answered, or its client has gone away."""
@@ -31,9 +32,20 @@
         row[2] += isinstance(stream.answer, LocalReply)
         self.forwards[self.names[stream.job_class]] = stream.counts.forwards
 
+    def add_attempt(self, request: UpstreamRequest, status: Status, took: float) -> None:
+        """An upstream request has ended; one that was called off tells nothing."""
+        if request.cancelled or request.stream.job_class >= len(self.classes):
+            return
+        row = self.hosts.setdefault(request.host.id.decode(), [0, 0, 0])
+        row[0] += 1
+        if status is Status.OK:
+            row[1] += 1
+            row[2] += took <= self.classes[request.stream.job_class].aim
+
     def figures(self) -> Figures:
         """As of now."""
         classes: dict[str, Counts] = {
             name: (row[0], row[1], row[2], row[3], self.forwards[name]) for name, row in self.counts.items()
         }
-        return Figures(self.name, self.boot, self.version, classes)
+        hosts: dict[str, HostCounts] = {name: (row[0], row[1], row[2]) for name, row in self.hosts.items()}
+        return Figures(self.name, self.boot, self.version, classes, hosts)
--- a/thistleshore/releases/model.py
+++ b/thistleshore/releases/model.py
@@ -19,6 +19,11 @@
 BASE = ""  # the version that a keeper's own file names
 
 
+def run_key(kind: str, name: str) -> str:
+    """Under which the version of a dispatcher or host is kept: no name has a space in it."""
+    return name if kind == "dispatcher" else f"{kind} {name}"
+
+
 class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """How many may be out at once: a number, or a share of those that are known, which allows one at least."""
 
@@ -59,6 +64,8 @@
     former: dict[str, str]  # the version that each runs before it
     by: str
     reason: str
+    kind: Kind = "dispatcher"
+    act: tuple[str, ...] = ()  # of hosts: what brings {version} to {host}; by hand where there is none
     state: ReleaseState = "going"
     wave: int = 0
     told: str = ""  # why it is in that state
@@ -91,9 +98,13 @@
     places: tuple[Place, ...] = ()
     history: tuple[Act, ...] = ()
     release: Release | None = None
-    runs: dict[str, str] = {}  # noqa: RUF012 - the version of each dispatcher; BASE where it is not named
+    runs: dict[str, str] = {}  # noqa: RUF012 - the version of each, by `run_key`; BASE where it is not named
     versions: dict[str, Version] = {}  # noqa: RUF012 - those that runs, the release or its way back name
 
+    def version_of(self, kind: str, name: str) -> str:
+        """What it runs, as far as it was told."""
+        return self.runs.get(run_key(kind, name), BASE)
+
     def place(self, kind: str, name: str) -> Place | None:
         return next((place for place in self.places if place.kind == kind and place.name == name), None)
 
--- a/thistleshore/releases/places.py
+++ b/thistleshore/releases/places.py
@@ -66,7 +66,7 @@
                 if place.kind == kind and place.service == service and (limit == "hosts" or place.zone == zone)
             }  # fmt: skip
             refused = refused or _within(limit, bound, group, held | (seen.hosts_down & group), name)
-        place = Place(kind, name, reason[:REASON_MOST], by, value.number + 1, service, zone)
+        place = Place(kind, name, reason[:REASON_MOST], by, value.number + 1, service, zone, release=release)
     if refused is not None:
         return refused
     return changed(value, f"{kind} may go out", name, reason, by, when, places=(*value.places, place))
--- a/thistleshore/releases/waves.py
+++ b/thistleshore/releases/waves.py
@@ -8,7 +8,9 @@
 import msgspec
 
 from thistleshore.releases import places
-from thistleshore.releases.model import BASE, REASON_MOST, Limit, Place, Refusal, Release, Standing, Value, Version
+from thistleshore.releases.model import (
+    BASE, REASON_MOST, Kind, Limit, Place, Refusal, Release, Standing, Value, Version, run_key,
+)  # fmt: skip
 
 LIVE = ("going", "undoing")
 
@@ -18,6 +20,9 @@
 
     version: Version
     reason: str = ""
+    service: str = ""  # for the ticket workers of this service; for the dispatchers where there is none
+    act: tuple[str, ...] = ()  # of ticket workers: the command that brings {version} to {host}
+    former: str = BASE  # of ticket workers: what those run whose version was never told
     waves: tuple[Limit, ...] = (1, "5%", "20%", "100%")
     worse: str = "undo"
     within: float = 90.0
@@ -39,6 +44,10 @@
         raise PlanError(str(problem)) from None
     if plan.worse not in ("undo", "halt"):
         raise PlanError(f"worse: undo or halt is wanted, not {plan.worse!r}")
+    if plan.service and (plan.version.command or plan.version.file):
+        raise PlanError("version: ticket workers have no command or file of ours; `act` brings it to them")
+    if not plan.service and (plan.act or plan.former):
+        raise PlanError("act: it is for ticket workers, and `service` names none")
     if not plan.waves:
         raise PlanError("waves: at least one is wanted")
     for key, least, most in (("within", 1.0, 3600.0), ("enough", 0.0, 86400.0), ("bound", 1.0, 86400.0),
@@ -61,7 +70,8 @@
 
 
 def start(value: Value, plan: Plan, zones: Mapping[str, str], by: str, when: float) -> Value | Refusal:
-    """Begin a release for the dispatchers that the asking instance knows."""
+    """Begin a release for those that the asking instance knows, with their zones."""
+    kind: Kind = "host" if plan.service else "dispatcher"
     before = value.release
     if before is not None and before.state in LIVE:
         return Refusal("release", 1, (), f"release {before.number} is {before.state}: halt it, or wait for its end")
@@ -71,13 +81,13 @@
     if known is not None and known != plan.version:
         return Refusal("version", 0, (), f"version {plan.version.name} is known with another command or file")
     if not zones:
-        return Refusal("known", 0, (), "no dispatcher is known")
-    if all(value.runs.get(name, BASE) == plan.version.name for name in zones):
-        return Refusal("version", 0, (), f"all dispatchers have version {plan.version.name}")
-    former = {name: value.runs.get(name, BASE) for name in zones}
+        return Refusal("known", 0, (), f"no {kind} of it is known")
+    former = {name: value.version_of(kind, name) or plan.former for name in zones}
+    if all(version == plan.version.name for version in former.values()):
+        return Refusal("version", 0, (), f"all of them have version {plan.version.name}")
     release = Release(value.number + 1, plan.version, waves(plan.waves, zones), former, by, plan.reason[:REASON_MOST],
                       worse="halt" if plan.worse == "halt" else "undo", within=plan.within, enough=plan.enough,
-                      bound=plan.bound, margin=plan.margin, error=plan.error)  # fmt: skip
+                      bound=plan.bound, margin=plan.margin, error=plan.error, kind=kind, act=plan.act)  # fmt: skip
     used = {*value.runs.values()}
     versions = {name: version for name, version in value.versions.items() if name in used}
     versions[plan.version.name] = plan.version
@@ -111,10 +121,13 @@
     return places.changed(value, f"release wave {wave + 2}", now.version.name, told, by, when, release=after)
 
 
-def target(value: Value, name: str) -> str:
-    """The version that a dispatcher is to have, by the release that is live; else what it has."""
-    now, has = value.release, value.runs.get(name, BASE)
-    if now is None or now.state not in LIVE:
+def target(value: Value, name: str, kind: Kind = "dispatcher") -> str:
+    """The version that it is to have, by the release that is live; else what it has."""
+    now, has = value.release, value.version_of(kind, name)
+    if now is None or now.kind != kind:
+        return has
+    has = has or now.former.get(name, has)
+    if now.state not in LIVE:
         return has
     if now.state == "undoing":
         return now.former.get(name, has)
@@ -126,18 +139,23 @@
     now = value.release
     if now is None or now.state not in LIVE:
         return ()
+    kind = now.kind
+
+    def left(name: str) -> bool:
+        # One that has a place is midway, whatever it last ran.
+        has = value.version_of(kind, name) or now.former.get(name, BASE)
+        return has != target(value, name, kind) or _held(value, name, kind) is not None
+
     if now.state == "going":
-        return tuple(name for name in now.waves[now.wave] if value.runs.get(name, BASE) != target(value, name))
+        return tuple(name for name in now.waves[now.wave] if left(name))
     for wave in reversed(now.waves):
-        # One that has a place is midway, whatever it last ran.
-        if back := tuple(name for name in reversed(wave) if value.runs.get(name, BASE) != target(value, name)
-                         or _held(value, name) is not None):  # fmt: skip
+        if back := tuple(name for name in reversed(wave) if left(name)):
             return back
     return ()
 
 
-def _held(value: Value, name: str) -> Place | None:
-    place = value.place("dispatcher", name)
+def _held(value: Value, name: str, kind: Kind = "dispatcher") -> Place | None:
+    place = value.place(kind, name)
     return place if place is not None and place.release else None
 
 
@@ -146,7 +164,7 @@
     now = value.release
     if now is None or now.number != number or name not in todo(value):
         return Refusal("release", 0, (), "another has carried it on")
-    return places.ask(value, "dispatcher", name, f"release of {now.version.name}", by, seen, when, number)
+    return places.ask(value, now.kind, name, f"release of {now.version.name}", by, seen, when, number)
 
 
 class Order(NamedTuple):
@@ -164,19 +182,21 @@
     return Order(version, place.number if place is not None else 0, place is not None and place.begun)
 
 
-def arrived(value: Value, name: str, version: str, by: str, when: float) -> Value | Refusal:
-    """Its keeper says what it runs now: a place of the release has served its purpose."""
-    place = _held(value, name)
-    if place is None and value.runs.get(name, BASE) == version:
+def arrived(value: Value, name: str, version: str, by: str, when: float,
+            kind: Kind = "dispatcher") -> Value | Refusal:  # fmt: skip
+    """Whoever changed it says what it runs now: a place of the release has served its purpose."""
+    place = _held(value, name, kind)
+    if place is None and value.version_of(kind, name) == version:
         return value
     kept = tuple(p for p in value.places if p is not place)
     return places.changed(value, "runs", name, version or "its first version", by, when, places=kept,
-                          runs={**value.runs, name: version})  # fmt: skip
+                          runs={**value.runs, run_key(kind, name): version})  # fmt: skip
 
 
-def failed(value: Value, name: str, version: str, told: str, by: str, when: float) -> Value | Refusal:
+def failed(value: Value, name: str, version: str, told: str, by: str, when: float,
+           kind: Kind = "dispatcher") -> Value | Refusal:  # fmt: skip
     """The change did not come about: it serves on with `version`, and the release halts."""
-    after = arrived(value, name, version, by, when)
+    after = arrived(value, name, version, by, when, kind)
     now = value.release
     if isinstance(after, Refusal) or now is None or now.state not in LIVE:
         return after
--- a/thistleshore/rig/rig.py
+++ b/thistleshore/rig/rig.py
@@ -230,7 +230,8 @@
             self.processes[name].signal(signal.SIGCONT)
 
     async def term(self, *names: str) -> None:
-        """SIGTERM to each, until all have ended."""
+        """SIGTERM to each that lives, until all have ended."""
+        names = tuple(name for name in names if self.processes[name].lives)  # one that was killed is not told to end
         for name in names:
             self._asked_to_end.add(name)
             self.processes[name].signal(signal.SIGTERM)
