The next process hears which streams the one before opens, and what it has out at each host

Need: what the hot restart left open. A repeat that came to the next process by a new connection ran beside its first try at the one before, and a host was given the slots of both.

--- a/benchmarks/fleet_real.py
+++ b/benchmarks/fleet_real.py
@@ -98,14 +98,14 @@
 JOBS: dict[str, Callable[..., Awaitable[Any]]] = {"settling": settling, "deaths": deaths, "drawn": drawn}
 
 
-async def beside(jobs: list[tuple[Any, ...]], most: int) -> list[Any]:
+async def beside(jobs: list[tuple[Any, ...]], most: int, module: str = "benchmarks.fleet_real") -> list[Any]:
     """What each job came to, in order; so many at a time, each in a process of its own: one that carried the
     datagrams of several rigs would be late."""
     limit, found = trio.CapacityLimiter(most), dict[int, Any]()
 
     async def one(number: int, job: tuple[Any, ...]) -> None:
         async with limit:
-            command = [sys.executable, "-m", "benchmarks.fleet_real", "--job", json.dumps(job)]
+            command = [sys.executable, "-m", module, "--job", json.dumps(job)]
             done = await trio.run_process(command, capture_stdout=True, check=False)
             found[number] = json.loads(done.stdout) if done.returncode == 0 else None
 
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -23,9 +23,12 @@
 
 from oxbowarch import handover
 from oxbowarch.brain import Brain
-from oxbowarch.interface import Effect, Entry, JobClass, ListKind, Request, Settings, State
+from oxbowarch.interface import Effect, Entry, JobClass, ListKind, Note, Request, Settings, State
 from tests.support import CUTS, GARBAGE, ROOT, free_port, steady
+from thistleshore.core.broker import Broker
+from thistleshore.core.model import BeforeTold
 from thistleshore.restart import frame
+from thistleshore.restart.estate import _pieces
 
 # -- the frame
 
@@ -299,6 +302,35 @@
     assert [len(host.runs) for host in site.hosts] == [0, 0, 1]
 
 
+def test_a_stream_that_the_first_opens_after_the_hand_over_is_known_at_the_second(tmp_path: Path) -> None:
+    site = Site(tmp_path)
+    ask = b"POST /pay HTTP/1.1\r\nHost: s\r\nX-Txn: again\r\nX-Lane: pay\r\nContent-Length: 1\r\n\r\na"
+    with site.process(), socket.create_connection(("127.0.0.1", site.port)) as kept:
+        kept.sendall(b"GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n")
+        assert kept.recv(4096).startswith(b"HTTP/1.1 200")
+        with site.process(), socket.create_connection(("127.0.0.1", site.port)) as other:
+            kept.sendall(ask)
+            assert kept.recv(4096).startswith(b"HTTP/1.1 200")
+            time.sleep(0.2)
+            other.sendall(ask)
+            assert other.recv(4096).startswith(b"HTTP/1.1 409")
+    assert sum(len(host.runs) for host in site.hosts) == 1
+
+
+def test_what_the_process_before_has_out_counts_at_each_host_for_a_while() -> None:
+    entries = tuple(Entry(name, State.READY) for name in (b"h0", b"h1"))
+    brain = Brain(Settings(1, 0, (JobClass(Effect.SAFE),)), 1, 0.0)
+    brain.on_list(ListKind.CACHED, entries, 0.0)
+    broker = Broker(brain, ("pay",))
+    broker._tell(BeforeTold((Note(b"h0", 3), Note(b"gone", 1))), 10.0)
+    assert [brain.workers[name].in_work(10.1) for name in (b"h0", b"h1")] == [3, 0]
+    assert brain.workers[b"h0"].in_work(99.0) == 0  # that process is gone, and told of nothing else
+    broker._tell(BeforeTold((Note(b"h0", 3),)), 100.0)
+    broker._tell(BeforeTold((Note(b"h0", 0),)), 100.1)
+    assert brain.workers[b"h0"].in_work(100.2) == 0
+    assert [len(part) for part in _pieces(["x" * 100] * 40 + ["y" * 4000])] == [13, 13, 13, 1]
+
+
 def test_sighup_takes_a_whole_file_or_keeps_the_old_one_whole(tmp_path: Path) -> None:
     site = Site(tmp_path)
     with site.process() as found:
--- a/thistleshore/platform/downstream.py
+++ b/thistleshore/platform/downstream.py
@@ -26,6 +26,7 @@
     def __init__(self, routes: Routes, listed: trio.Event, inbox: trio.MemorySendChannel[Event], most: int) -> None:
         self.routes, self.listed, self.inbox, self.gate = routes, listed, inbox, Gate(most)
         self.told: Callable[[Stream, float], None] | None = None  # of each stream that is over, and when it began
+        self.opened: Callable[[str], None] | None = None  # once another process is to know of each
         self.names: set[str] = set()  # streams that are open
         self._past: dict[str, float] = {}  # streams that were, and when they ended, the longest ago first
 
@@ -94,6 +95,8 @@
         stream = Stream(terms.name, terms.job_class, deadline, Ask(request.target, passed, body), terms.tenant,
                         terms.key, terms.repeat, terms.member, len(body), self.gate.spare)  # fmt: skip
         self.names.add(stream.name)
+        if self.opened is not None:
+            self.opened(stream.name)
         try:
             answer = await self._await_answer(peer, stream)
         except Rejected as problem:
--- a/thistleshore/restart/carrier.py
+++ b/thistleshore/restart/carrier.py
@@ -103,6 +103,10 @@
 
     async def ban(self, host: str, out: bool, source: Link) -> None: ...
 
+    async def tell(self, link: Link) -> None: ...
+
+    async def hear(self, names: Any, out: Any) -> None: ...
+
 
 class Succession:
     """One process's end of all such lines: to the one before it, and to those that come after."""
@@ -154,6 +158,8 @@
                 self.heirs.step_aside(False)
             if values.get("drains") is True and link is self.before:
                 self.before = None
+            if link is self.before and ("names" in values or "out" in values):
+                await self.heirs.hear(values.get("names"), values.get("out"))
             if isinstance(values.get("ban"), str):
                 await self.heirs.ban(values["ban"], values.get("out") is True, link)
         return serves
@@ -220,7 +226,10 @@
                 await _send_all(sock, data[sent:])
             log.info("handed over to the next process: %d bytes, %d sockets", len(data), len(sockets))
             self.links.append(link)
-            serves = await self._hear(link)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.heirs.tell, link)
+                serves = await self._hear(link)
+                nursery.cancel_scope.cancel()
         except (OSError, trio.TooSlowError, frame.Spoilt) as problem:
             log.warning("hand-over not done: %s: %s", type(problem).__name__, problem)
         except Exception:
--- a/thistleshore/restart/estate.py
+++ b/thistleshore/restart/estate.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
@@ -11,11 +11,11 @@
 
 from oxbowarch import handover
 from oxbowarch.brain import Brain
-from oxbowarch.interface import ListKind, State
+from oxbowarch.interface import ListKind, Note, State
 from oxbowarch.notes import NUMBERS
 from thistleshore.config import Plan
 from thistleshore.core.broker import Broker
-from thistleshore.core.model import BanAsked, HostLine, SettingsTold, UpstreamHost
+from thistleshore.core.model import BanAsked, BeforeTold, HostLine, SettingsTold, UpstreamHost
 from thistleshore.platform.discovery import Discovery
 from thistleshore.platform.downstream import Downstream
 from thistleshore.platform.messages import STATES, ListNames, Malformed, read_hosts
@@ -29,6 +29,9 @@
 
 log = logging.getLogger("thistleshore")
 
+TELL = 0.02  # s between two looks at what the next process is to hear
+OUT_AGAIN = 1.0  # s after which what is out is told again: it counts for a while only
+PIECE_MOST = 3000  # bytes of what one line tells
 HEALTH = {state: health for health, state in STATES.items()}
 SPOILT = (Malformed, KeyError, IndexError, TypeError, ValueError, AttributeError, OverflowError)
 
@@ -64,6 +67,21 @@
     return brain, lines, seq
 
 
+def _pieces(items: Sequence[str]) -> Iterator[list[str]]:
+    """In parts that fit a line each; what fits none is left out."""
+    part, size = list[str](), 0
+    for item in items:
+        cost = len(item.encode()) * 2 + 16
+        if part and size + cost > PIECE_MOST:
+            yield part
+            part, size = [], 0
+        if cost <= PIECE_MOST:
+            part.append(item)
+            size += cost
+    if part:
+        yield part
+
+
 class Estate:
     """The parts of a dispatcher that a hot restart is about."""
 
@@ -73,6 +91,7 @@
         self.peers, self.watch = peers, watch
         self.fleet: Carrier | None = None
         self.admin: Admin | None = None  # where both processes have one address for it
+        self._opened: list[list[str]] = []  # names of streams opened here, for each process that has taken over
         self.succession = Succession(plan.restart, self)
 
     def leave(self) -> tuple[dict[str, Any], Sequence[tuple[str, HasFile]]]:
@@ -121,6 +140,41 @@
                 settings = replace(settings, budget=settings.budget._replace(free=0.0))
             self.broker.inbox.send_nowait(SettingsTold(settings, self.plan.class_names))
 
+    async def tell(self, link: Link) -> None:
+        """Until cancelled: streams that are opened here after the hand-over, by name, and what is out at each host.
+
+        Else a repeat at the other process would run beside the first, and a host would be given twice its slots."""
+        names, said, again = list[str](), dict[str, int](), 0.0
+        self._opened.append(names)
+        self.downstream.opened = self._open
+        try:
+            while True:
+                now = trio.current_time()
+                out = {worker.id.decode(): worker.out for worker in self.broker.brain.workers.values()}
+                changed = {host: n for host, n in out.items() if n != said.get(host, 0) or n and now >= again}
+                again = now + OUT_AGAIN if now >= again else again
+                said = out
+                news, names[:] = list(names), []
+                for part in _pieces(news):
+                    await link.say(names=part)
+                for part in _pieces(list(changed)):
+                    await link.say(out={host: changed[host] for host in part})
+                await trio.sleep(TELL)
+        finally:
+            self._opened.remove(names)
+
+    def _open(self, name: str) -> None:
+        for names in self._opened:
+            names.append(name)
+
+    async def hear(self, names: Any, out: Any) -> None:
+        """What the process before tells while both live."""
+        if isinstance(names, list):
+            self.downstream.know_names([name for name in names if isinstance(name, str)])
+        if isinstance(out, dict):
+            notes = tuple(Note(host.encode(), n) for host, n in out.items() if isinstance(n, int) and n >= 0)
+            await self.broker.inbox.send(BeforeTold(notes))
+
     async def ban(self, host: str, out: bool, source: Link) -> None:
         """An operator has called it at another process."""
         await self.broker.inbox.send(BanAsked(host.encode(), out, known=True))
--- a/thistleshore/rig/relay.py
+++ b/thistleshore/rig/relay.py
@@ -19,6 +19,7 @@
 RECEIVE = 65536
 HELD_MOST = 2000  # datagrams on their way in one link
 REORDERED = 0.05  # s by which one that is overtaken is late
+SENT_AGAIN = 0.2  # s after which TCP sends again what was lost
 LINGER = struct.pack("ii", 1, 0)  # closing sends a reset
 
 
@@ -135,6 +136,8 @@
                         while data := await source.receive_some(RECEIVE):
                             if link.delay or link.jitter:
                                 await trio.sleep(link.delay + link.jitter * links.random.random())
+                            if link.loss and links.random.random() < link.loss:
+                                await trio.sleep(SENT_AGAIN)
                             await link.whole.wait()
                             await sink.send_all(data)
                         await link.whole.wait()
