A voter votes only once a majority has told it what they know of its file

Cause: a voter whose file was set back made up for the writes it had lost: each question that it answered counted as one, and after two or three it was taken for sound. Seen by a story: with p1's file set back and p2 dead a place was given. Ruled out: the rounds (they dropped its first promises, by the log). At fault: releases/carrier.Voter, which answered at once. Change: after a start it asks what the others have seen of it, with each look; behind that it does not vote until it is taken in. Looks and rounds carry what is known of each voter's writes. Also: stories of a broken disk, a set-back file, holders that die, stop or fill the limit by themselves; a cut, a lowered limit and the death of all under a release (not yet played).

--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -468,6 +468,41 @@
     await with_keepers(tmp_path, scenario)
 
 
+async def cuts_a_lowered_limit_and_the_death_of_all(tmp_path: Path) -> None:
+    async def scenario(rig: Rig) -> None:
+        large, small = ["p1", "p2", "p3"], ["p0", "p4"]
+        done(await start(rig, "p1", version={"name": "v2"}, waves=[1, "100%"], enough=0.5))
+        await until(rig, "p2", lambda found: found["runs"]["p0"] == "v2", 2 * THROUGH)
+        # Its driver is cut off with the minority, which can start nothing; the others hold, and then halt.
+        rig.cut(small, large)
+        no = await rig.told("p4", 'start {"version":{"name":"v3"}}')
+        assert no is None or no["status"] == "no-majority", no
+        found = await until(rig, "p2", state("halted"), 15.0 + rig.terms.detected(5) + 2 * THROUGH)
+        assert found["release"]["told"]
+        rig.heal()
+        assert await rig.settle(rig.terms.healed(5)) is not None
+        # A limit that is lowered holds it; words in opposite order at two instances end in one of them, everywhere.
+        done(await rig.told("p1", 'limits {"dispatchers":0}'))
+        done(await rig.told("p4", "resume it is whole"))
+        await until(rig, "p2", lambda found: "allows 0 out" in found["held"] or found["out"] != [], 6.0)
+        done(await rig.told("p1", 'limits {"dispatchers":1}'))
+        await until(rig, "p2", lambda found: bool(found["out"]), 2 * THROUGH)
+        # All are killed with their keepers in mid-release, and started again.
+        excuse(rig, *rig.processes, seconds=10.0)
+        for name in rig.processes:
+            kept(rig, name).crash_keeper()
+        rig.kill(*rig.processes)
+        rig.start()
+        assert await rig.settle(rig.terms.healed(5) + STARTED) is not None
+        found = await until(rig, "p3", lambda found: found["agreed"] and not found["out"], 2 * THROUGH)
+        if found["release"]["state"] == "halted":
+            done(await rig.told("p0", "resume all are back"))
+        found = await until(rig, "p3", state("done", "halted"), 5 * THROUGH + 10.0)
+        assert found["release"]["state"] == "done" and set(found["runs"].values()) == {"v2"}, found
+
+    await with_keepers(tmp_path, scenario, processes=5)
+
+
 async def each_fault_point_is_survived(tmp_path: Path) -> None:
     """Whoever dies between two steps, the release ends in a stated outcome and all serve."""
     async def scenario(rig: Rig) -> None:
@@ -554,7 +589,7 @@
 STORIES = {story.__name__: story for story in (
     a_release_goes_through_while_keepers_and_its_driver_die, a_regression_is_found_and_taken_back,
     a_newcomer_that_fails_halts_it_and_the_one_before_serves_on, each_fault_point_is_survived,
-    ticket_workers_change_one_at_a_time_by_a_command,
+    ticket_workers_change_one_at_a_time_by_a_command, cuts_a_lowered_limit_and_the_death_of_all,
 )}  # fmt: skip
 
 
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -425,6 +425,76 @@
     await with_register(tmp_path, scenario)
 
 
+async def a_disk_that_takes_nothing_and_one_that_was_set_back(tmp_path: Path) -> None:
+    async def scenario(rig: Rig) -> None:
+        file = {name: tmp_path / f"register-{name}" / FILE for name in ("p0", "p1", "p2")}
+        old = file["p1"].read_bytes()
+        # A disk that takes nothing: the others are a majority; without one of them there is none, and it is told why.
+        whole = file["p2"].rename(tmp_path / "whole")
+        file["p2"].mkdir()
+        found = await rig.told("p3", "drain host w0 disk")
+        assert found["status"] == "done", found
+        excuse(rig, *rig.processes)
+        rig.kill("p1")
+        no = await rig.told("p3", "drain host w0 again")
+        assert no["status"] == "no-majority" and "its disk takes nothing" in no["told"], no
+        file["p2"].rmdir()
+        whole.rename(file["p2"])
+        found = await rig.told("p3", "return host w0 back")
+        assert found["status"] == "done", found
+        await trio.sleep(1.0)  # each voter tells the others how many of its writes it knows of, with each look
+        # A file that was set back has promised what it does not know of: it does not vote until it is taken in.
+        file["p1"].write_bytes(old)
+        rig.start("p1")
+        assert await rig.settle(rig.terms.healed(5) + STARTED) is not None
+        rig.kill("p2")
+        no = await rig.told("p4", "drain host w1 disk")
+        assert no["status"] == "no-majority" and "older copy" in no["told"], no
+        rig.start("p2")
+        assert await rig.settle(rig.terms.healed(5) + STARTED) is not None
+        found = await rig.told("p4", "voters p1")
+        assert found["status"] == "done", found
+        rig.kill("p2")
+        found = await rig.told("p4", "drain host w1 disk")
+        assert found["status"] == "done", found
+
+    await with_register(tmp_path, scenario)
+
+
+async def holders_that_die_stop_or_fill_the_limit_by_themselves(tmp_path: Path) -> None:
+    async def scenario(rig: Rig) -> None:
+        excuse(rig, *rig.processes)
+        # Its holder is stopped before it has begun, and wakes: it begins only by what a majority says now.
+        rig.stop("p4")
+        found = await rig.told("p0", "drain dispatcher p4 kernel")
+        assert found["status"] == "done" and found["state"] == "given"
+        assert await rig.until(lambda: not rig.agreed(["p0"]), 6.0) is not None  # it counts as out
+        assert (await rig.told("p1", "return dispatcher p4 never mind"))["status"] == "done"
+        rig.go_on("p4")
+        assert await rig.settle(rig.terms.healed(5)) is not None
+        assert rig.processes["p4"].lives and (await rig.call("p4", "PING")).startswith("OK")
+        # Its holder dies in its drain: the place stays until it serves again.
+        assert (await rig.told("p0", "drain dispatcher p4 kernel"))["status"] == "done"
+        await agreed(rig, "p1", lambda found: any(row["begun"] for row in found["places"]))
+        rig.kill("p4")
+        await agreed(rig, "p1", has("dispatcher", "p4", "out"), 8.0)
+        assert (await rig.told("p1", "drain dispatcher p3 too"))["status"] == "refused"
+        rig.start("p4")
+        await agreed(rig, "p1", lambda found: not found["places"], STARTED + 10.0)
+        # One that crashed by itself fills the limit, and so does a limit that is lowered.
+        assert await rig.settle(rig.terms.healed(5) + STARTED) is not None
+        rig.kill("p3")
+        assert await rig.settle(rig.terms.detected(5)) is not None
+        no = await rig.told("p0", "drain dispatcher p4 kernel")
+        assert no["status"] == "refused" and no["out"] == ["p3"]
+        rig.start("p3")
+        assert await rig.settle(rig.terms.healed(5) + STARTED) is not None
+        assert (await rig.told("p1", 'limits {"dispatchers":0,"hosts":1}'))["status"] == "done"
+        assert (await rig.told("p0", "drain dispatcher p4 kernel"))["status"] == "refused"
+
+    await with_register(tmp_path, scenario)
+
+
 async def a_program_that_heeds_no_limit_is_found_out(tmp_path: Path) -> None:
     command = (sys.executable, "-O", "-m", "tests.mutants", "unlimited")
     world = {**WORLD, "load": {"rate": 0.0}}
@@ -439,7 +509,8 @@
 
 STORIES = {story.__name__: story for story in (
     one_is_out_at_a_time_whoever_asks, a_minority_changes_nothing_and_a_lost_vote_is_taken_in,
-    a_program_that_heeds_no_limit_is_found_out,
+    a_program_that_heeds_no_limit_is_found_out, a_disk_that_takes_nothing_and_one_that_was_set_back,
+    holders_that_die_stop_or_fill_the_limit_by_themselves,
 )}  # fmt: skip
 
 
--- a/thistleshore/releases/carrier.py
+++ b/thistleshore/releases/carrier.py
@@ -10,7 +10,7 @@
 import random
 import struct
 import time
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -37,6 +37,7 @@
 LOOK = 0.25  # s between two looks at the value
 FRESH = 1.0  # s for which what a majority said counts as now
 REPORT_KEPT = 3.0  # s for which a voter tells what an instance reported
+SET_BACK = "its file was set back to an older copy"
 FRAME = struct.Struct("!I")
 FRAME_MOST = 1 << 20
 SERVED_MOST = 64  # connections at a time
@@ -61,6 +62,7 @@
     """What do you hold?  With a report, where the asker is an instance that follows."""
 
     report: Report | None = None
+    seen: dict[str, int] = {}  # noqa: RUF012 - how many writes of each voter the asker knows of
 
 
 class Known(msgspec.Struct, frozen=True, tag=True):
@@ -72,6 +74,7 @@
     writes: int
     why: str  # "" where it votes
     reports: tuple[Report, ...] = ()
+    seen: dict[str, int] = {}  # noqa: RUF012 - how many writes of each voter this one knows of
 
 
 class Install(msgspec.Struct, frozen=True, tag=True):
@@ -94,6 +97,8 @@
         self.store: Store | None = None
         self.acceptor: Acceptor | None = None
         self.reports: dict[str, tuple[float, Report]] = {}
+        self.seen: dict[str, int] = {}  # writes of each voter that were told of
+        self._checked: set[str] = set()  # voters that have said what they know of this one, since the file was read
 
     async def open(self) -> None:
         """Have the file, once no other process holds it: in a hot restart the one before does, until it steps aside."""
@@ -117,8 +122,22 @@
         if self.store is not None:
             self.store.close()
         self.store = self.acceptor = None
+        self._checked.clear()
         self.why = "the next process votes"
 
+    def on_known(self, voter: str, seen: Mapping[str, int], voters: Sequence[str]) -> None:
+        """What another voter knows of this one's writes.  A file is believed only once a majority was heard: one that
+        was set back would else make up, by votes that are none, for the writes it has lost."""
+        if self.acceptor is None or self.name in self._checked:
+            return
+        if seen.get(self.name, 0) > self.acceptor.held.writes:
+            self.acceptor, self.why = None, SET_BACK
+            log.warning("register: no vote here: %s", self.why)
+            return
+        self._checked.add(voter)
+        if 2 * (len(self._checked & set(voters)) + 1) > len(voters):
+            self._checked.add(self.name)
+
     def _read(self, store: Store) -> None:
         self.why = ""
         try:
@@ -137,11 +156,15 @@
     def answer(self, asked: Question, now: float) -> Reply | Known:
         """What to answer; the state it speaks of is durable by then."""
         if isinstance(asked, Learn):
+            self.seen = merged(self.seen, asked.seen)
             return self._known(asked.report, now)
         if isinstance(asked, Install):
             return self._install(asked)
         if self.acceptor is None or self.store is None:
             return Unable(self.why)
+        value = self.acceptor.held.value
+        if self.name not in self._checked and (value is None or value.voters != (self.name,)):
+            return Unable("it has not heard yet what the others know of it")
         after, reply = self.acceptor.on_prepare(asked) if isinstance(asked, Prepare) else self.acceptor.on_accept(asked)
         if after is not None:
             try:
@@ -156,7 +179,8 @@
             self.reports[report.name] = now, report
         held = self.acceptor.held if self.acceptor is not None else Held(0, self.name)
         fresh = tuple(report for at, report in self.reports.values() if now - at <= REPORT_KEPT)
-        return Known(held.accepted, held.value, held.register, held.writes, self.why, fresh)
+        return Known(held.accepted, held.value, held.register, held.writes, self.why, fresh,
+                     merged(held.seen, self.seen))
 
     def _install(self, asked: Install) -> Reply:
         if self.store is None or asked.held.voter != self.name:
@@ -172,6 +196,7 @@
         except Unusable as problem:
             return Unable(str(problem))
         self.acceptor, self.why = Acceptor(asked.held), ""
+        self._checked.add(self.name)
         log.info("register: this instance votes")
         return Accepted(asked.held.accepted, asked.held.writes)
 
@@ -355,8 +380,12 @@
     async def _look(self) -> None:
         """Ask all voters what they hold, and tell them how far this instance is."""
         voters = self.known.voters if self.known is not None else tuple(self.plan.voters)
-        found = await self._ask_all(dict.fromkeys({*voters, *self.plan.voters}, Learn(self._report())))
+        found = await self._ask_all(dict.fromkeys({*voters, *self.plan.voters}, Learn(self._report(), self._seen)))
         held = {voter: reply for voter, reply in found.items() if isinstance(reply, Known)}
+        for voter, reply in held.items():
+            self._seen = merged(self._seen, reply.seen, {voter: reply.writes} if not reply.why else {})
+            if self.voter is not None and voter != self.name:
+                self.voter.on_known(voter, reply.seen, voters)
         self.reports = {}
         for reply in held.values():
             for report in reply.reports:
--- a/thistleshore/releases/register.py
+++ b/thistleshore/releases/register.py
@@ -159,6 +159,7 @@
                 return self._promised(voter, reply)
             case Accepted() if reply.ballot == self.ballot and self._value is not None:
                 self._accepted.add(voter)
+                self.seen = merged(self.seen, {voter: reply.writes})
                 if self._majority(self._accepted, self.voters) and self._majority(self._accepted, self._next):
                     self.outcome = Outcome("done", self._value, self._refusal)
             case _:
