check finds folders of keepers and voters that clash across files, and unequal voters

Need: two keepers in one folder, or files that name different voters, are found only when they run. Change: config/fleets.clashes. Tests of begin at the rest of the voters and of a file that was set back, in one process.

--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -12,10 +12,12 @@
 import msgspec
 import pytest
 import trio
+from click.testing import CliRunner
 from hypothesis import given, strategies as st
 
 from tests.support import ROOT, refused, steady
 from thistleshore import config
+from thistleshore.cli import commands
 from thistleshore.releases import keeping, places, waves
 from thistleshore.releases.driver import Driver, Figures, Seen
 from thistleshore.releases.faults import POINTS
@@ -618,3 +620,16 @@
         ("trial = 10.0", 'trial = "x"', "keep.trial"), ('restart = "run"', "", "keep: [admin] with `restart`"),
     ):  # fmt: skip
         refused(text, old, new, fault, tmp_path / "faulty.toml")
+
+
+def test_check_finds_folders_and_voters_that_clash(tmp_path: Path) -> None:
+    text = (ROOT / "deploy" / "releases.toml").read_text()
+    other = text.replace('name = "kigali-1"', 'name = "kigali-2"').replace(":7950", ":7951", 2)
+    other = other.replace(":7960", ":7961")
+    files = [tmp_path / "one.toml", tmp_path / "two.toml"]
+    files[0].write_text(text)
+    files[1].write_text(other.replace("kigali-3 =", "kigali-4 ="))
+    run = CliRunner().invoke(commands, ["check", *map(str, files)])
+    assert run.exit_code == 2
+    for told in ("keep.dir: keep is also that of", "fleet.register.dir: register is also", "name different voters"):
+        assert told in run.stderr, run.stderr
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -15,12 +15,14 @@
 from hypothesis import given, strategies as st
 
 from benchmarks import check_register
-from tests.support import ROOT, refused, steady
+from tests.support import ROOT, play, refused, steady
 from thistleshore import config
+from thistleshore.config.platform import ReleasesPlan
 from thistleshore.releases import places
+from thistleshore.releases.carrier import Install, Releases, Voter
 from thistleshore.releases.gate import Gate, Tally, Terms as GateTerms, Verdict
 from thistleshore.releases.model import Limits, Refusal, Standing, Value
-from thistleshore.releases.register import Accept, Acceptor, Held, Prepare, Round, Unable
+from thistleshore.releases.register import Accept, Acceptor, Held, Prepare, Promise, Round, Unable
 from thistleshore.releases.store import FILE, Store, Unusable
 from thistleshore.rig import checks
 from thistleshore.rig.rig import STARTED, Rig, open_rig
@@ -297,6 +299,61 @@
     store.close()
 
 
+async def begun_again(tmp_path: Path) -> None:
+    plan = ReleasesPlan(dict.fromkeys("abc", ("127.0.0.1", 1)), Limits())
+    voters = {name: Voter(name, tmp_path / name) for name in "abc"}
+    for voter in voters.values():
+        await voter.open()
+    nothing: Any = None
+    asker = Releases(plan, "x", 1, nothing, nothing, nothing, nothing, nothing, nothing, lambda: nothing, nothing)
+    deaf = {"c"}
+
+    async def ask(name: str, question: Any) -> Any:
+        return None if name in deaf and isinstance(question, Install) else voters[name].answer(question, 0.0)
+
+    asker._ask = ask  # type: ignore[method-assign]
+    found = await asker.on_call("begin", ())
+    assert found["status"] == "no-majority" and "c: no answer" in found["told"]
+    deaf.clear()
+    assert (await asker.on_call("begin", ()))["status"] == "done"
+    assert len({voter.acceptor.held.register for voter in voters.values() if voter.acceptor is not None}) == 1
+    assert (await asker.on_call("begin", ()))["status"] == "refused"
+    assert isinstance(await asker.change(lambda v: places.limit(v, Limits(2), "x", 0.0)), Value)
+    # One that has lost its file does not become a new beginning: something was agreed since.
+    voters["c"].close()
+    (tmp_path / "c" / FILE).unlink()
+    voters["c"] = Voter("c", tmp_path / "c")
+    await voters["c"].open()
+    assert (await asker.on_call("begin", ()))["status"] == "refused"
+
+
+def test_a_register_that_was_begun_at_some_voters_is_begun_at_the_rest_and_only_then(tmp_path: Path) -> None:
+    play(begun_again, tmp_path)
+
+
+async def set_back(tmp_path: Path) -> None:
+    voter = Voter("a", tmp_path)
+    await voter.open()
+    voter.answer(Install(Held(7, "a", (1, ""), (1, ""), VALUE, 5), True), 0.0)
+    assert isinstance(voter.answer(Prepare(7, (2, "x")), 0.0), Promise)
+    for writes, votes in ((6, True), (7, False)):
+        voter.close()
+        await voter.open()
+        assert isinstance(voter.answer(Prepare(7, (3, "x")), 0.0), Unable)  # it has heard nobody yet
+        voter.on_known("b", {"a": writes}, VALUE.voters)
+        assert isinstance(voter.answer(Prepare(7, (3, "x")), 0.0), Promise) == votes
+        if not votes:
+            assert "older copy" in voter.why
+        else:
+            held = voter.acceptor.held if voter.acceptor is not None else None
+            assert held is not None and voter.store is not None
+            voter.store.write(msgspec.structs.replace(held, writes=6))  # as from a copy
+
+
+def test_a_voter_votes_once_a_majority_has_told_what_it_knows_of_it(tmp_path: Path) -> None:
+    play(set_back, tmp_path)
+
+
 # -- processes
 
 WORLD = {"name": "kigali", "processes": 5, "voters": 3, "out": {"dispatchers": 1, "hosts": 1},
--- a/thistleshore/config/fleets.py
+++ b/thistleshore/config/fleets.py
@@ -24,6 +24,17 @@
             for key, place in {"advertise": plan.fleet.advertise, "listen": plan.fleet.listen}.items():
                 if (other := places.setdefault(place, file)) != file:
                     found.append(f"{file}: fleet.{key}: {place[0]}:{place[1]} is also that of {other}")
+        folders: dict[str, str] = {}
+        voters = {tuple(sorted(plan.releases.voters)) for plan in members.values() if plan.releases is not None}
+        if len(voters) > 1:
+            # Two that count majorities of different voters could both have one.
+            found.append(f"fleet.register.voters: the files of {fleet!r} name different voters")
+        for file, plan in members.items():
+            assert plan.fleet is not None
+            for key, folder in (("keep.dir", plan.keep.folder if plan.keep is not None else ""),
+                                ("fleet.register.dir", plan.releases.folder if plan.releases is not None else "")):
+                if folder and (other := folders.setdefault(f"{plan.fleet.advertise[0]} {key} {folder}", file)) != file:
+                    found.append(f"{file}: {key}: {folder} is also that of {other}, on one machine")
         reached = {plan.fleet.advertise for plan in members.values() if plan.fleet is not None}
         for file, plan in members.items():
             assert plan.fleet is not None
