The gate allows for what tells processes of one version apart, and counts requests, not attempts

Attempts of one request are not independent, and in overload each process refuses in bursts by its own view, so that four equals differed by more than chance. At fault: releases/gate.Stratum.look (variance of independent tries), driver.tallies. Change: the variance is multiplied by how far those with the old version are apart over what chance gives; 'attempts' is now requests served by their first.

--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -252,6 +252,17 @@
     assert gate.on_interval({"tickets": (Tally(800, 0), Tally(100, 100))}, 31.0).verdict is Verdict.WORSE
 
 
+def test_what_tells_equals_apart_is_no_fault_of_a_version() -> None:
+    """In overload one refuses in bursts and another does not: a newcomer as far off as those is no worse."""
+    for told, verdict in ((True, Verdict.FINE), (False, Verdict.WORSE)):
+        gate, shares, found = Gate(["service"], GateTerms(), 0.0), (0.95, 0.70, 0.90, 0.60), None
+        for second in range(1, 41):
+            members = {f"d{n}": {"service": Tally(20, round(20 * share))} for n, share in enumerate(shares)}
+            old = Tally(80, sum(strata["service"].good for strata in members.values()))
+            found = gate.on_interval({"service": (old, Tally(20, 13))}, float(second), members if told else None)
+        assert found is not None and found.verdict is verdict, found
+
+
 # -- the store
 
 
--- a/thistleshore/core/model.py
+++ b/thistleshore/core/model.py
@@ -48,6 +48,7 @@
     answered: trio.Event = field(default_factory=trio.Event)
     withdrawn: bool = False
     counts: ClassFigures = field(default_factory=ClassFigures)  # its class's, once the broker has it
+    forwards: int = 0  # its own upstream requests that were written whole
 
     @property
     def over(self) -> bool:
@@ -93,6 +94,7 @@
         """The front has written its last byte: from now on it may run."""
         self.sent = True
         self.stream.counts.forwards += 1
+        self.stream.forwards += 1
 
 
 class UpstreamOutcome(NamedTuple):
--- a/thistleshore/releases/driver.py
+++ b/thistleshore/releases/driver.py
@@ -18,7 +18,8 @@
 UNSETTLED_MOST = 15.0  # s for which a view that is not settled only holds a release
 OVER_MOST = 15.0  # s for which more that are out than the limit allows only hold it
 
-Counts = tuple[int, int, int, int, int]  # asked, in time, refused, within the aim, upstream requests: since a start
+# Since a start: asked, answered in time, refused, of those in time within the aim, and by one upstream request.
+Counts = tuple[int, int, int, int, int]
 
 
 HostCounts = tuple[int, int, int]  # upstream requests that ended, those with a result, those within the aim
@@ -59,11 +60,11 @@
         found[stratum] = Tally(before.tries + tries, before.good + max(0, min(good, tries)))
 
     for name, rows in difference.items():
-        for asked, in_time, refused, prompt, forwards in rows:
+        for asked, in_time, refused, prompt, first in rows:
             add("service", asked, in_time)
             add(f"service of {name}", asked, in_time)
             add(f"taken of {name}", asked, asked - refused)
-            add(f"attempts of {name}", forwards, in_time)
+            add(f"attempts of {name}", in_time, first)
             add(f"latency of {name}", in_time, prompt)
     return found
 
@@ -185,6 +186,7 @@
         self._looked = now
         groups: tuple[dict[str, list[Counts]], dict[str, list[Counts]]] = ({}, {})
         single: dict[str, tuple[int, int]] = {}
+        members: dict[str, dict[str, Tally]] = {}
         counts: dict[tuple[str, int], Mapping[str, Counts]] = {}
         for figures in seen.figures:
             key = figures.name, figures.boot
@@ -193,21 +195,28 @@
             if before is None or now - self._since.setdefault(key, now) < WARM:
                 continue  # where counting begins
             has = figures.version == new
+            here: dict[str, list[Counts]] = {}
             for name, row in figures.classes.items():
                 last = before.get(name, (0, 0, 0, 0, 0))
                 difference: Counts = tuple(a - b for a, b in zip(row, last, strict=True))  # type: ignore[assignment]
                 groups[has].setdefault(name, []).append(difference)
+                here[name] = [difference]
                 if has:
                     tries, good = single.get(figures.name, (0, 0))
                     single[figures.name] = tries + difference[0], good + difference[1]
+            if not has:
+                members[figures.name] = tallies(here)
         self._counts, self._since = counts, {key: self._since.get(key, now) for key in counts}
         if not groups[1] or not groups[0]:
             return
         old, fresh = tallies(groups[0]), tallies(groups[1])
         pairs = {stratum: (old.get(stratum, Tally(0, 0)), tally) for stratum, tally in fresh.items()}
         for name, (tries, good) in single.items():
-            pairs[f"service at {name}"] = old.get("service", Tally(0, 0)), Tally(tries, max(0, min(good, tries)))
-        self._judge(release, pairs, now)
+            stratum = f"service at {name}"
+            pairs[stratum] = old.get("service", Tally(0, 0)), Tally(tries, max(0, min(good, tries)))
+            for strata in members.values():
+                strata[stratum] = strata.get("service", Tally(0, 0))
+        self._judge(release, pairs, now, members)
 
     def _feed_hosts(self, value: Value, release: Release, seen: Seen, now: float) -> None:
         """Ticket workers of the new version against those without it, as all dispatchers saw them."""
@@ -237,9 +246,10 @@
             self._judge(release, {"results": (Tally(old, old_ok), Tally(fresh, min(ok, fresh))),
                                   "run time": (Tally(old_ok, old_fast), Tally(ok, min(ok, fast)))}, now)  # fmt: skip
 
-    def _judge(self, release: Release, pairs: Mapping[str, tuple[Tally, Tally]], now: float) -> None:
+    def _judge(self, release: Release, pairs: Mapping[str, tuple[Tally, Tally]], now: float,
+               members: Mapping[str, Mapping[str, Tally]] | None = None) -> None:  # fmt: skip
         if self._gate is None:
             strata = {*pairs, *(f"service at {name}" for wave in release.waves[: release.wave + 1] for name in wave)}
             terms = Terms(error=release.error, margin=release.margin, enough=release.enough, bound=release.bound)
             self._gate = Gate(sorted(strata), terms, now)
-        self.told = self._gate.on_interval(pairs, now)
+        self.told = self._gate.on_interval(pairs, now, members)
--- a/thistleshore/releases/figures.py
+++ b/thistleshore/releases/figures.py
@@ -16,8 +16,7 @@
 
     def __init__(self, name: str, boot: int, version: str, names: Sequence[str], classes: Sequence[JobClass]) -> None:
         self.name, self.boot, self.version, self.names, self.classes = name, boot, version, names, classes
-        self.counts = {name: [0, 0, 0, 0] for name in names}
-        self.forwards = dict.fromkeys(names, 0)
+        self.counts = {name: [0, 0, 0, 0, 0] for name in names}
         self.hosts: dict[str, list[int]] = {}
 
     def add(self, stream: Stream, began: float) -> None:
@@ -29,8 +28,8 @@
         if isinstance(stream.answer, Served) and now <= stream.deadline:
             row[1] += 1
             row[3] += now - began <= self.classes[stream.job_class].aim
+            row[4] += stream.forwards <= 1
         row[2] += isinstance(stream.answer, LocalReply)
-        self.forwards[self.names[stream.job_class]] = stream.counts.forwards
 
     def add_attempt(self, request: UpstreamRequest, status: Status, took: float) -> None:
         """An upstream request has ended; one that was called off tells nothing."""
@@ -45,7 +44,7 @@
     def figures(self) -> Figures:
         """As of now."""
         classes: dict[str, Counts] = {
-            name: (row[0], row[1], row[2], row[3], self.forwards[name]) for name, row in self.counts.items()
+            name: (row[0], row[1], row[2], row[3], row[4]) for name, row in self.counts.items()
         }
         hosts: dict[str, HostCounts] = {name: (row[0], row[1], row[2]) for name, row in self.hosts.items()}
         return Figures(self.name, self.boot, self.version, classes, hosts)
--- a/thistleshore/releases/gate.py
+++ b/thistleshore/releases/gate.py
@@ -59,11 +59,12 @@
     tries each group has before and after it.
     """
 
-    __slots__ = ("chance", "difference", "new", "old", "terms", "variance", "weight")
+    __slots__ = ("chance", "difference", "members", "new", "old", "terms", "variance", "weight")
 
     def __init__(self, terms: Terms) -> None:
         self.terms = terms
         self.old, self.new = Tally(0, 0), Tally(0, 0)
+        self.members: dict[str, Tally] = {}  # of those without the new version, one by one
         self.weight = self.difference = self.variance = 0.0
         self.chance = 1.0
 
@@ -79,17 +80,36 @@
         self.difference += weight * (old.good / old.tries - new.good / new.tries)
         self.variance += weight * pooled * (1.0 - pooled)
 
+    def add_member(self, name: str, tally: Tally) -> None:
+        """One interval of one that has the old version."""
+        before = self.members.get(name, Tally(0, 0))
+        self.members[name] = Tally(before.tries + tally.tries, before.good + tally.good)
+
+    def spread(self) -> float:
+        """How far those with the old version differ from one another, over what chance gives: 1 is as by chance.
+
+        Requests of one process are not independent (it refuses in bursts, by its own view of the pressure): what tells
+        equals apart so far is no fault of a version."""
+        rows = [row for row in self.members.values() if row.tries >= self.terms.least // 2]
+        tries, good = sum(row.tries for row in rows), sum(row.good for row in rows)
+        if len(rows) < 2 or not 0 < good < tries:
+            return 1.0
+        mean = good / tries
+        apart = sum((row.good - row.tries * mean) ** 2 / (row.tries * mean * (1.0 - mean)) for row in rows)
+        return max(1.0, apart / (len(rows) - 1))
+
     def look(self) -> float:
         """The chance of a difference such as this, or greater at any look, where the new one is no worse."""
         if min(self.old.tries, self.new.tries) < self.terms.least or not self.weight:
             return self.chance
+        variance = self.variance * self.spread()
         # `difference - margin` is normal with this variance where the shares differ by the margin.
         beyond = self.difference - self.terms.margin * self.weight
         if beyond > 0.0:
             spread = self.terms.typical**2
-            grown = self.variance + spread * self.weight**2
-            ratio = sqrt(self.variance / grown) * exp(
-                min(700.0, spread * self.weight**2 * beyond**2 / (2.0 * self.variance * grown))
+            grown = variance + spread * self.weight**2
+            ratio = sqrt(variance / grown) * exp(
+                min(700.0, spread * self.weight**2 * beyond**2 / (2.0 * variance * grown))
             )
             # Half of the mixture lies on the side of worse: the ratio of that half alone is at most twice this.
             self.chance = min(self.chance, 1.0 / ratio if ratio > 0.0 else inf)
@@ -104,8 +124,15 @@
         self.strata = {name: Stratum(terms) for name in strata}
         self.worse: Told | None = None
 
-    def on_interval(self, tallies: Mapping[str, tuple[Tally, Tally]], now: float) -> Told:
-        """Tallies without and with the new version.  Once worse, always worse: a wave is not gated twice."""
+    def on_interval(self, tallies: Mapping[str, tuple[Tally, Tally]], now: float,
+                    members: Mapping[str, Mapping[str, Tally]] | None = None) -> Told:  # fmt: skip
+        """Tallies without and with the new version, and those without it member by member.
+
+        Once worse, always worse: a wave is not gated twice."""
+        for member, strata in (members or {}).items():
+            for name, tally in strata.items():
+                if name in self.strata:
+                    self.strata[name].add_member(member, tally)
         for name, (old, new) in tallies.items():
             if name in self.strata:
                 self.strata[name].add(old, new)
