A keeper starts only commands and files that its own file allows, and ends what hangs

Need: whoever reaches an admin address or a voter can name a command in a release, and a keeper ran it; and a dispatcher that hung in its drain kept its keeper for ever. Change: [keep] allow and files, patterns word by word, nothing without them; SIGKILL after [keep] end also when the keeper itself ends. One call over the admin interface for keeper and rig (admin/calling.py). Measured: unit tests of both; tests/test_restart.py shows the first process serving again while the second drains.

--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -18,6 +18,7 @@
 from tests.support import ROOT, refused, steady
 from thistleshore import config
 from thistleshore.cli import commands
+from thistleshore.config.platform import KeepPlan
 from thistleshore.releases import keeping, places, waves
 from thistleshore.releases.driver import Driver, Figures, Seen
 from thistleshore.releases.faults import POINTS
@@ -328,6 +329,26 @@
         assert not ended or kept.phase in ("ending", "back", "alone")
 
 
+def test_a_keeper_that_is_ended_ends_what_hangs() -> None:
+    machine = midway()
+    machine.do(machine.keeper.on_end(machine.now))
+    assert machine.ended == [End(100), End(101)]
+    machine.wait(15.0)
+    assert machine.ended[2:] == [End(100, hard=True), End(101, hard=True)]
+
+
+def test_a_keeper_starts_only_what_its_own_file_allows() -> None:
+    plan = KeepPlan("keep", allow=(("/opt/t-*/bin/python", "-O", "-m", "thistleshore"),), files=("/etc/t/*.toml",))
+    fine = ("/opt/t-2.4/bin/python", "-O", "-m", "thistleshore")
+    assert keeping.forbidden(None, plan) == keeping.forbidden(Version("a"), plan) == ""
+    assert keeping.forbidden(Version("a", fine, "/etc/t/x.toml"), plan) == ""
+    up = "/opt/t-x/../../tmp/bin/python"
+    for command, file in (((*fine[:2], "-c", "evil"), ""), (("/bin/sh", *fine[1:]), ""), (fine[:1], ""),
+                          (fine, "/tmp/x.toml"), ((up, *fine[1:]), "")):  # fmt: skip
+        assert keeping.forbidden(Version("a", command, file), plan) != ""
+    assert keeping.forbidden(Version("a", fine), KeepPlan("keep")) != ""  # without a word of it nothing else is
+
+
 def test_a_process_is_known_by_its_birth_and_a_spoilt_state_is_told(tmp_path: Path) -> None:
     here = Child(None, os.getpid(), keeping.born(os.getpid()))
     assert keeping.lives(here) and not keeping.lives(msgspec.structs.replace(here, born=here.born + 1))
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -302,6 +302,24 @@
     assert [len(host.runs) for host in site.hosts] == [0, 0, 1]
 
 
+def test_the_first_serves_again_as_soon_as_the_second_is_told_to_end(tmp_path: Path) -> None:
+    site = Site(tmp_path)
+    ask = b"POST /pay HTTP/1.1\r\nHost: s\r\nX-Txn: a\r\nX-Lane: pay\r\nContent-Length: 1\r\n\r\na"
+    with site.process() as first, site.process() as second:
+        with socket.create_connection(("127.0.0.1", site.port)) as kept:
+            kept.sendall(b"GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n")
+            assert kept.recv(4096).startswith(b"HTTP/1.1 200")
+            second.send_signal(signal.SIGTERM)
+            time.sleep(0.3)
+            with socket.create_connection(("127.0.0.1", site.port)) as other:
+                other.sendall(ask)
+                assert other.recv(4096).startswith(b"HTTP/1.1 200")
+            assert second.poll() is None and first.poll() is None  # that one still drains
+            told = json.loads(site.call(b"INFO", 0).split(b"\n")[0])
+            assert told["results"]["pay"]["succeeded"] == 1
+        assert second.wait(5) == 0
+
+
 def test_a_stream_that_the_first_opens_after_the_hand_over_is_known_at_the_second(tmp_path: Path) -> None:
     site = Site(tmp_path)
     ask = b"POST /pay HTTP/1.1\r\nHost: s\r\nX-Txn: again\r\nX-Lane: pay\r\nContent-Length: 1\r\n\r\na"
--- a/thistleshore/config/operator.py
+++ b/thistleshore/config/operator.py
@@ -458,6 +458,8 @@
         with Section(self.conf["keep"], "keep", self.faults) as part:
             return KeepPlan(
                 part.text("dir", None), tuple(part.texts("command")) if "command" in part.left else (),
+                tuple(tuple(text.split()) for text in part.texts("allow")) if "allow" in part.left else (),
+                tuple(part.texts("files")) if "files" in part.left else (),
                 part.number("ready", usual.ready, 0.5), part.number("trial", usual.trial),
                 part.number("end", usual.end, 1.0), part.whole("crashes", usual.crashes, 1),
                 part.number("span", usual.span, 1.0),
--- a/thistleshore/config/platform.py
+++ b/thistleshore/config/platform.py
@@ -92,6 +92,8 @@
 
     folder: str  # what it does, written before it does it
     command: tuple[str, ...] = ()  # in front of `serve --config FILE`; this program where there is none
+    allow: tuple[tuple[str, ...], ...] = ()  # commands of versions that it starts: a pattern for each word
+    files: tuple[str, ...] = ()  # patterns of the files that those may have
     ready: float = 15.0  # for a process to answer PING
     trial: float = 10.0  # that a newcomer serves while the one before could still take its place
     end: float = 15.0  # for a drain, before SIGKILL
--- a/thistleshore/releases/keeper.py
+++ b/thistleshore/releases/keeper.py
@@ -144,6 +144,11 @@
         """Whatever is due."""
         self.now, actions, self._owed = now, self._owed, []
         kept = self.kept
+        if self.over and now >= self._until:
+            # One that hangs in its drain must not keep its keeper, and whoever waits for that, for ever.
+            self._until = inf
+            both = (kept.serving, kept.newcomer)
+            return [End(child.pid, hard=True) for child in both if child is not None and child.pid]
         if self.over or self.lost:
             return actions
         if kept.phase == "down" and not self._starting and now >= self._start_at:
@@ -270,5 +275,6 @@
     def on_end(self, now: float) -> list[Action]:
         """This keeper and its dispatcher are to end: all drain."""
         self.now, self.over, kept = now, True, self.kept
+        self._until = now + self.plan.end
         ends: list[Action] = [End(kept.serving.pid)] if kept.serving.pid else []
         return ends + ([End(kept.newcomer.pid)] if kept.newcomer is not None else [])
--- a/thistleshore/releases/keeping.py
+++ b/thistleshore/releases/keeping.py
@@ -16,13 +16,14 @@
 import subprocess
 import sys
 from contextlib import suppress
+from fnmatch import fnmatchcase
 from pathlib import Path
 from typing import Any
 
 import msgspec
 import trio
 
-from thistleshore.admin import codec
+from thistleshore.admin.calling import call
 from thistleshore.config import Address
 from thistleshore.config.platform import KeepPlan
 from thistleshore.releases.faults import point
@@ -70,6 +71,23 @@
         raise ValueError(f"{folder / FILE}: {problem}") from None
 
 
+def forbidden(version: Version | None, plan: KeepPlan) -> str:
+    """Why a keeper does not start a version; "" where it may.
+
+    Whoever reaches the admin interface or the register names commands: what runs here is for this machine's file to
+    say, word by word, as an interpreter that is allowed with any words would run anything."""
+    words = version.command if version is not None else ()
+    fits = (len(pattern) == len(words) and all(map(fnmatchcase, words, pattern)) for pattern in plan.allow)
+    if words and not any(fits):
+        return f"[keep] allow has no pattern for its command: {' '.join(words)}"
+    file = version.file if version is not None else ""
+    if file and not any(fnmatchcase(file, pattern) for pattern in plan.files):
+        return f"[keep] files has no pattern for its file: {file}"
+    if any(".." in Path(word).parts for word in (*words, file)):
+        return "a path with .. in it is not started"
+    return ""
+
+
 class Carrier:
     """One keeper: it holds its folder's lock while it lives."""
 
@@ -127,7 +145,7 @@
         order = await self._ask("order")
         if order is None or "pid" not in order:
             return
-        if (await self._call("PING")).startswith("OK"):
+        if (await call(self.admin, "PING", ANSWER)).startswith("OK"):
             await self._carry_out(self.machine.on_ready(order["pid"], trio.current_time()))
         if order["status"] == "done":
             version = None if order["version"] is None else msgspec.convert(order["version"], Version)
@@ -165,6 +183,8 @@
         environ = {**os.environ, "THISTLESHORE_VERSION": start.child.name}
         command = command or (sys.executable, "-O", "-m", "thistleshore")
         try:
+            if why := forbidden(version, self.plan):
+                raise PermissionError(errno.EPERM, why)
             if shutil.which(command[0]) is None:
                 raise FileNotFoundError(errno.ENOENT, f"there is no command {command[0]}")
             with (self.folder / OUTPUT).open("ab") as output:
@@ -229,21 +249,9 @@
     # -- questions
 
     async def _ask(self, what: str, within: float = ANSWER) -> dict[str, Any] | None:
-        answer = await self._call(f"FLEET {what}", within)
+        answer = await call(self.admin, f"FLEET {what}", within)
         try:
             found = json.loads(answer.split("\n")[0])
         except ValueError:
             return None
         return found if isinstance(found, dict) else None
-
-    async def _call(self, line: str, within: float = ANSWER) -> str:
-        data = b""
-        with trio.move_on_after(within) as limit:
-            try:
-                async with await trio.open_tcp_stream(*self.admin) as stream:
-                    await stream.send_all(line.encode()[: codec.FLEET_MOST - 1] + b"\n")
-                    async for part in stream:
-                        data += part
-            except (OSError, trio.BrokenResourceError):
-                return ""
-        return "" if limit.cancelled_caught else data.decode(errors="replace")
--- a/thistleshore/rig/rig.py
+++ b/thistleshore/rig/rig.py
@@ -11,6 +11,7 @@
 
 import trio
 
+from thistleshore.admin.calling import call
 from thistleshore.fleet.model import Terms
 from thistleshore.load.plan import convert as load_plan
 from thistleshore.load.run import Sender
@@ -82,6 +83,7 @@
 [keep]
 dir = "{folder}"
 command = {command}
+allow = ["*", "* * * *", "* * * * *"]
 ready = 8.0
 trial = {trial}
 """
@@ -249,16 +251,7 @@
 
     async def call(self, name: str, line: str, within: float = ANSWER) -> str:
         """One call of a process's admin interface; "" where there is no whole answer."""
-        data = b""
-        with trio.move_on_after(within) as limit:
-            try:
-                async with await trio.open_tcp_stream(*self.admin[name]) as stream:
-                    await stream.send_all(line.encode() + b"\n")
-                    async for part in stream:
-                        data += part
-            except (OSError, trio.BrokenResourceError):
-                return ""
-        return "" if limit.cancelled_caught else data.decode(errors="replace")
+        return await call(self.admin[name], line, within)
 
     async def told(self, name: str, what: str = "members") -> Any:
         """A call of the view, read; None where there is no answer.  What is agreed takes its rounds."""
