--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -373,8 +373,11 @@
     return {"name": name, "command": [sys.executable, "-O", "-m", "tests.mutants", name]}
 
 
+ALL = tuple(name for name in checks.CHECKS if name != "settled")
+
+
 async def with_keepers(out: Path, scenario: Callable[[Rig], Awaitable[None]], command: tuple[str, ...] = PROGRAM,
-                       **more: Any) -> None:  # fmt: skip
+                       judged: tuple[str, ...] = ALL, **more: Any) -> None:  # fmt: skip
     async with open_rig(convert({**WORLD, **more}), 1, out, command) as rig:
         rig.truth.add("limit", limit=1)
         await rig.begin()
@@ -382,7 +385,7 @@
         await scenario(rig)
         await rig.end_load()
         await rig.term(*rig.running())
-    assert checks.judge(rig.truth.rows, [name for name in checks.CHECKS if name != "settled"]) == []
+    assert checks.judge(rig.truth.rows, judged) == []
 
 
 def done(answer: Any) -> None:
@@ -569,14 +572,8 @@
     tmp_path.mkdir(parents=True, exist_ok=True)
     # Each process dies at the points that are its own; without -O, as they are dead under it.
     wrapper = script(tmp_path, FAULTY.format(points=points, folder=str(tmp_path), python=sys.executable))
-    async with open_rig(convert(WORLD), 1, tmp_path, (str(wrapper), "-m", "thistleshore")) as rig:
-        rig.truth.add("limit", limit=1)
-        await rig.begin()
-        rig.load(200.0)
-        await scenario(rig)
-        await rig.end_load()
-        await rig.term(*rig.running())
-    assert checks.judge(rig.truth.rows, ["keyed", "clean"]) == []
+    # Each death is a process that could not answer: what its clients got is no finding.
+    await with_keepers(tmp_path, scenario, (str(wrapper), "-m", "thistleshore"), ("keyed", "clean"))
 
 
 async def ticket_workers_change_one_at_a_time_by_a_command(tmp_path: Path) -> None:
--- a/thistleshore/metrics.py
+++ b/thistleshore/metrics.py
@@ -15,12 +15,12 @@
 from prometheus_client.registry import Collector
 
 from thistleshore.contracts.model import LeafFigures
+from thistleshore.listening import patiently
 from thistleshore.platform.messages import Peer
 
 log = logging.getLogger("thistleshore")
 
 READ_WITHIN = 2.0  # s for a scraper to say what it wants and to take the page
-TAKEN_PAUSE = 0.2  # s before an address that is taken is tried again
 CONNECTIONS_MOST = 8  # at a time: a page is for one or two scrapers
 COUNTS = ("offered", "within", "beyond", "served", "in_time", "late", "refused", "failed", "retries_paid")
 GAUGES = {"budget_left": "further attempts that may go out now", "allotment": "slots that are within share here",
@@ -109,16 +109,7 @@
                   task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:  # fmt: skip
         """Serve until cancelled.  An address that is taken is tried again: in an upgrade the process before has it."""
         task_status.started()
-        told = False
-        while True:
-            try:
-                (listener,) = await trio.open_tcp_listeners(address[1], host=address[0])
-                break
-            except OSError as problem:
-                if not told:
-                    log.error("no metrics on %s:%d yet: %s", *address, problem)
-                    told = True
-                await trio.sleep(TAKEN_PAUSE)
+        listener = await patiently(address, "metrics")
         log.info("metrics on %s:%d", *address)
         await trio.serve_listeners(self._serve, [listener])
 
--- a/thistleshore/releases/carrier.py
+++ b/thistleshore/releases/carrier.py
@@ -19,6 +19,7 @@
 
 from thistleshore.config import Address
 from thistleshore.config.platform import ReleasesPlan
+from thistleshore.listening import TAKEN_PAUSE, patiently
 from thistleshore.releases import places, waves
 from thistleshore.releases.driver import Driver, Figures, Seen
 from thistleshore.releases.model import Limits, Refusal, Standing, Value
@@ -41,7 +42,6 @@
 FRAME = struct.Struct("!I")
 FRAME_MOST = 1 << 20
 SERVED_MOST = 64  # connections at a time
-TAKEN_PAUSE = 0.2  # s before an address or a file that another process has is tried again
 
 
 class NoMajority(Exception):
@@ -256,16 +256,7 @@
     async def _listen(self, address: Address) -> None:
         assert self.voter is not None
         await self.voter.open()
-        told = False
-        while True:
-            try:
-                (listener,) = await trio.open_tcp_listeners(address[1], host=address[0])
-                break
-            except OSError as problem:
-                if not told:
-                    log.error("register: no vote on %s:%d yet: %s", *address, problem)
-                    told = True
-                await trio.sleep(TAKEN_PAUSE)
+        listener = await patiently(address, "vote")
         log.info("register on %s:%d", *address)
         room = trio.CapacityLimiter(SERVED_MOST)
 
