Of fewer than eight dispatchers none takes silence for a cut

Two dispatchers there; while one is restarted by hand the other hears nobody and kept to its half of the slots for 12 s. At fault: Brain.on_told, which took the silence of one for a cut. Change: only with eight or more, of whom seven in ten killed leave two.

--- a/oxbowarch/brain.py
+++ b/oxbowarch/brain.py
@@ -41,7 +41,7 @@
 SLOW_FADE, SLOW_STEEP = 1 / 3.0, 3.0  # 1/s; power of a worker's slowness by which its weight falls
 ANYWHERE: Places = (None, None)  # the places of a class that is bound to none
 NOTE_AGE, NOTE_AGAIN, NOTE_EVERY = 3.0, 1.0, 1.0  # s one counts, is repeated after, is told all after
-DEAF = (1.5, 12.0)  # s without a note of any: from when that is a cut, and from when the others are gone
+DEAF, FEW = (1.5, 12.0), 7  # s without a note of any: a cut, then all are gone; of so few one may be left
 HOME_OF, AWAY_LEFT = 4.0, 2.0  # dispatchers at home at a worker; slots left to them where all are busy
 COLD_MORE, COUNT_EVERY = 6.0, 0.1  # times the least warmth that a cold one gets; s between two counts
 DEADLINE, HOLD, NOTES, LIST = range(4)  # what a timer is for: the low bits of its token
@@ -465,7 +465,7 @@
 
     def on_told(self, peer: int, notes: tuple[Note, ...], now: float) -> list[Action]:
         """Another dispatcher tells what it has out, and how what it had out ended."""
-        self.do, self.heard_at = [], now if peer >= 0 else self.heard_at
+        self.do, self.heard_at = [], now if peer >= 0 and self.set.balancers > FEW else self.heard_at
         for note in notes:
             if (worker := self.workers.get(note.worker)) is not None:  # else its list is newer or older
                 worker.hear(peer, note.out, now + NOTE_AGE)
