Take back telling the next process what the one before has out at each host

At fault: restart/estate.Estate.tell; probably counts that outlive the process by 3 s. Change: names are told as before, counts are not; BeforeTold is gone.

--- a/oxbowarch/brain.py
+++ b/oxbowarch/brain.py
@@ -465,7 +465,7 @@
 
     def on_told(self, peer: int, notes: tuple[Note, ...], now: float) -> list[Action]:
         """Another dispatcher tells what it has out, and how what it had out ended."""
-        self.do, self.heard_at = [], now if peer >= 0 and self.set.balancers > FEW else self.heard_at
+        self.do, self.heard_at = [], now if self.set.balancers > FEW else self.heard_at
         for note in notes:
             if (worker := self.workers.get(note.worker)) is not None:  # else its list is newer or older
                 worker.hear(peer, note.out, now + NOTE_AGE)
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -23,10 +23,8 @@
 
 from oxbowarch import handover
 from oxbowarch.brain import Brain
-from oxbowarch.interface import Effect, Entry, JobClass, ListKind, Note, Request, Settings, State
+from oxbowarch.interface import Effect, Entry, JobClass, ListKind, Request, Settings, State
 from tests.support import CUTS, GARBAGE, ROOT, free_port, steady
-from thistleshore.core.broker import Broker
-from thistleshore.core.model import BeforeTold
 from thistleshore.restart import frame
 from thistleshore.restart.estate import _pieces
 
@@ -335,17 +333,7 @@
     assert sum(len(host.runs) for host in site.hosts) == 1
 
 
-def test_what_the_process_before_has_out_counts_at_each_host_for_a_while() -> None:
-    entries = tuple(Entry(name, State.READY) for name in (b"h0", b"h1"))
-    brain = Brain(Settings(1, 0, (JobClass(Effect.SAFE),)), 1, 0.0)
-    brain.on_list(ListKind.CACHED, entries, 0.0)
-    broker = Broker(brain, ("pay",))
-    broker._tell(BeforeTold((Note(b"h0", 3), Note(b"gone", 1))), 10.0)
-    assert [brain.workers[name].in_work(10.1) for name in (b"h0", b"h1")] == [3, 0]
-    assert brain.workers[b"h0"].in_work(99.0) == 0  # that process is gone, and told of nothing else
-    broker._tell(BeforeTold((Note(b"h0", 3),)), 100.0)
-    broker._tell(BeforeTold((Note(b"h0", 0),)), 100.1)
-    assert brain.workers[b"h0"].in_work(100.2) == 0
+def test_names_are_told_in_lines_that_are_short_enough() -> None:
     assert [len(part) for part in _pieces(["x" * 100] * 40 + ["y" * 4000])] == [13, 13, 13, 1]
 
 
--- a/thistleshore/core/broker.py
+++ b/thistleshore/core/broker.py
@@ -31,7 +31,6 @@
 ANSWERS = {model.Served: "served", model.LocalReply: "refused", model.Failed: "failed"}  # as a ledger calls them
 COUNTED = {model.Served: "succeeded", model.LocalReply: "declined", model.Failed: "aborted"}  # as figures do
 LOOK = -1  # the token of the timer while something waits beyond its share
-BEFORE = -1  # the process before this one, among the numbers of peers
 FIGURES = 0  # the token of that timer: the module's tokens are those of streams, numbered from 1
 
 
@@ -137,8 +136,6 @@
         if isinstance(event, model.NotesHeard):
             notes = self.notebook.read(event.peer, event.data, now)
             return self.brain.on_told(event.peer, notes, now) if notes else []
-        if isinstance(event, model.BeforeTold):
-            return self.brain.on_told(BEFORE, event.notes, now)
         if isinstance(event, model.PeerHeard):
             return self._heard(event.data, now)
         if isinstance(event, model.HostReported):
--- a/thistleshore/core/model.py
+++ b/thistleshore/core/model.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from oxbowarch.interface import Entry, ListKind, Note, Report, Settings, State, Status
+from oxbowarch.interface import Entry, ListKind, Report, Settings, State, Status
 from thistleshore.core.figures import ClassFigures
 
 
@@ -157,19 +157,13 @@
     data: bytes
 
 
-class BeforeTold(NamedTuple):
-    """What the process before this one still has out at hosts, in a hot restart."""
-
-    notes: tuple[Note, ...]
-
-
 class PeerHeard(NamedTuple):
     """A datagram of another instance."""
 
     data: bytes
 
 
-Event = (NotesHeard | BeforeTold | PeerHeard | StreamOpened | StreamWithdrawn | UpstreamStarted | UpstreamEnded
+Event = (NotesHeard | PeerHeard | StreamOpened | StreamWithdrawn | UpstreamStarted | UpstreamEnded
          | HostsTold | HostReported | BanAsked | SettingsTold)  # fmt: skip
 
 
--- a/thistleshore/restart/carrier.py
+++ b/thistleshore/restart/carrier.py
@@ -105,7 +105,7 @@
 
     async def tell(self, link: Link) -> None: ...
 
-    async def hear(self, names: Any, out: Any) -> None: ...
+    def hear(self, names: Any) -> None: ...
 
 
 class Succession:
@@ -158,8 +158,8 @@
                 self.heirs.step_aside(False)
             if values.get("drains") is True and link is self.before:
                 self.before = None
-            if link is self.before and ("names" in values or "out" in values):
-                await self.heirs.hear(values.get("names"), values.get("out"))
+            if link is self.before and "names" in values:
+                self.heirs.hear(values["names"])
             if isinstance(values.get("ban"), str):
                 await self.heirs.ban(values["ban"], values.get("out") is True, link)
         return serves
--- a/thistleshore/restart/estate.py
+++ b/thistleshore/restart/estate.py
@@ -11,11 +11,11 @@
 
 from oxbowarch import handover
 from oxbowarch.brain import Brain
-from oxbowarch.interface import ListKind, Note, State
+from oxbowarch.interface import ListKind, State
 from oxbowarch.notes import NUMBERS
 from thistleshore.config import Plan
 from thistleshore.core.broker import Broker
-from thistleshore.core.model import BanAsked, BeforeTold, HostLine, SettingsTold, UpstreamHost
+from thistleshore.core.model import BanAsked, HostLine, SettingsTold, UpstreamHost
 from thistleshore.platform.discovery import Discovery
 from thistleshore.platform.downstream import Downstream
 from thistleshore.platform.messages import STATES, ListNames, Malformed, read_hosts
@@ -30,7 +30,6 @@
 log = logging.getLogger("thistleshore")
 
 TELL = 0.02  # s between two looks at what the next process is to hear
-OUT_AGAIN = 1.0  # s after which what is out is told again: it counts for a while only
 PIECE_MOST = 3000  # bytes of what one line tells
 HEALTH = {state: health for health, state in STATES.items()}
 SPOILT = (Malformed, KeyError, IndexError, TypeError, ValueError, AttributeError, OverflowError)
@@ -141,24 +140,17 @@
             self.broker.inbox.send_nowait(SettingsTold(settings, self.plan.class_names))
 
     async def tell(self, link: Link) -> None:
-        """Until cancelled: streams that are opened here after the hand-over, by name, and what is out at each host.
+        """Until cancelled: streams that are opened here after the hand-over, by name.
 
-        Else a repeat at the other process would run beside the first, and a host would be given twice its slots."""
-        names, said, again = list[str](), dict[str, int](), 0.0
+        Else a repeat at the other process would run beside the first."""
+        names = list[str]()
         self._opened.append(names)
         self.downstream.opened = self._open
         try:
             while True:
-                now = trio.current_time()
-                out = {worker.id.decode(): worker.out for worker in self.broker.brain.workers.values()}
-                changed = {host: n for host, n in out.items() if n != said.get(host, 0) or n and now >= again}
-                again = now + OUT_AGAIN if now >= again else again
-                said = out
                 news, names[:] = list(names), []
                 for part in _pieces(news):
                     await link.say(names=part)
-                for part in _pieces(list(changed)):
-                    await link.say(out={host: changed[host] for host in part})
                 await trio.sleep(TELL)
         finally:
             self._opened.remove(names)
@@ -167,13 +159,10 @@
         for names in self._opened:
             names.append(name)
 
-    async def hear(self, names: Any, out: Any) -> None:
-        """What the process before tells while both live."""
+    def hear(self, names: Any) -> None:
+        """Streams that the process before has opened, while both live."""
         if isinstance(names, list):
             self.downstream.know_names([name for name in names if isinstance(name, str)])
-        if isinstance(out, dict):
-            notes = tuple(Note(host.encode(), n) for host, n in out.items() if isinstance(n, int) and n >= 0)
-            await self.broker.inbox.send(BeforeTold(notes))
 
     async def ban(self, host: str, out: bool, source: Link) -> None:
         """An operator has called it at another process."""
