One way to stand aside, one to listen, one to stop on a signal; no sum for a cut where there is none

Written alike: standing aside for the next process in the view, the register and the admin interface; waiting for a taken address in the admin interface and listening.patiently; stopping on a signal in rig and load. Brain._place computed a part on each placement that only a dispatcher that is cut off needs. Change: listening.Aside and patiently serve all three, cli/stopping.until_stopped both; the part is computed where it is needed.

--- a/oxbowarch/brain.py
+++ b/oxbowarch/brain.py
@@ -230,10 +230,10 @@
             self._hold(job, now)
 
     def _place(self, job: Job, now: float) -> bool:
-        # Cut off from all?  What they have out is there all the same: it keeps to its part of the slots.
-        part = self.mine.mean() / max(0.05, self.busy[job.rule.places].mean())
-        if DEAF[0] < now - self.heard_at < DEAF[1] and len(self.jobs) - len(self.held) > max(1.0, part):
-            return False
+        if DEAF[0] < now - self.heard_at < DEAF[1]:  # what others have out is there unseen: keep to a part
+            part = self.mine.mean() / max(0.05, self.busy[job.rule.places].mean())
+            if len(self.jobs) - len(self.held) > max(1.0, part):
+                return False
         worker = self._by_key(job, now) if job.ask.key else None
         # A fetch anywhere else costs more than a short wait for room where the key's data is.
         if worker is None and not (job.ask.key and now - job.since < KEY_PATIENCE * job.rule.aim):
--- a/thistleshore/admin/listener.py
+++ b/thistleshore/admin/listener.py
@@ -12,6 +12,7 @@
 from thistleshore.admin import codec
 from thistleshore.core.model import BanAsked, Event
 from thistleshore.gate import BROKEN, NO_SOCKET_PAUSE
+from thistleshore.listening import Aside, patiently
 
 log = logging.getLogger("thistleshore")
 
@@ -21,7 +22,6 @@
 LINGER = 0.2  # s in which what a caller still sends is read, so that it gets to read its answer
 RECEIVE = 1024
 BACKLOG = 128
-TAKEN_PAUSE = 0.2  # s before an address that is taken is tried again
 
 
 class Admin:
@@ -34,39 +34,21 @@
         self.fleet: Callable[[str, str], Awaitable[tuple[bool, Any]]] | None = None
         # Callers that have not said their line, the longest silent first.
         self._silent: dict[trio.CancelScope, None] = {}
-        self._aside, self._back, self._accepting = False, trio.Event(), trio.CancelScope()
+        self._aside = Aside()
 
     async def run(self, address: tuple[str, int],
                   task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:  # fmt: skip
         """Serve until cancelled.  An address that cannot be had is tried again: clients are served without it."""
         task_status.started()
         async with trio.open_nursery() as nursery:
-            while True:
-                with trio.CancelScope() as self._accepting:
-                    if self._aside:
-                        await self._back.wait()
-                    await self._accept(address, nursery)
+            await self._aside.run(lambda: self._accept(address, nursery))
 
     def step_aside(self, aside: bool) -> None:
         """Leave the address to the next process of a hot restart, which has the same; or have it again."""
-        self._aside = aside
-        if aside:
-            self._accepting.cancel()
-        else:
-            self._back.set()
-            self._back = trio.Event()
+        self._aside.turn(aside)
 
     async def _accept(self, address: tuple[str, int], nursery: trio.Nursery) -> None:
-        told = False
-        while True:
-            try:
-                (listener,) = await trio.open_tcp_listeners(address[1], host=address[0], backlog=BACKLOG)
-                break
-            except OSError as problem:  # in an upgrade the process before may still have it
-                if not told:
-                    log.error("no admin interface on %s:%d yet: %s", *address, problem)
-                    told = True
-                await trio.sleep(TAKEN_PAUSE)
+        listener = await patiently(address, "admin interface", BACKLOG)
         log.info("admin interface on %s:%d", *address)
         async with listener:
             while True:
--- a/thistleshore/cli/load.py
+++ b/thistleshore/cli/load.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import signal
 import sys
 from pathlib import Path
 
@@ -31,6 +30,7 @@
     """
     import trio
 
+    from thistleshore.cli.stopping import until_stopped
     from thistleshore.load.plan import PlanError, read
     from thistleshore.load.run import Sender
 
@@ -41,20 +41,10 @@
         sys.exit(2)
 
     async def play() -> bool:
-        async with trio.open_nursery() as nursery:
+        await sender.run()
+        return True
 
-            async def stop() -> None:
-                with trio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
-                    async for _ in signals:
-                        nursery.cancel_scope.cancel()
-
-            nursery.start_soon(stop)
-            await sender.run()
-            nursery.cancel_scope.cancel()
-            return True
-        return False
-
-    whole = trio.run(play)
+    whole = trio.run(until_stopped, play)
     result = sender.result
     if out is not None:
         result.write(out)
--- a/thistleshore/cli/rig.py
+++ b/thistleshore/cli/rig.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import signal
 import sys
 import tempfile
 from importlib.resources import files
 from pathlib import Path
+from typing import Any
 
 import click
 
@@ -49,6 +49,7 @@
     import trio
     from rich.console import Console
 
+    from thistleshore.cli.stopping import until_stopped
     from thistleshore.rig import run as runs
     from thistleshore.rig.world import WorldError, read
 
@@ -63,21 +64,10 @@
 
     with Console(stderr=True).status(f"{found.name}: starting") as status:
 
-        async def play() -> dict[str, object] | None:
-            summary = None
-            async with trio.open_nursery() as nursery:
+        async def play() -> dict[str, Any]:
+            return await runs.play(found, seed, folder, told=lambda text: status.update(f"{found.name}: {text}"))
 
-                async def stop() -> None:
-                    with trio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
-                        async for _ in signals:
-                            nursery.cancel_scope.cancel()
-
-                nursery.start_soon(stop)
-                summary = await runs.play(found, seed, folder, told=lambda text: status.update(f"{found.name}: {text}"))
-                nursery.cancel_scope.cancel()
-            return summary
-
-        summary = trio.run(play)
+        summary = trio.run(until_stopped, play)
     if summary is None:
         sys.exit(130)
     if as_json:
--- a/thistleshore/fleet/carrier.py
+++ b/thistleshore/fleet/carrier.py
@@ -20,6 +20,7 @@
 from thistleshore.fleet import wire
 from thistleshore.fleet.machine import Fleet
 from thistleshore.fleet.model import Action, Changed, Record, Send, Service, State
+from thistleshore.listening import Aside
 
 if TYPE_CHECKING:
     from thistleshore.releases.carrier import Releases
@@ -70,9 +71,7 @@
             trio.socket.from_stdlib_socket(inherited) if inherited is not None else None
         )
         self._send, self._inbox = trio.open_memory_channel[tuple[bytes, str] | None](WAITING_MOST)
-        self._aside = self._returns = False
-        self._back = trio.Event()
-        self._scope = trio.CancelScope()
+        self._aside, self._returns = Aside(), False
 
     def subscribe(self) -> trio.MemoryReceiveChannel[Changed]:
         """Every event from now on, in order."""
@@ -83,26 +82,19 @@
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Take part until cancelled, which says no goodbye: `leave` does.  An address that is taken is tried again."""
         task_status.started()
-        while True:
-            if self._aside:
-                await self._back.wait()
-            with trio.CancelScope() as self._scope:
-                if self.socket is None:
-                    await self._bind()
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self._receive)
-                    nursery.start_soon(self._own)
+        await self._aside.run(self._take_part)
+
+    async def _take_part(self) -> None:
+        if self.socket is None:
+            await self._bind()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._receive)
+            nursery.start_soon(self._own)
 
     def step_aside(self, aside: bool) -> None:
         """The next process of a hot restart takes part in this one's place; or it has gone."""
-        if aside != self._aside:
-            self._aside = aside
-            if aside:
-                self._back = trio.Event()
-                self._scope.cancel()
-            else:
-                self._returns = True
-                self._back.set()
+        self._returns = self._returns or self._aside.aside and not aside
+        self._aside.turn(aside)
 
     def left_here(self) -> dict[str, Any]:
         """What the next process of a hot restart goes on with."""
@@ -115,7 +107,7 @@
 
     async def leave(self) -> None:
         """Say goodbye; at once, and again for those that it may not have reached."""
-        if self._aside or self.machine.leaving:
+        if self._aside.aside or self.machine.leaving:
             return
         actions = self.machine.on_leave(trio.current_time())
         for n in range(GOODBYES):
--- a/thistleshore/releases/carrier.py
+++ b/thistleshore/releases/carrier.py
@@ -19,7 +19,7 @@
 
 from thistleshore.config import Address
 from thistleshore.config.platform import ReleasesPlan
-from thistleshore.listening import TAKEN_PAUSE, patiently
+from thistleshore.listening import TAKEN_PAUSE, Aside, patiently
 from thistleshore.releases import places, waves
 from thistleshore.releases.driver import Driver, Figures, Seen
 from thistleshore.releases.model import Limits, Refusal, Standing, Value
@@ -223,35 +223,28 @@
         self._register = 0
         self._unsure = NONE  # a ballot that was accepted by some, when last looked
         self._random = random.Random()
-        self._aside, self._back, self._scope = False, trio.Event(), trio.CancelScope()
+        self._aside = Aside()
 
     # -- questions and answers ----------------------------------------------------------------------
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Vote, and follow the value, until cancelled."""
         task_status.started()
-        while True:
-            if self._aside:
-                await self._back.wait()
-            with trio.CancelScope() as self._scope:
-                try:
-                    async with trio.open_nursery() as nursery:
-                        if self.voter is not None and self.plan.listen is not None:
-                            nursery.start_soon(self._listen, self.plan.listen)
-                        nursery.start_soon(self._follow)
-                finally:
-                    if self.voter is not None:
-                        self.voter.close()
+        await self._aside.run(self._take_part)
+
+    async def _take_part(self) -> None:
+        try:
+            async with trio.open_nursery() as nursery:
+                if self.voter is not None and self.plan.listen is not None:
+                    nursery.start_soon(self._listen, self.plan.listen)
+                nursery.start_soon(self._follow)
+        finally:
+            if self.voter is not None:
+                self.voter.close()
 
     def step_aside(self, aside: bool) -> None:
         """The next process of a hot restart votes and follows in this one's place; or it has gone."""
-        if aside != self._aside:
-            self._aside = aside
-            if aside:
-                self._back = trio.Event()
-                self._scope.cancel()
-            else:
-                self._back.set()
+        self._aside.turn(aside)
 
     async def _listen(self, address: Address) -> None:
         assert self.voter is not None
