Begin no upstream request for a client that has closed or taken its job back

After a client's end nothing but the broker's inbox said so: the event StreamWithdrawn stood behind all that waited there (2,048 events), and until then first attempts, further attempts and jobs that had been held went out. What was still connecting was called off only where the settings allow cancelling (`can_cancel`); elsewhere a connect that came up late was written for nobody, and a second copy for a stream that was served.

Lines at fault: `Downstream._await_answer` (opened the stream before it looked at the socket), `Broker._withdrawn` and `_finish` (left unsent requests alone), `Upstreams.carry` and `Hosts.carry` (looked at the host once more in the step that writes, and not at the stream).

Mended there: a stream has its front's look at its downstream (`Stream.wanted`), asked before a connection is made and in the step that writes; the broker takes an end that it meets so for a withdrawal, and calls off what is not written. On beanstalkd a `delete` marks the job at once.

--- a/thistleshore/beanstalkd/downstream.py
+++ b/thistleshore/beanstalkd/downstream.py
@@ -352,7 +352,8 @@
         # A host's late `delete`, its reservation lapsed, must not withdraw the stream.
         free = stream is not None and self.tubes.reserved(number) is None and not self.was_host
         if word == "delete" and free and stream is not None:
-            await self.tubes.inbox.send(StreamWithdrawn(stream))  # its client wants it no more
+            stream.left = True  # its client wants it no more: nothing begins for it, however long the inbox is
+            await self.tubes.inbox.send(StreamWithdrawn(stream))
             return DELETED
         return NOT_FOUND
 
--- a/thistleshore/beanstalkd/upstream.py
+++ b/thistleshore/beanstalkd/upstream.py
@@ -163,8 +163,9 @@
         session, reservation = slot.session, Reservation(job, request, events)
         session.reservations[job.id] = reservation
         try:
-            # The wait for a slot took time: a host that drains by now gets nothing new.
-            if not request.host.ready:
+            # The wait for a slot took time: a host that drains by now gets nothing new, and a job that its client has
+            # deleted goes to nobody.
+            if not request.host.ready or not request.stream.wanted:
                 slot.taken = False
                 crew.slots.appendleft(slot)
                 return UpstreamOutcome(Status.MOOT)
--- a/thistleshore/core/broker.py
+++ b/thistleshore/core/broker.py
@@ -212,9 +212,17 @@
         if self.ledger is not None:
             self.ledger.on_answered(stream.id, "withdrawn", now)
         actions = self.brain.on_withdrawn(stream.id, now)
+        self._call_off_unsent(stream)
         self._forget(stream)
         return actions
 
+    def _call_off_unsent(self, stream: model.Stream) -> None:
+        """What a stream that is over has begun and not written, as while it connects, must not be written later."""
+        for request in self._out.get(stream.id, ()):
+            if not request.sent:
+                request.cancelled = True
+                request.scope.cancel()
+
     def _ended(self, event: model.UpstreamEnded, now: float) -> list[Action]:
         request, outcome = event.request, event.outcome
         stream = request.stream
@@ -224,13 +232,17 @@
             self.on_attempt(request, outcome.status, event.took)
         if self.ledger is not None:
             self.ledger.on_attempt_ended(stream.id, self._worked(event, now), now)
+        withdrawn: list[Action] = []
         if outcome.status is Status.OK and not stream.over and outcome.result is not None:
             self._finish(stream, model.Served(outcome.result))
+        elif not stream.over and not stream.wanted:
+            # That its downstream has gone may wait in the inbox behind this: no other attempt may begin meanwhile.
+            withdrawn = self._withdrawn(stream, now)
         told = Outcome(stream.id, request.number, request.host.id, outcome.status, event.took, stream.over,
                        outcome.report)  # fmt: skip
         actions = self.brain.on_outcome(told, now)
         self._forget(stream)
-        return actions
+        return withdrawn + actions
 
     @staticmethod
     def _worked(event: model.UpstreamEnded, now: float) -> float:
@@ -383,6 +395,7 @@
             counted = COUNTED[type(answer)]
             setattr(stream.counts, counted, getattr(stream.counts, counted) + 1)
             self.record.outstanding -= 1
+            self._call_off_unsent(stream)
             if self.ledger is not None:
                 self.ledger.on_answered(stream.id, ANSWERS[type(answer)], trio.current_time())
 
--- a/thistleshore/core/model.py
+++ b/thistleshore/core/model.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import NamedTuple, Protocol
 
@@ -28,6 +29,10 @@
 FinalAnswer = Served | LocalReply | Failed
 
 
+def _there() -> bool:
+    return False
+
+
 @dataclass(slots=True, eq=False)
 class Stream:
     """One request of a downstream, from its last byte to its one final answer."""
@@ -47,6 +52,8 @@
     # Set once it is over: `answer` is there, or the downstream has withdrawn it.
     answered: trio.Event = field(default_factory=trio.Event)
     withdrawn: bool = False
+    left: bool = False  # its downstream has gone or taken it back, and the broker may not have heard so yet
+    gone: Callable[[], bool] = _there  # its front's look at that: what came a moment ago, nobody has read
     counts: ClassFigures = field(default_factory=ClassFigures)  # its class's, once the broker has it
     forwards: int = 0  # its own upstream requests that were written whole
 
@@ -54,6 +61,11 @@
     def over(self) -> bool:
         return self.withdrawn or self.answer is not None
 
+    @property
+    def wanted(self) -> bool:
+        """Is somebody there for its answer?  Asked in the step in which an upstream request would begin."""
+        return not (self.over or self.left or self.gone())
+
 
 @dataclass(slots=True, eq=False)
 class UpstreamHost:
--- a/thistleshore/platform/downstream.py
+++ b/thistleshore/platform/downstream.py
@@ -124,7 +124,7 @@
             idle.deadline = inf if arrived is None else arrived + READ_WITHIN
             data = await peer.socket.receive_some(RECEIVE)
         # A close that crosses a request would cost the downstream a connection: what has come is served.
-        if idle.cancelled_caught and peer.socket.socket.is_readable():
+        if idle.cancelled_caught and peer.stirs():
             data = await peer.socket.receive_some(RECEIVE)
         if data:
             peer.feed(data)
@@ -156,32 +156,33 @@
 
     async def _await_answer(self, peer: Peer, stream: Stream) -> FinalAnswer | None:
         """Hand the stream over and wait for its answer; None when the downstream has gone away."""
+        # Readable while it waits: closed, reset, or bytes that have no business there.  Each ends the stream.
+        stream.gone = peer.stirs
         await self.inbox.send(StreamOpened(stream))
         ahead = False
-        async with trio.open_nursery() as nursery:
 
-            async def watch() -> None:
-                nonlocal ahead
-                ahead = await self._watch(peer, stream)
+        async def watch() -> None:
+            """Notice a downstream that goes away while its stream is open, or sends on instead."""
+            nonlocal ahead
+            try:
+                data = await peer.socket.receive_some(RECEIVE)
+            except BROKEN:
+                data = b""
+            # One request at a time: what comes now belongs to a body whose length was said too short, and the answer
+            # to half a request must not look like one to the whole.
+            stream.left, ahead = True, bool(data)
+            await self.inbox.send(StreamWithdrawn(stream))
 
+        async with trio.open_nursery() as nursery:
             nursery.start_soon(watch)
             await stream.answered.wait()
             nursery.cancel_scope.cancel()
+        if stream.withdrawn and not stream.left:  # the broker saw it before `watch` was scheduled
+            await watch()
         if ahead:
             raise Rejected(400, "more has come than one request")
         return stream.answer
 
-    async def _watch(self, peer: Peer, stream: Stream) -> bool:
-        """Notice a downstream that goes away while its stream is open; True where it sends on instead."""
-        try:
-            data = await peer.socket.receive_some(RECEIVE)
-        except BROKEN:
-            data = b""
-        # One request at a time: what comes now belongs to a body whose length was said too short, and the answer
-        # to half a request must not look like one to the whole.
-        await self.inbox.send(StreamWithdrawn(stream))
-        return bool(data)
-
     async def _answer(self, peer: Peer, answer: FinalAnswer) -> bool:
         if isinstance(answer, Served):
             return await self._reply(peer, 200, answer.result)
--- a/thistleshore/platform/messages.py
+++ b/thistleshore/platform/messages.py
@@ -71,6 +71,10 @@
         """Both sides have said all of one message, and neither has asked for an end."""
         return self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
 
+    def stirs(self) -> bool:
+        """Is there anything to be read: bytes, an end or a reset?  Nothing is read, and nothing waits."""
+        return self.socket.socket.fileno() < 0 or self.socket.socket.is_readable()
+
     def close(self) -> None:
         """Close at once, without a wait: the other side may be silent."""
         self.socket.socket.close()
--- a/thistleshore/platform/upstream.py
+++ b/thistleshore/platform/upstream.py
@@ -84,7 +84,7 @@
             kept = idle.pop()
             # Readable while idle: the host has closed it, or said what nobody asked; a request would be a reset.
             fresh = kept.life == host.life and kept.since > trio.current_time() - self.ways.idle_most
-            if fresh and not kept.peer.socket.socket.is_readable():
+            if fresh and not kept.peer.stirs():
                 return kept.peer
             self._close(kept.peer)
         return None
@@ -116,6 +116,8 @@
     async def carry(self, request: UpstreamRequest, events: trio.MemorySendChannel[Event]) -> UpstreamOutcome:
         """One upstream request, sent once; PROTOCOL's table of what comes back."""
         host, life = request.host, request.host.life
+        if not request.stream.wanted:
+            return UpstreamOutcome(Status.MOOT)
         try:
             peer = self._take(host) or await self._connect(host)
         except NoSocket as problem:
@@ -125,8 +127,9 @@
             return UpstreamOutcome(Status.CONNECT_FAILED)
         done, rest = False, 0.0
         try:
-            # Connecting took time, and the list may have changed: a host that drains gets nothing new.
-            if not host.ready or host.life != life:
+            # Connecting took time, and the list may have changed: a host that drains gets nothing new.  Nor does any
+            # for a downstream that has gone: no wait stands between this look and the first byte.
+            if not host.ready or host.life != life or not request.stream.wanted:
                 return UpstreamOutcome(Status.MOOT)
             try:
                 await peer.send(*_request(request))
