Serve who has connected when a drain stops accepting; linger after each last answer

Seen: read at each await of the shutdown, forced by tests. - `Gate.run` closed the listener in the moment `accepting` was cancelled: what stood in its backlog, connected and with its whole request sent, was reset. Now it is taken first, and the drain counts it before it looks whether any are left. - `Downstream._reply` ended the connection at once where the client had asked for its end (`Connection: close`): bytes that nobody had read turned that close into a reset. It ends its own side first, as after every other last answer. - `Discovery._call` wrote on a connection that discovery had closed since the last answer, and took the end for a lost watch: a failed call, a wait and, where lists are pushed, a whole list. It looks first, as connections to hosts do.

Tests, each failing on the text before: two in tests/test_gate.py (the backlog by a gate that never gets to accept; the close over bytes that come between answer and close), one in tests/test_discovery.py.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -508,3 +508,38 @@
         return here, left.leave()[0]["list"]["seq"]
 
     assert play(scenario) == (8, 0)
+
+
+def test_a_connection_that_discovery_closed_between_two_calls_is_no_failed_call(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Else each change would cost a call and the wait after it, and a shared discovery a whole list."""
+
+    async def scenario() -> tuple[list[bytes], int]:
+        calls, port = list[bytes](), free_port()
+        inbox, told = trio.open_memory_channel[model.HostsTold](99)
+
+        async def handle(stream: trio.SocketStream) -> None:
+            with suppress(EOFError):
+                calls.append((await Lines(stream).head())[0])
+                await stream.send_all(list_of(7 + len(calls), "h", whole=False))  # and closes
+
+        async with trio.open_nursery() as nursery:
+            await nursery.start(trio.serve_tcp, handle, port)
+            watch = watching(port, of=settings(200, asked=True))
+            step = watch._step
+
+            async def rest(tell: Any) -> None:
+                await step(tell)
+                await trio.sleep(0.01)  # in which the close comes
+
+            watch._step = rest  # type: ignore[method-assign]
+            nursery.start_soon(watch.run, inbox.send_nowait)
+            for _ in range(5):
+                await told.receive()
+            nursery.cancel_scope.cancel()
+        return calls, watch.watch._failed
+
+    calls, failed = play(scenario)
+    assert failed == 0 and all(b"after=" in call for call in calls)
+    assert not [record for record in caplog.records if "discovery lost" in record.getMessage()]
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -12,7 +12,7 @@
 from thistleshore import gate
 from thistleshore.core import model
 from thistleshore.platform.downstream import Downstream
-from thistleshore.platform.messages import Routes
+from thistleshore.platform.messages import Peer, Routes
 
 HEAD = b"POST /render HTTP/1.1\r\nHost: s\r\nX-Lane: render\r\nX-Remaining-Ms: 9000\r\n"
 POST = HEAD + b"X-Txn: %x\r\nContent-Length: 0\r\n\r\n"
@@ -177,3 +177,48 @@
 
     found = play(Http(["slow"]).run, scenario)
     assert found[:4] == [b"503"] * 4 and found.count(b"200") == 22  # refused at once, before the slow ones end
+
+
+def test_who_has_connected_when_a_drain_stops_accepting_is_served(monkeypatch: pytest.MonkeyPatch) -> None:
+    """SIGTERM in accept: the listener's close would reset what stands in its backlog, requests and all."""
+
+    async def busy(*_: Any) -> None:
+        await trio.sleep_forever()  # as where other tasks have the processor up to the end
+
+    async def scenario(port: int, downstream: Downstream) -> list[bytes]:
+        clients = [await trio.open_tcp_stream("127.0.0.1", port) for _ in range(5)]
+        for n, client in enumerate(clients):
+            await client.send_all(POST % n)
+        downstream.gate.draining.set()
+        return [(await Lines(client).head())[0].split()[1] for client in clients]
+
+    monkeypatch.setattr(gate.Gate, "_accept", busy)
+    assert play(front, scenario, 9) == [b"200"] * 5
+
+
+@pytest.mark.parametrize("how", ["Connection: close\r\n", ""])
+def test_an_answer_that_ends_its_connection_is_not_lost_with_bytes_that_nobody_read(
+    monkeypatch: pytest.MonkeyPatch, how: str,
+) -> None:  # fmt: skip
+    """They come after the answer and before the close, which would reset the connection."""
+    clients: list[trio.SocketStream] = []
+
+    async def scenario(port: int, downstream: Downstream) -> bytes:
+        downstream.gate.closing = not how
+        client = await trio.open_tcp_stream("127.0.0.1", port)
+        clients.append(client)
+        await client.send_all((POST % 1).replace(b"Host", how.encode() + b"Host"))
+        said = b""
+        while data := await client.receive_some():  # a reset raises
+            said += data
+        return said
+
+    send = Peer.send
+
+    async def crossed(self: Peer, *events: Any) -> None:
+        await send(self, *events)
+        clients[0].socket._sock.send(b"POST")  # type: ignore[attr-defined]
+
+    monkeypatch.setattr(Peer, "send", crossed)
+    said = play(front, scenario, 9)
+    assert said.startswith(b"HTTP/1.1 200") and said.endswith(b"ok")
--- a/thistleshore/gate.py
+++ b/thistleshore/gate.py
@@ -67,7 +67,7 @@
         self.inherited: stdlib.socket | None = None  # the socket that another process accepted from
         self.listener: trio.SocketListener | None = None  # while it is open
         self.aside = False  # another process accepts
-        self._accepting, self._back = trio.CancelScope(), trio.Event()
+        self._accepting, self._back, self._shut = trio.CancelScope(), trio.Event(), trio.Event()
         # Who may give way, the first of each to come first: those that were turned away, newcomers, kept ones.
         self._leaving: dict[trio.CancelScope, Wait] = {}
         self._newcomers: dict[trio.CancelScope, Wait] = {}
@@ -125,7 +125,9 @@
             with trio.CancelScope() as accepting:
                 nursery.start_soon(self._drain, accepting)
                 await self._accept(listener, nursery, handler)
+            await self._accept_waiting(listener, nursery, handler)
         self.listening, self.listener = False, None
+        self._shut.set()
 
     async def _drain(self, accepting: trio.CancelScope) -> None:
         await self.draining.wait()
@@ -133,6 +135,7 @@
         self.answer_by = told + serve_for + ANSWER_MORE
         await trio.sleep(ACCEPT_FOR)  # the front before us goes on dealing connections out for a while
         accepting.cancel()
+        await self._shut.wait()
         # Clients go on by the connections that they have, and nobody else may be there to serve them.
         with trio.move_on_at(told + serve_for):
             while self.connections:
@@ -164,13 +167,27 @@
                 log.warning("cannot accept: %s", problem)
                 await trio.sleep(NO_SOCKET_PAUSE)
                 continue
-            if self.connections >= self.most:
-                # Nobody gives way: over the limit on sockets nothing could be sent on, and left in the backlog a
-                # connection would get neither an answer nor a close.
-                socket.socket.close()
-                continue
-            self.connections += 1
-            nursery.start_soon(self._serve, handler, socket)
+            self._admit(socket, nursery, handler)
+
+    async def _accept_waiting(self, listener: trio.SocketListener, nursery: trio.Nursery, handler: Handler) -> None:
+        """Take what has connected by now: a close of the listener would reset it, with all that it has sent."""
+        while not self.aside and listener.socket.is_readable():
+            with trio.move_on_after(NEWCOMER_GRACE):  # it may have gone since
+                try:
+                    socket = await listener.accept()
+                except OSError as problem:
+                    log.warning("cannot accept: %s", problem)
+                    return
+                self._admit(socket, nursery, handler)
+
+    def _admit(self, socket: trio.SocketStream, nursery: trio.Nursery, handler: Handler) -> None:
+        if self.connections >= self.most:
+            # Nobody gives way: over the limit on sockets nothing could be sent on, and left in the backlog a
+            # connection would get neither an answer nor a close.
+            socket.socket.close()
+            return
+        self.connections += 1
+        nursery.start_soon(self._serve, handler, socket)
 
     async def _serve(self, handler: Handler, socket: trio.SocketStream) -> None:
         try:
--- a/thistleshore/platform/discovery.py
+++ b/thistleshore/platform/discovery.py
@@ -92,6 +92,8 @@
     async def _call(self, call: Call, faults: list[str]) -> HostsTold:
         if self._at != self.address:
             self._hang_up()  # moved while an answer was being told: the next call must not go to the old address
+        elif self._peer is not None and self._peer.stirs():
+            self._hang_up()  # closed between two calls: no sign of trouble there, and no call has failed
         if self._peer is None:
             self._at = self.address
             with trio.fail_after(call.connect):
--- a/thistleshore/platform/downstream.py
+++ b/thistleshore/platform/downstream.py
@@ -203,9 +203,10 @@
         # A downstream that does not read would hold its socket for good.
         with trio.move_on_after(WRITE_WITHIN) as writing:
             await peer.send(response, h11.Data(data=body), h11.EndOfMessage())
-        if close and not writing.cancelled_caught:
+        last = close or not peer.reusable  # also where the downstream has asked for an end
+        if last and not writing.cancelled_caught:
             await self._linger(peer)
-        return peer.reusable and not (close or writing.cancelled_caught)
+        return not (last or writing.cancelled_caught)
 
     async def _linger(self, peer: Peer) -> None:
         """End our side first: closing over unread input would reset the connection and lose the answer."""
