Keep descriptors for discovery and hosts where the system grants fewer than the file states

Seen: with `ulimit -n 128` under limits.sockets = 256 and 300 idle clients, discovery down, its return was never noticed: clients might have 128 connections by the file, and took every descriptor. Line: `sockets` in config/platform.py and operator.py took the file's figure alone; now the lesser of the two.

--- a/tests/support.py
+++ b/tests/support.py
@@ -49,9 +49,11 @@
 
 
 @contextmanager
-def program(environ: dict[str, str], port: int) -> Iterator[subprocess.Popen[bytes]]:
-    """The real program in a release build, on real time, once it listens."""
+def program(environ: dict[str, str], port: int, descriptors: int = 0) -> Iterator[subprocess.Popen[bytes]]:
+    """The real program in a release build, on real time, once it listens; `descriptors`: no more of them."""
     command = [sys.executable, "-O", "-m", "thistleshore"]
+    if descriptors:
+        command = ["/bin/sh", "-c", f'ulimit -n {descriptors}; exec "$@"', "sh", *command]
     started = subprocess.Popen(command, env={**os.environ, **environ}, cwd=ROOT, stderr=subprocess.PIPE)
     try:
         for _ in range(100):
--- a/thistleshore/config/operator.py
+++ b/thistleshore/config/operator.py
@@ -23,7 +23,7 @@
 from thistleshore.config.errors import ConfigError
 from thistleshore.config.platform import (
     IDLE_SHARE, SOCKETS, SOCKETS_SPARE, Address, BeanstalkdPlan, ExchangePlan, FleetPlan, HttpPlan, KeepPlan, Plan,
-    ReleasesPlan, address, number, path_of,
+    ReleasesPlan, address, number, path_of, sockets_of,
 )  # fmt: skip
 from thistleshore.contracts import Agreements, ContractTerms, MemberTerms, Retries
 from thistleshore.contracts.book import Book, Budget, Contract
@@ -184,7 +184,7 @@
         with top, self._section("limits") as limits, self._section("start") as start:
             balancers, streams = top.whole("balancers", 1, 1), top.whole("streams", 512, 1)
             name, advice = top.text("name", "dispatcher"), top.number("max_retry_after", 2.0)
-            sockets = limits.whole("sockets", SOCKETS, 4 * SOCKETS_SPARE) - SOCKETS_SPARE
+            sockets = sockets_of(limits.whole("sockets", SOCKETS, 4 * SOCKETS_SPARE))
             connect_within, idle = limits.number("connect", 0.2, 0.001), limits.number("idle", 15.0, 0.1)
             warm_up, cold_from = start.number("warm_up", 0.0), start.number("cold_from", 1.0, 0.001)
         budget = None
--- a/thistleshore/config/platform.py
+++ b/thistleshore/config/platform.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import json
+import resource
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 from math import isfinite
@@ -30,6 +31,7 @@
 Address = tuple[str, int]
 SOCKETS = 1024  # where the platform names no limit
 SOCKETS_SPARE = 64  # for the listener, discovery, the log and the interpreter's own files
+SOCKETS_LEAST = 24  # for connections, however few the system grants
 # Keys that may differ in a file read again: followed, or of use at a start only.
 RULES = ("match", "address_set", "expressions")
 SHARES = ("member", "contracts")
@@ -156,6 +158,15 @@
         return self.sockets // 3
 
 
+def sockets_of(told: int) -> int:
+    """What connections may have of the descriptors that the file states, or that the system grants if that is less.
+
+    Up to the rest clients can't get: where they fill all, the next call to discovery or to a host would find none.
+    """
+    granted, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return max(SOCKETS_LEAST, (min(told, granted) if granted != resource.RLIM_INFINITY else told) - SOCKETS_SPARE)
+
+
 def path_of(folder: str, listen: Address) -> str:
     """Where the process that serves these clients is met by the one that takes over."""
     return str(Path(folder) / f"thistleshore-{listen[0].replace(':', '_')}-{listen[1]}.sock")
@@ -226,7 +237,7 @@
     zones, kinds = (named(raw.get(key, []), f"settings.{key}") for key in ("localities", "kinds"))
     names = ListNames(zones, kinds)
     limits, rules = table(raw, "limits", "settings.limits"), table(conf, "limits", "limits")
-    sockets = int(number(rules, "sockets", "limits", SOCKETS, 4 * SOCKETS_SPARE)) - SOCKETS_SPARE
+    sockets = sockets_of(int(number(rules, "sockets", "limits", SOCKETS, 4 * SOCKETS_SPARE)))
     seq, known = 0, tuple[HostLine, ...]()
     if "known" in conf:
         try:
