--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,6 +15,7 @@
 
 import pytest
 
+from tests import known_red
 from tests.support import ROOT
 
 BESIDE = 3  # at a time, beside the tests of one process
@@ -70,6 +71,15 @@
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     items.sort(key=lambda item: getattr(item, "originalname", "") == PROCESSES)
+    if known_red.FILE.exists():
+        known_red.mark(items, known_red.read(known_red.FILE.read_text()))
+
+
+def pytest_terminal_summary(terminalreporter: Any) -> None:
+    """Print what is known to fail, so that who reads the run sees it."""
+    if known_red.FILE.exists():
+        terminalreporter.section("KNOWN-RED.txt")
+        terminalreporter.write(known_red.FILE.read_text())
 
 
 @pytest.fixture(scope="session", autouse=True)
