Refuse settings that cannot be used by name, and no others

Lines: `platform_plan` and `_check_figures` in config/platform.py; `Settings.__post_init__`, which now has 65,535 dispatchers at most, as many as the simulator's wire can number.

No decision is changed.

--- a/oxbowarch/interface.py
+++ b/oxbowarch/interface.py
@@ -18,6 +18,7 @@
 from typing import NamedTuple, Protocol
 
 WorkerId = bytes
+BALANCERS_MOST = 65_535  # the simulator's wire numbers them by two bytes; a list is kept of as many
 Places = tuple[tuple[int, ...] | None, tuple[int, ...] | None]  # machine kinds and zones; None: any
 
 
@@ -138,6 +139,8 @@
         for name, low in (("balancers", 1), ("zone", 0), ("max_attempts", 1), ("tick", 0), ("warm_up", 0)):
             if not getattr(self, name) >= low:
                 raise ValueError(f"settings: {name} must be a number of at least {low}")
+        if self.balancers > BALANCERS_MOST:
+            raise ValueError(f"settings: balancers must be a number of at most {BALANCERS_MOST}")
         if not (isfinite(self.drain_within) and self.drain_within > 0):
             raise ValueError("settings: drain_within must be a finite number above 0")
         if not self.classes:
--- a/thistleshore/config/platform.py
+++ b/thistleshore/config/platform.py
@@ -232,7 +232,7 @@
         raw = in_place.renumbered(given, before.numbered)
     try:
         settings = wire.settings(raw)
-    except (ValueError, TypeError, AttributeError, KeyError) as problem:
+    except (ValueError, TypeError, AttributeError, KeyError, OverflowError) as problem:
         raise ConfigError(f"settings: {str(problem).removeprefix('settings: ')}") from None
     zones, kinds = (named(raw.get(key, []), f"settings.{key}") for key in ("localities", "kinds"))
     names = ListNames(zones, kinds)
@@ -296,6 +296,8 @@
     for key, figures in wanted.items():
         named(raw.get(key, []), f"settings.{key}")
         for n, item in enumerate(raw.get(key, [])):
+            if not isinstance(item, Mapping):
+                raise ConfigError(f"settings.{key}[{n}]: an object is wanted")
             for figure in figures:
                 number(item, figure, f"settings.{key}[{n}]", 0.0)
             if key == "lanes" and not number(item, "giveUp", f"settings.lanes[{n}]", 1.0):
