Take no more than a backlog's worth of connections when a drain stops accepting

Seen at a second reading: Gate._accept_waiting went on as long as anybody connected, so that a crowd could have kept the listener open in a drain. One backlog at most; a test with a listener that never runs dry does not end without it.

--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -8,7 +8,7 @@
 import trio
 
 from tests.standins import Beanstalkd, Http, Platform
-from tests.support import Lines, free_port, play, read_all
+from tests.support import Lines, free_port, play, read_all, socket_pair
 from thistleshore import gate
 from thistleshore.core import model
 from thistleshore.platform.downstream import Downstream
@@ -222,3 +222,25 @@
     monkeypatch.setattr(Peer, "send", crossed)
     said = play(front, scenario, 9)
     assert said.startswith(b"HTTP/1.1 200") and said.endswith(b"ok")
+
+
+def test_a_crowd_that_goes_on_connecting_does_not_keep_the_listener_open() -> None:
+    class Listener:
+        def __init__(self) -> None:
+            self.accepted, self.socket = 0, self
+
+        def is_readable(self) -> bool:
+            return True
+
+        async def accept(self) -> trio.SocketStream:
+            await trio.lowlevel.checkpoint()
+            self.accepted += 1
+            return socket_pair()[0]
+
+    async def scenario() -> int:
+        listener = Listener()
+        with trio.fail_after(5):
+            await gate.Gate(0)._accept_waiting(listener, None, None)  # type: ignore[arg-type]
+        return listener.accepted
+
+    assert play(scenario) == gate.BACKLOG
--- a/thistleshore/gate.py
+++ b/thistleshore/gate.py
@@ -171,7 +171,9 @@
 
     async def _accept_waiting(self, listener: trio.SocketListener, nursery: trio.Nursery, handler: Handler) -> None:
         """Take what has connected by now: a close of the listener would reset it, with all that it has sent."""
-        while not self.aside and listener.socket.is_readable():
+        for _ in range(BACKLOG):  # a crowd that goes on connecting must not keep it open
+            if self.aside or not listener.socket.is_readable():
+                return
             with trio.move_on_after(NEWCOMER_GRACE):  # it may have gone since
                 try:
                     socket = await listener.accept()
