--- a/tests/support.py
+++ b/tests/support.py
@@ -5,6 +5,7 @@
 import os
 import re
 import socket
+import struct
 import subprocess
 import sys
 import time
@@ -85,6 +86,13 @@
     return int(listener.socket.getsockname()[1])
 
 
+def end(stream: trio.SocketStream, how: str) -> None:
+    """Close it at once: by FIN, or by RST where `how` says so."""
+    if how == "RST":
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    stream.socket.close()
+
+
 async def read_all(stream: trio.SocketStream) -> bytes:
     parts = []
     try:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -6,8 +6,6 @@
 from __future__ import annotations
 
 import json
-import socket
-import struct
 from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
@@ -18,7 +16,7 @@
 
 from oxbowarch.brain import Brain
 from oxbowarch.interface import Entry, ListKind, Settings, State, Status
-from tests.support import Lines, free_port, listening, play, program, read_all
+from tests.support import Lines, end, free_port, listening, play, program, read_all
 from tests.test_config import PLATFORM
 from tests.test_discovery import list_of, settings, watching
 from tests.test_edges import ANSWER, FULL, carried, host_at, request_to
@@ -66,9 +64,7 @@
     async def handle(lines: Lines, _: int) -> None:
         if said:
             await lines.stream.send_all(said)
-        if how == "RST":
-            lines.stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        lines.stream.socket.close()
+        end(lines.stream, how)
 
     async def scenario(pool: upstream.Upstreams, host: model.UpstreamHost) -> tuple[Status, bytes | None, bool, int]:
         request = request_to(host)
@@ -82,9 +78,8 @@
 def test_an_answer_whose_end_is_reset_after_its_last_line_is_served_and_its_connection_is_not_kept() -> None:
     async def handle(lines: Lines, _: int) -> None:
         await lines.stream.send_all(CHUNKED + chunk(ANSWER))
-        lines.stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         await trio.sleep(0.01)
-        lines.stream.socket.close()
+        end(lines.stream, "RST")
 
     async def scenario(pool: upstream.Upstreams, host: model.UpstreamHost) -> tuple[list[Status], int]:
         found = []
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import json
-import socket
-import struct
 from collections.abc import Callable
 from contextlib import suppress
 from typing import Any
@@ -15,7 +13,7 @@
 from oxbowarch.brain import Brain
 from oxbowarch.interface import Effect, Entry, JobClass, ListKind, Settings, State
 from tests.standins import Http
-from tests.support import Lines, free_port, listening, play
+from tests.support import Lines, end, free_port, listening, play
 from tests.test_config import PLATFORM
 from thistleshore import config, dispatcher
 from thistleshore.core import model
@@ -268,10 +266,8 @@
         if how == "falls silent":
             await trio.sleep_forever()
         await trio.sleep(0.2)
-        if how == "is reset":
-            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         if how == "is closed" or how == "is reset":
-            stream.socket.close()
+            end(stream, "RST" if how == "is reset" else "FIN")
         says = {"brings garbage": b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{]}",
                 "ends in the middle": list_of(8, "h")[:-9], "says a head and no more": list_of(8, "h")[:38],
                 "is answered 503": b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"}  # fmt: skip
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -5,8 +5,6 @@
 
 from __future__ import annotations
 
-import socket
-import struct
 from collections.abc import Callable
 from contextlib import suppress
 from typing import Any
@@ -17,7 +15,7 @@
 from oxbowarch.brain import Brain
 from oxbowarch.interface import Effect, Entry, JobClass, ListKind, Settings, State, Status
 from tests.standins import Beanstalkd
-from tests.support import Lines, free_port, listening, play, read_all
+from tests.support import Lines, end, free_port, listening, play, read_all
 from thistleshore.beanstalkd import upstream as tubes
 from thistleshore.core import model
 from thistleshore.core.broker import Broker
@@ -88,12 +86,6 @@
         return client
 
 
-def end(client: trio.SocketStream, how: str) -> None:
-    if how == "RST":
-        client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    client.socket.close()
-
-
 async def quiet() -> None:
     """Until nothing on loopback moves any more: mock time passes only then."""
     await trio.sleep(3.0)
--- a/thistleshore/core/model.py
+++ b/thistleshore/core/model.py
@@ -29,7 +29,7 @@
 FinalAnswer = Served | LocalReply | Failed
 
 
-def _there() -> bool:
+def _never() -> bool:
     return False
 
 
@@ -53,7 +53,7 @@
     answered: trio.Event = field(default_factory=trio.Event)
     withdrawn: bool = False
     left: bool = False  # its downstream has gone or taken it back, and the broker may not have heard so yet
-    gone: Callable[[], bool] = _there  # its front's look at that: what came a moment ago, nobody has read
+    gone: Callable[[], bool] = _never  # its front's look at that: what came a moment ago, nobody has read
     counts: ClassFigures = field(default_factory=ClassFigures)  # its class's, once the broker has it
     forwards: int = 0  # its own upstream requests that were written whole
 
