--- a/thistleshore/admin/codec.py
+++ b/thistleshore/admin/codec.py
@@ -21,7 +21,9 @@
          "return": (2, 40), "release": (0, 0), "order": (0, 0), "start": (1, 200), "takes": (1, 1),
          "arrived": (1, 1), "failed": (1, 60),
          "host-takes": (2, 2), "host-arrived": (2, 2), "host-failed": (2, 60),
-         "halt": (0, 40), "resume": (0, 40), "undo": (0, 40)}  # fmt: skip
+         "halt": (0, 40), "resume": (0, 40), "undo": (0, 40),
+         "config-piece": (4, 4), "config-push": (3, 60), "config-rollback": (2, 60),
+         "config-status": (0, 1), "config-history": (0, 0)}  # fmt: skip
 
 
 class Call(NamedTuple):
--- a/thistleshore/cli/__init__.py
+++ b/thistleshore/cli/__init__.py
@@ -49,6 +49,7 @@
     "fleet": Later("fleet", "Show and follow the view of the fleet; leave it, or have it forget a dead member."),
     "keep": Later("keep", "Keep a dispatcher: start it, start it again, and replace it as the fleet has agreed."),
     "release": Later("release", "Bring another version to the dispatchers in waves; halt it, take it back."),
+    "config": Later("configuration", "Push a configuration to the whole fleet; follow it, and take it back."),
     "contracts": Later("contracts", "Show the agreements of an operator's file and their shares."),
     "rig": Later("rig", "Start several processes, break what lies between them, and check what came of it."),
     "load": Later("load", "Send open-loop load, and tell what came of it."),
--- a/thistleshore/cli/admin.py
+++ b/thistleshore/cli/admin.py
@@ -99,8 +99,8 @@
         raise SystemExit(1)
 
 
-def ask(file: str | None, named: str | None, call: codec.Call) -> str:
-    """The whole answer to one call; ends with status 2 where there is none."""
+def ask(file: str | None, named: str | None, call: codec.Call, within: float = ANSWER_WITHIN) -> str:
+    """The whole answer to one call; ends with status 2 where there is none within so many seconds."""
     try:
         if named is not None:
             where: tuple[str, int] | None = config.address(named, "--address")
@@ -116,7 +116,7 @@
     except codec.BadCall as problem:
         refuse(problem, 2)
     try:
-        with socket.create_connection(where, ANSWER_WITHIN) as made:
+        with socket.create_connection(where, within) as made:
             made.sendall(line)
             parts: list[bytes] = []
             while (part := made.recv(65536)) and sum(map(len, parts)) < ANSWER_MOST:
--- /dev/null
+++ b/thistleshore/cli/configuration.py
@@ -0,0 +1,193 @@
+"""`thistleshore config`: push a configuration to the whole fleet, follow it, and take it back."""
+
+from __future__ import annotations
+
+import base64
+import hashlib
+import os
+import time
+from pathlib import Path
+from typing import Any, NoReturn
+
+import click
+
+from thistleshore.admin import codec
+from thistleshore.cli.admin import ask, told
+from thistleshore.cli.fleet import CONFIG, DONE, LATE, NO_MAJORITY, REFUSED
+from thistleshore.cli.shared import JSON, echo_json, refuse
+from thistleshore.distribution.model import BODY_MOST, DIGEST_BYTES
+
+POLL = 0.3  # s between two questions of --wait
+ANSWER_WITHIN = 12.0  # s for a push: its check, its deposit and the rounds of the register
+NO_ANSWER = 2  # exit status, as that of the other commands
+PIECE = 3000  # characters of a body that one call carries
+STATUSES = {"done": DONE, "refused": REFUSED, "no-majority": NO_MAJORITY}
+
+AGAINST = click.option("--against", type=click.IntRange(min=0), default=None, metavar="VERSION",
+                       help="Refuse unless this is still the newest version.")  # fmt: skip
+REASON = click.option("--for", "reason", default="", help="Why; it is kept in the history.")
+WAIT = click.option("--wait", type=click.FloatRange(min=0.0), default=None, metavar="SECONDS",
+                    help="Wait so long until every member has it in force.")  # fmt: skip
+
+
+@click.group()
+def command() -> None:
+    """Push a configuration to the fleet, follow it, and take it back.
+
+    Exit status: 0 agreed (with --wait: in force everywhere), 2 no answer, 3 refused, 4 no majority, 5 agreed and not
+    in force everywhere in time.
+    """
+
+
+@command.command()
+@click.argument("body", metavar="FILE", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+@AGAINST
+@REASON
+@WAIT
+@CONFIG
+@JSON
+def push(body: Path, against: int | None, reason: str, wait: float | None, file: str, as_json: bool) -> None:
+    """Have the fleet agree on the tables of FILE, which replace those of every member's own file."""
+    data = body.read_bytes()
+    if len(data) > BODY_MOST:
+        refuse(f"{body}: {len(data)} bytes, and at most {BODY_MOST} are allowed", REFUSED)
+    upload = _upload(file, data)
+    digest = hashlib.blake2b(data, digest_size=DIGEST_BYTES).hexdigest()
+    found = _call(file, "config-push", upload, digest, _against(against), *reason.split())
+    _finish(found, wait, file, as_json)
+
+
+@command.command()
+@click.argument("version", type=click.IntRange(min=1))
+@AGAINST
+@REASON
+@WAIT
+@CONFIG
+@JSON
+def rollback(version: int, against: int | None, reason: str, wait: float | None, file: str, as_json: bool) -> None:
+    """Have the fleet agree on the content of an earlier VERSION, under a new number."""
+    found = _call(file, "config-rollback", str(version), _against(against), *reason.split())
+    _finish(found, wait, file, as_json)
+
+
+@command.command()
+@CONFIG
+@JSON
+def status(file: str, as_json: bool) -> None:
+    """The newest version, which one is in force at the member that is asked, and how far each zone is."""
+    found = _call(file, "config-status")
+    if as_json:
+        echo_json(found)
+        return
+    word = "agreed now" if found["agreed"] else "as last known: no majority says so now"
+    click.echo(f"version {found['number']}, {word}; in force here: {found['in_force_here']}, "
+               f"from {found['serving_from']}; {'in force everywhere' if found['everywhere'] else 'not everywhere'}")  # fmt: skip
+    for zone in found["zones"]:
+        click.echo(f"  {zone['zone'] or '-'}: {zone['applied']} of {zone['members']}")
+    for line in laggards(found):
+        click.echo(f"  {line}")
+
+
+@command.command()
+@CONFIG
+@JSON
+def history(file: str, as_json: bool) -> None:
+    """The versions that were agreed, the oldest first: who, when, why, and what each restored."""
+    found = _call(file, "config-history")
+    if as_json:
+        echo_json(found)
+        return
+    for entry in found["entries"]:
+        click.echo(_written(entry))
+
+
+def _upload(file: str, data: bytes) -> str:
+    """Bring a body to the member in pieces; the name of the upload."""
+    import zstandard
+
+    upload = os.urandom(8).hex()
+    text = base64.urlsafe_b64encode(zstandard.ZstdCompressor(level=9).compress(data)).decode()
+    pieces = [text[start : start + PIECE] for start in range(0, len(text), PIECE)]
+    for index, piece in enumerate(pieces):
+        found = _call(file, "config-piece", upload, str(index), str(len(pieces)), piece)
+        if found["status"] != "done":
+            refuse(f"refused: {found['told']}", REFUSED)
+    return upload
+
+
+def _against(version: int | None) -> str:
+    return "-" if version is None else str(version)
+
+
+def _call(file: str, *words: str) -> Any:
+    """The answer to one call; ends with status 1 where it is no, and with 2 where there is none."""
+    return told(ask(file, None, codec.Call("FLEET", words[0], " ".join(words[1:])), ANSWER_WITHIN))
+
+
+def _finish(found: Any, wait: float | None, file: str, as_json: bool) -> NoReturn:
+    """Tell what came of a change, after waiting for it where that is asked for, and end."""
+    if found["status"] != "done":
+        _fail(found, as_json)
+    number = found["number"]
+    if wait is None:
+        _say(found, as_json, f"version {number} is agreed")
+        raise SystemExit(DONE)
+    spread = _wait(number, wait, file)
+    found = {**found, "spread": spread}
+    if spread["everywhere"]:
+        _say(found, as_json, f"version {number} is in force everywhere")
+        raise SystemExit(DONE)
+    lines = [f"version {number} is agreed and not in force everywhere", *(f"  {line}" for line in laggards(spread))]
+    _say(found, as_json, "\n".join(lines), err=True)
+    raise SystemExit(LATE)
+
+
+def _wait(number: int, seconds: float, file: str) -> Any:
+    """What the member says of the version, once it is in force everywhere or the time is over."""
+    until = time.monotonic() + seconds
+    try:
+        while True:
+            spread = _call(file, "config-status", str(number))
+            if spread["everywhere"] or time.monotonic() + POLL > until:
+                return spread
+            time.sleep(POLL)
+    except SystemExit:
+        click.echo(f"version {number} is agreed; how far it is cannot be told", err=True)
+        raise SystemExit(NO_ANSWER) from None
+
+
+def _fail(found: Any, as_json: bool) -> NoReturn:
+    if as_json:
+        echo_json(found)
+    else:
+        click.echo(f"{found['status']}: {found.get('told', '')}", err=True)
+        for problem in found.get("problems", []):
+            click.echo(f"  {problem}", err=True)
+        for entry in found.get("entries", []):
+            click.echo(f"  {_written(entry)}", err=True)
+    raise SystemExit(STATUSES.get(found["status"], REFUSED))
+
+
+def _say(found: Any, as_json: bool, text: str, err: bool = False) -> None:
+    if as_json:
+        echo_json(found)
+    else:
+        click.echo(text, err=err)
+
+
+def laggards(found: Any) -> list[str]:
+    """Who is not known to have the version in force, a line each, by zone."""
+    lines = []
+    for zone in found["zones"]:
+        place = zone["zone"] or "-"
+        for row in zone["behind"]:
+            why = f", refused {row['refused']}: {row['reason']}" if row["refused"] else ""
+            lines.append(f"{place}: {row['name']} behind, at {row['applied']}{why}")
+        lines += [f"{place}: {name} unknown: no fresh report" for name in zone["unknown"]]
+    return lines
+
+
+def _written(entry: Any) -> str:
+    when = time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(entry["when"]))
+    restored = f" restores {entry['restored']}" if entry.get("restored") else ""
+    return f"{entry['number']} {when} {entry['digest'][:12]} {entry['size']} bytes{restored} {entry['reason']} (by {entry['by']})"
--- /dev/null
+++ b/thistleshore/distribution/carrier.py
@@ -0,0 +1,226 @@
+"""One process's part in the distribution: the task that owns the machine, and the one that applies versions."""
+
+from __future__ import annotations
+
+import logging
+import os
+from collections.abc import Iterable
+from math import inf
+from typing import TYPE_CHECKING, NamedTuple
+
+import trio
+
+from thistleshore.distribution import agreement
+from thistleshore.distribution.applying import Applier, NotApplied, Start
+from thistleshore.distribution.machine import Distributor
+from thistleshore.distribution.model import Action, Address, Apply, Peer, Send, Spread, Stamp, Terms, digest_of
+from thistleshore.fleet.model import Record, State
+from thistleshore.listening import Aside
+from thistleshore.releases.faults import point
+from thistleshore.releases.model import Value
+
+if TYPE_CHECKING:
+    from thistleshore.fleet.carrier import Carrier as FleetCarrier
+    from thistleshore.releases.carrier import Releases
+
+log = logging.getLogger("thistleshore")
+
+WAITING_MOST = 512  # datagrams that wait for the machine; beyond that they are dropped and counted
+REST = 0.002  # s, the least between two calls of the machine's time
+BODY_RETRY = 0.5  # s before another voter is asked for a body that none has given
+APPLY_RETRY = 5.0  # s before a version that could not be applied is tried again: a disk may have room by then
+
+
+# -- events for the task that owns the machine
+
+
+class Datagram(NamedTuple):
+    data: bytes
+    sender: Address
+
+
+class ViewChanged(NamedTuple):
+    """The members of the fleet are others, or in another state."""
+
+
+class Agreed(NamedTuple):
+    """The register holds this version; `body` where this instance has it."""
+
+    stamp: Stamp
+    body: bytes | None
+
+
+class Applied(NamedTuple):
+    stamp: Stamp
+
+
+class Refused(NamedTuple):
+    stamp: Stamp
+    reason: str
+
+
+class SpreadAsked(NamedTuple):
+    """An operator wants to know how far the fleet is."""
+
+
+Event = Datagram | ViewChanged | Agreed | Applied | Refused | SpreadAsked
+
+
+class Distribution:
+    """Feeds the machine, and carries out what it asks for."""
+
+    def __init__(self, terms: Terms, fleet: FleetCarrier, releases: Releases, applier: Applier, start: Start) -> None:
+        self.fleet, self.releases, self.applier = fleet, releases, applier
+        self.serving_from = "disk" if start.held is not None else "file"
+        held = None if start.held is None else (start.held.stamp, start.held.body)
+        self.machine = Distributor(
+            fleet.plan.name,
+            peer_of(fleet.machine.me),
+            frozenset(releases.plan.voters),
+            terms,
+            trio.current_time(),
+            int.from_bytes(os.urandom(8), "big"),
+            held,
+        )
+        self._events, self._inbox = trio.open_memory_channel[Event](inf)
+        self._applies, self._to_apply = trio.open_memory_channel[Apply](inf)
+        self._agreed, self._to_learn = trio.open_memory_channel[Stamp](inf)
+        self._newest_agreed: Stamp | None = None
+        self._last_refused: Apply | None = None
+        self._aside = Aside()
+        fleet.distribution = self
+        releases.on_agreed = self.on_value
+
+    # -- what others tell it; none of these waits
+
+    def on_datagram(self, data: bytes, sender: Address) -> None:
+        """A datagram of the distribution has come in on the fleet's socket."""
+        if self._events.statistics().current_buffer_used >= WAITING_MOST:
+            self.machine.counts["flood"] += 1
+        else:
+            self._events.send_nowait(Datagram(data, sender))
+
+    def on_value(self, value: Value) -> None:
+        """A majority of the voters holds this value of the register."""
+        stamp = agreement.stamp(value, self.releases.register)
+        if stamp.number and stamp != self._newest_agreed:
+            self._newest_agreed = stamp
+            self._agreed.send_nowait(stamp)
+
+    def on_pushed(self, stamp: Stamp, body: bytes) -> None:
+        """A push of this instance is agreed: it is offered at once."""
+        self._events.send_nowait(Agreed(stamp, body))
+
+    def on_file(self) -> None:
+        """The instance's own file was read again: what did not go with the former one may go with it."""
+        if self._last_refused is not None:
+            self._applies.send_nowait(self._last_refused)
+
+    def step_aside(self, aside: bool) -> None:
+        """The next process of a hot restart takes part in this one's place; or it has gone."""
+        self._aside.turn(aside)
+
+    # -- what operators are told
+
+    @property
+    def newest(self) -> Stamp:
+        """The newest version that is known here."""
+        agreed = self._newest_agreed
+        return agreed if agreed is not None and agreed.number > self.machine.known.number else self.machine.known
+
+    async def spread(self, number: int, within: float) -> Spread:
+        """How far the fleet is with a version, by what the zone relays answer in that time."""
+        self._events.send_nowait(SpreadAsked())
+        until = trio.current_time() + within
+        await trio.sleep(min(within, SPREAD_LOOK))
+        while True:
+            found = self.machine.spread(number, trio.current_time())
+            if found.everywhere or trio.current_time() >= until:
+                return found
+            await trio.sleep(SPREAD_LOOK)
+
+    # -- tasks
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Take part until cancelled."""
+        task_status.started()
+        await self._aside.run(self._take_part)
+
+    async def _take_part(self) -> None:
+        await self._follow_disk()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._own)
+            nursery.start_soon(self._watch_view)
+            nursery.start_soon(self._learn)
+            nursery.start_soon(self._apply_in_turn)
+
+    async def _follow_disk(self) -> None:
+        """Put in force what the next process of a hot restart has left on the disk, before anything is reported."""
+        held = await self.applier.held()
+        if held is not None and held.stamp.number > self.machine.applied.number:
+            await self._apply(Apply(held.stamp, held.body))
+
+    async def _own(self) -> None:
+        """The one task that calls the machine."""
+        machine = self.machine
+        await self._carry_out(machine.on_view(peers_of(self.fleet), trio.current_time()))
+        while True:
+            event = None
+            with trio.move_on_at(max(machine.due, trio.current_time() + REST)):
+                event = await self._inbox.receive()
+            now = trio.current_time()
+            # Time first: whoever was stopped has to know it before it takes in what was said meanwhile.
+            if now >= machine.due:
+                await self._carry_out(machine.on_time(now))
+            if event is not None:
+                await self._carry_out(self._handle(event, now))
+
+    def _handle(self, event: Event, now: float) -> list[Action]:
+        machine = self.machine
+        match event:
+            case Datagram(data, sender):
+                return machine.on_datagram(data, sender, now)
+            case ViewChanged():
+                machine.me = peer_of(self.fleet.machine.me)
+                return machine.on_view(peers_of(self.fleet), now)
+            case Agreed(stamp, body):
+                return machine.on_agreed(stamp, body, now)
+            case Applied(stamp):
+                return machine.on_applied(stamp, now)
+            case Refused(stamp, reason):
+                return machine.on_refused(stamp, reason, now)
+            case SpreadAsked():
+                return machine.ask_spread(now)
+
+    async def _carry_out(self, actions: Iterable[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                await self.fleet.send(action.address, action.data)
+            elif isinstance(action, Apply):
+                self._applies.send_nowait(action)
+            else:
+                log.info("configuration: %s %s", action.what, action.told)
+
+    async def _watch_view(self) -> None:
+        async for _ in self.fleet.subscribe():
+            if not any(...):
+                ...
+
+    async def _learn(self) -> None:
+        """Tell the machine of each agreed version, with its body where this instance votes."""
+        async for stamp in self._to_learn:
+            self._events.send_nowait(Agreed(stamp, None))
+            if self.releases.voter is None:
+                continue
+            body = await self._body_of(stamp)
+            if body is not None:
+                self._events.send_nowait(Agreed(stamp, body))
+
+    async def _body_of(self, stamp: Stamp) -> bytes | None:
+        """The body of an agreed version from this voter's disk or another's; None once a newer one is agreed."""
+        while stamp == self._newest_agreed:
+            body = await self.releases.fetch_body(stamp.digest)
+            if body is not None and digest_of(body) == stamp.digest:
+                return body
+            await trio.sleep(BODY_RETRY)
+        return None
