Split dispatcher.serve into functions of one job each

serve had a hundred lines that wired ten subsystems, with imports in its body, and dispatcher.py held the following of a reread file beside it. A further subsystem had no obvious place.

dispatcher.py keeps serve as a list of steps in the same order; thistleshore/wiring/ has a module for each subsystem, which imports it at its top and is itself imported at one place, where the plan has it; Components holds what is wired. A further subsystem is one step in dispatcher._start_subsystems and one module in wiring. Follower is in follower.py. Two tests reach the ledger's and the list's functions by their new names.

--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -568,13 +568,14 @@
     file, told = at.file, dict[str, Any]()
 
     async def dispatcher(task_status: trio.TaskStatus[None]) -> None:
-        from thistleshore import dispatcher as module_
+        from thistleshore.dispatcher import serve
+        from thistleshore.wiring import shares
 
         def plan(**more: Any) -> config.Plan:
             return replace(config.operator_plan({**file(), **SHARES_FILE, **more}, 0.0), seed=7)
 
         send, rereads = trio.open_memory_channel[config.Plan](9)
-        keep = module_._keep_shares
+        keep = shares.keep
 
         def kept(broker: Any, made: config.Plan) -> None:
             keep(broker, made)
@@ -583,11 +584,11 @@
                 lambda: send.send_nowait(plan(member=[{"name": "one", "share": 0.9}])),
             )
 
-        module_._keep_shares = kept
+        shares.keep = kept
         try:
-            await module_.serve(plan(), at.drain, task_status, rereads)
+            await serve(plan(), at.drain, task_status, rereads)
         finally:
-            module_._keep_shares = keep
+            shares.keep = keep
 
     at.dispatcher = dispatcher  # type: ignore[method-assign]
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -20,10 +20,10 @@
 from tests.test_config import PLATFORM
 from tests.test_discovery import list_of, settings, watching
 from tests.test_edges import ANSWER, FULL, carried, host_at, request_to
-from thistleshore import dispatcher
 from thistleshore.core import model
 from thistleshore.core.broker import Broker
 from thistleshore.platform import upstream
+from thistleshore.wiring.http import wait_for_hosts
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
@@ -269,7 +269,7 @@
             nursery.start_soon(broker.run)
             line = model.HostLine(Entry(b"h", State.READY), ("127.0.0.1", 9))
             broker.post(model.HostsTold(ListKind.CACHED, (line,)))
-            nursery.start_soon(dispatcher._list, broker, None if asked else watch, listed)
+            nursery.start_soon(wait_for_hosts, broker, None if asked else watch, listed)
             nursery.start_soon(watch.run, broker.post)
             begun = trio.current_time()
             await listed.wait()
--- /dev/null
+++ b/thistleshore/follower.py
@@ -0,0 +1,123 @@
+"""Follows the configuration of a running dispatcher: what a file says that was read again is put in force."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Sequence
+from typing import TYPE_CHECKING
+
+import trio
+
+from thistleshore.config import Plan
+from thistleshore.core.broker import Broker
+from thistleshore.core.model import SettingsTold
+from thistleshore.platform.discovery import Discovery
+from thistleshore.platform.downstream import Downstream
+from thistleshore.platform.messages import Routes
+from thistleshore.platform.upstream import Upstreams
+from thistleshore.wiring.limits import longest_deadline, upstream_limits
+
+if TYPE_CHECKING:  # imported only where the plan has them
+    from thistleshore.fleet.carrier import Carrier
+    from thistleshore.restart.estate import Estate
+
+log = logging.getLogger("thistleshore")
+
+DROPPED_FOR = 2.0  # s in which a class that new settings leave out is still taken: clients hear of it later than we
+
+
+class Follower:
+    """Puts in force what the file says when read again; the rest of it needs a restart."""
+
+    def __init__(
+        self,
+        plan: Plan,
+        broker: Broker,
+        upstreams: Upstreams,
+        downstream: Downstream | None,
+        discovery: Discovery | None,
+    ) -> None:
+        """`plan` is what holds until a restart, with which each reading is compared."""
+        self.plan, self.broker, self.upstreams = plan, broker, upstreams
+        self.downstream, self.discovery = downstream, discovery
+        self.fleet: Carrier | None = None  # tells the other members of another file
+        self.handover: Estate | None = None  # what the next process is to know of new settings
+        self._newest: Routes | None = None
+
+    async def run(self, rereads: trio.MemoryReceiveChannel[Plan | None]) -> None:
+        """Each reading in its turn; None is one of a file that was turned down."""
+        async with trio.open_nursery() as nursery:
+            async for found in rereads:
+                if found is None:
+                    self.broker.record.sighup_rejected += 1
+                    continue
+                if changed := self.plan.changed(found):
+                    log.warning("configuration reread: a restart is needed for %s", ", ".join(changed))
+                if found.numbered:
+                    await self._apply_settings(found, nursery)
+                self._apply_rules(found, changed)
+                self._move_discovery(found)
+                if self.fleet is not None:
+                    self.fleet.on_file(found.told)
+                self.broker.record.sighup_applied += 1
+
+    async def _apply_settings(self, found: Plan, nursery: trio.Nursery) -> None:
+        """New settings: the module's before the fronts', which name classes by its numbers."""
+        self.broker.post(SettingsTold(found.settings, found.class_names))  # before a list that has their names
+        self.upstreams.ways = upstream_limits(found)
+        assert found.http is not None
+        routes = found.http.routes
+        if (downstream := self.downstream) is not None:
+            # What was in force a moment ago is known for a while; each class by its newest rules.
+            downstream.routes = routes._replace(classes={**downstream.routes.classes, **routes.classes})
+            downstream.gate.longest = longest_deadline(found)
+        nursery.start_soon(self._drop_old_classes, routes)
+        if self.discovery is not None:
+            self.discovery.names = found.http.names
+            self.discovery.watch.on_settings(found.settings)
+        if self.handover is not None:
+            self.handover.plan = found
+        log.info("configuration reread: settings with %d classes in force", len(found.http.routes.classes))
+
+    async def _drop_old_classes(self, routes: Routes) -> None:
+        """Know only the classes of these settings, unless newer ones have come."""
+        self._newest = routes
+        await trio.sleep(DROPPED_FOR)
+        if self._newest is routes:
+            if self.downstream is not None:
+                self.downstream.routes = routes
+
+    def _apply_rules(self, found: Plan, changed: Sequence[str]) -> None:
+        live = self.plan.live
+        if live is None or found.live is None:
+            return
+        if tied := sorted({"contract", "service"} & set(changed)):
+            # The new rules speak of the new contracts, which do not hold yet: half of a file must not.
+            log.error(
+                "configuration reread: the old rules hold, as the new ones need a restart for %s", ", ".join(tied)
+            )
+        else:
+            live.swap(found.live.table)
+            log.info("configuration reread: %d rules in force", len(live.table.rules.rules))
+            _adopt_shares(self.broker, found)
+
+    def _move_discovery(self, found: Plan) -> None:
+        address = found.http.discovery if found.http is not None else None
+        if self.discovery is None or address is None or address == self.discovery.address:
+            log.info("configuration reread: discovery stays where it was")
+        else:
+            log.info("configuration reread: discovery moves to %s:%d", *address)
+            self.discovery.move(address)
+
+
+def _adopt_shares(broker: Broker, found: Plan) -> None:
+    """Put new shares in force; counters, estimates and budgets of what goes on are kept."""
+    if broker.ledger is None or found.agreements is None:
+        if (broker.ledger is None) != (found.agreements is None):
+            log.warning("configuration reread: a restart is needed to begin or to end the keeping of shares")
+        return
+    now = trio.current_time()
+    broker.ledger.adopt(found.agreements, now)
+    if broker.exchange is not None:
+        broker.exchange.adopt(found.agreements.leaves, found.agreements.names, now)
+    log.info("configuration reread: shares of %d members in force", len(found.agreements.members))
--- /dev/null
+++ b/thistleshore/wiring/limits.py
@@ -0,0 +1,16 @@
+"""Limits that fronts and upstream connections take from a plan, at the start and whenever a file is read again."""
+
+from __future__ import annotations
+
+from thistleshore.config import Plan
+from thistleshore.platform.upstream import Ways
+
+
+def longest_deadline(plan: Plan) -> float:
+    """The longest deadline of any class, s."""
+    return max(job_class.give_up for job_class in plan.settings.classes)
+
+
+def upstream_limits(plan: Plan) -> Ways:
+    """Times and numbers of connections to upstream hosts."""
+    return Ways(plan.connect_within, plan.idle_most, plan.upstream_most)
