--- /dev/null
+++ b/thistleshore/distribution/applying.py
@@ -0,0 +1,178 @@
+"""Applying versions at one instance: checked with its own file, made durable, put in force.  One at a time.
+
+Whatever fails leaves the version before in force, whole.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Sequence
+from dataclasses import replace
+from typing import NamedTuple
+
+import trio
+
+from thistleshore.config import Plan
+from thistleshore.core.model import HostLine
+from thistleshore.distribution import document
+from thistleshore.distribution.model import FORMAT, REASON_MOST, Stamp
+from thistleshore.distribution.store import StoreError, VersionStore
+from thistleshore.releases.faults import point
+
+log = logging.getLogger("thistleshore")
+
+HOSTS = "host"  # the table of a body that lists upstream hosts
+
+
+class NotApplied(Exception):
+    """A version that cannot be put in force at this instance."""
+
+    def __init__(self, *problems: str) -> None:
+        super().__init__("; ".join(problems))
+        self.problems = problems
+
+    @property
+    def reason(self) -> str:
+        """As it is reported to the fleet."""
+        return str(self)[:REASON_MOST]
+
+
+class Held(NamedTuple):
+    """A version with its body."""
+
+    stamp: Stamp
+    body: bytes
+
+
+class Checked(NamedTuple):
+    """What a body comes to at this instance."""
+
+    plan: Plan  # of the own file with the body's tables; `told` is that of the own file
+    hosts: bool  # whether the body says which upstream hosts there are
+
+
+class Start(NamedTuple):
+    """What an instance starts on; the version is None where it starts on its own file."""
+
+    plan: Plan
+    held: Held | None
+    problem: str = ""  # why the version on the disk is not used
+
+
+Force = Callable[[Plan, Sequence[HostLine] | None], None]
+
+
+class Applier:
+    """Knows the own file, and the version that is laid over it."""
+
+    def __init__(self, store: VersionStore, file: Plan) -> None:
+        """`file` is the plan of the own file alone."""
+        self.store = store
+        self.in_force: Held | None = None
+        self.force: Force | None = None  # puts a plan, and hosts where they are told, in force in the running process
+        self._file = file  # as it was last put in force
+        self._keeps_shares: bool | None = None  # what the running process cannot change; None while it starts
+        self._hosts_told = False  # whether the hosts in force are those of a version
+        self._turn = trio.Lock()
+
+    # -- the start
+
+    def start(self) -> Start:
+        """Lay the version on the disk over the own file; the own file alone where that cannot be."""
+        try:
+            held = self._read()
+            if held is None:
+                return self._started(self._file, None)
+            checked = self._check(held.body)
+        except (StoreError, NotApplied) as problem:
+            log.error("configuration: the version on the disk is not used, this instance's own file is: %s", problem)
+            return self._started(self._file, None, str(problem))
+        log.info("configuration: started on version %d of the disk", held.stamp.number)
+        self._hosts_told = checked.hosts
+        return self._started(checked.plan, held)
+
+    def _started(self, plan: Plan, held: Held | None, problem: str = "") -> Start:
+        self.in_force, self._keeps_shares = held, plan.agreements is not None
+        return Start(plan, held, problem)
+
+    def _read(self) -> Held | None:
+        found = self.store.read()
+        return None if found is None else Held(*found)
+
+    async def held(self) -> Held | None:
+        """The version on the disk; None where there is none that can be used."""
+        try:
+            return await trio.to_thread.run_sync(self._read)
+        except StoreError as problem:
+            log.warning("configuration: %s", problem)
+            return None
+
+    # -- while it runs
+
+    async def check(self, body: bytes) -> Checked:
+        """What a body comes to here; NotApplied with all that is wrong with it."""
+        # A thousand rules take a third of a second to compile: streams must not wait for that.
+        async with self._turn:
+            return await trio.to_thread.run_sync(self._check, body)
+
+    async def apply(self, stamp: Stamp, body: bytes) -> None:
+        """Put a version in force; NotApplied where the one before stays."""
+        if stamp.format > FORMAT:
+            raise NotApplied(f"its body has format {stamp.format}, and this program reads {FORMAT}")
+        async with self._turn:
+            checked = await trio.to_thread.run_sync(self._check, body)
+            point("configuration-checked")
+            await trio.to_thread.run_sync(self._write, stamp, body)
+            point("configuration-durable")
+            self._put_in_force(checked)
+            self.in_force = Held(stamp, body)
+            point("configuration-in-force")
+
+    async def reread(self, file: Plan) -> Plan:
+        """The plan of the own file, read again, with the version in force laid over it; the caller puts it in force.
+
+        NotApplied where they do not go together: then the former file counts on.
+        """
+        async with self._turn:
+            if self.in_force is None:
+                self._file = file
+                return file
+            checked = await trio.to_thread.run_sync(self._check, self.in_force.body, file)
+            self._file = file
+            return checked.plan
+
+    def _check(self, body: bytes, file: Plan | None = None) -> Checked:
+        file = self._file if file is None else file
+        try:
+            parsed = document.parse(body)
+            found = document.plan_of(file.told, parsed, file.epoch)
+        except document.DocumentError as problem:
+            raise NotApplied(*problem.problems) from None
+        hosts = HOSTS in parsed.tables
+        if problems := self._obstacles(file, found, hosts):
+            raise NotApplied(*problems)
+        # What the file says for itself stays to be compared with other readings of it.
+        return Checked(replace(found, told=file.told, seed=file.seed), hosts)
+
+    def _obstacles(self, file: Plan, found: Plan, hosts: bool) -> list[str]:
+        """What a sound plan asks for and this process cannot do."""
+        problems = []
+        if hosts and file.http is not None and file.http.discovery is not None:
+            problems.append(f"{HOSTS}: this instance has its hosts from [discovery]")
+        if self._keeps_shares is not None and self._keeps_shares != (found.agreements is not None):
+            word = "end" if self._keeps_shares else "begin"
+            problems.append(f"member: a restart is needed to {word} the keeping of shares")
+        return problems
+
+    def _write(self, stamp: Stamp, body: bytes) -> None:
+        try:
+            self.store.write(stamp, body)
+        except StoreError as problem:
+            raise NotApplied(str(problem)) from None
+
+    def _put_in_force(self, checked: Checked) -> None:
+        assert self.force is not None
+        # A version without hosts gives the file's back, where the one before had some.
+        tell_hosts = checked.hosts or self._hosts_told
+        self.force(checked.plan, checked.plan.known if tell_hosts else None)
+        self._hosts_told = checked.hosts
--- a/thistleshore/distribution/carrier.py
+++ b/thistleshore/distribution/carrier.py
@@ -28,7 +28,8 @@
 WAITING_MOST = 512  # datagrams that wait for the machine; beyond that they are dropped and counted
 REST = 0.002  # s, the least between two calls of the machine's time
 BODY_RETRY = 0.5  # s before another voter is asked for a body that none has given
-APPLY_RETRY = 5.0  # s before a version that could not be applied is tried again: a disk may have room by then
+VIEW_REST = 0.05  # s between two looks at a view that changes
+SPREAD_LOOK = 0.05  # s between two looks at the reports that have come
 
 
 # -- events for the task that owns the machine
@@ -202,9 +203,16 @@
                 log.info("configuration: %s %s", action.what, action.told)
 
     async def _watch_view(self) -> None:
-        async for _ in self.fleet.subscribe():
-            if not any(...):
-                ...
+        """Tell the machine of a changed view; of many changes at once, once."""
+        changes = self.fleet.subscribe()
+        try:
+            async for _ in changes:
+                while changes.statistics().current_buffer_used:
+                    changes.receive_nowait()
+                self._events.send_nowait(ViewChanged())
+                await trio.sleep(VIEW_REST)
+        finally:
+            self.fleet.unsubscribe(changes)
 
     async def _learn(self) -> None:
         """Tell the machine of each agreed version, with its body where this instance votes."""
@@ -224,3 +232,36 @@
                 return body
             await trio.sleep(BODY_RETRY)
         return None
+
+    # -- applying
+
+    async def _apply_in_turn(self) -> None:
+        async for action in self._to_apply:
+            if action.stamp.number > self.machine.applied.number:
+                await self._apply(action)
+
+    async def _apply(self, action: Apply) -> None:
+        """Put a version in force, and tell the machine what came of it."""
+        stamp = action.stamp
+        try:
+            await self.applier.apply(stamp, action.body)
+        except NotApplied as problem:
+            self._last_refused = action
+            log.error("configuration: version %d is not in force here: %s", stamp.number, problem)
+            self._events.send_nowait(Refused(stamp, problem.reason))
+            return
+        self._last_refused = None
+        self.serving_from = "fleet"
+        log.info("configuration: version %d is in force", stamp.number)
+        self._events.send_nowait(Applied(stamp))
+
+
+def peer_of(record: Record) -> Peer:
+    """A member of the view as the machine knows it."""
+    return Peer(record.name, record.address, record.zone, record.life, record.state == State.ALIVE)
+
+
+def peers_of(fleet: FleetCarrier) -> list[Peer]:
+    """All other members that the view knows and that have not left."""
+    records = (member.record for member in fleet.machine.members.values())
+    return [peer_of(record) for record in records if record.state != State.LEFT]
--- /dev/null
+++ b/thistleshore/distribution/uploads.py
@@ -0,0 +1,92 @@
+"""Bodies that operators bring in pieces, as one call of the admin interface carries only so much."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import io
+import re
+from dataclasses import dataclass, field
+
+import zstandard
+
+from thistleshore.distribution.model import BODY_MOST
+
+UPLOADS_MOST = 8  # at a time
+PIECES_MOST = 160  # of one; a body that cannot be compressed needs 117
+PIECE_MOST = 3000  # characters of one
+EXPIRES = 30.0  # s after its last piece
+WINDOW_MOST = 1 << 23  # bytes that a decompressor may take for what lies behind
+NAME = re.compile(r"[0-9a-zA-Z_-]{1,32}")
+
+
+class UploadError(ValueError):
+    """A piece, or an upload as a whole, that cannot be used."""
+
+
+@dataclass(slots=True)
+class Upload:
+    """The pieces of one body that have come."""
+
+    count: int
+    touched: float
+    pieces: dict[int, str] = field(default_factory=dict)
+
+
+class Uploads:
+    """All that are under way; bounded in number and size, and dropped where nothing more comes."""
+
+    def __init__(self) -> None:
+        self._uploads: dict[str, Upload] = {}
+
+    def add(self, name: str, index: str, count: str, data: str, now: float) -> None:
+        """Take a piece in; the same piece twice is one piece."""
+        self._expire(now)
+        if not NAME.fullmatch(name):
+            raise UploadError("the name of an upload has 1 to 32 letters and digits")
+        number, pieces = _whole(index), _whole(count)
+        if not 1 <= pieces <= PIECES_MOST or not 0 <= number < pieces:
+            raise UploadError(f"piece {index} of {count}: at most {PIECES_MOST} are taken")
+        if len(data) > PIECE_MOST:
+            raise UploadError(f"a piece has at most {PIECE_MOST} characters")
+        upload = self._uploads.get(name)
+        if upload is None:
+            if len(self._uploads) >= UPLOADS_MOST:
+                raise UploadError(f"{UPLOADS_MOST} uploads are under way; try again in {EXPIRES:g} s")
+            upload = self._uploads[name] = Upload(pieces, now)
+        if upload.count != pieces:
+            raise UploadError(f"upload {name} has {upload.count} pieces")
+        upload.pieces[number], upload.touched = data, now
+
+    def take(self, name: str, now: float) -> bytes:
+        """The body of a whole upload, which is forgotten."""
+        self._expire(now)
+        upload = self._uploads.get(name)
+        if upload is None:
+            raise UploadError(f"no upload {name} is here: it has expired, or was brought to another member")
+        if missing := upload.count - len(upload.pieces):
+            raise UploadError(f"{missing} of {upload.count} pieces of upload {name} are missing")
+        del self._uploads[name]
+        return decompressed("".join(upload.pieces[number] for number in range(upload.count)))
+
+    def _expire(self, now: float) -> None:
+        self._uploads = {name: upload for name, upload in self._uploads.items() if now - upload.touched <= EXPIRES}
+
+
+def _whole(text: str) -> int:
+    if not (text.isascii() and text.isdigit() and len(text) < 6):
+        raise UploadError(f"a whole number is wanted, not {text!r}")
+    return int(text)
+
+
+def decompressed(text: str) -> bytes:
+    """The body of a whole upload's text."""
+    try:
+        data = base64.b64decode(text, altchars=b"-_", validate=True)
+        with zstandard.ZstdDecompressor(max_window_size=WINDOW_MOST).stream_reader(io.BytesIO(data)) as reader:
+            body = reader.read(BODY_MOST + 1)
+    except (binascii.Error, ValueError, zstandard.ZstdError) as problem:
+        raise UploadError(f"the upload is spoilt: {problem}") from None
+    if len(body) > BODY_MOST:
+        raise UploadError(f"a body has at most {BODY_MOST} bytes")
+    return body
--- a/thistleshore/fleet/carrier.py
+++ b/thistleshore/fleet/carrier.py
@@ -23,6 +23,8 @@
 from thistleshore.listening import Aside
 
 if TYPE_CHECKING:
+    from thistleshore.distribution.calls import ConfigurationCalls
+    from thistleshore.distribution.carrier import Distribution
     from thistleshore.releases.carrier import Releases
 
 log = logging.getLogger("thistleshore")
@@ -34,6 +36,7 @@
 GOODBYES, GOODBYE_GAP = 3, 0.02  # a goodbye may be lost
 BOUND_AGAIN = 1.0  # s before an address that is taken is tried again
 APART = 64  # incarnations that the next process of a hot restart begins above those of the one before
+DISTRIBUTION = b"tC"  # how datagrams begin that are of the distribution of configuration, not of the view
 NUMBERS_APART = 100_000  # and numbers of datagrams: the one before goes on sending until the next one serves
 
 
@@ -65,7 +68,10 @@
         now = trio.current_time()
         self.machine = Fleet(plan.name, me, plan.terms, plan.seeds, now, int.from_bytes(os.urandom(8), "big"), allowed,
                              number)  # fmt: skip
+        self.is_allowed = allowed
         self.releases: Releases | None = None
+        self.distribution: Distribution | None = None  # whose datagrams come in on the same socket
+        self.configuration_calls: ConfigurationCalls | None = None
         self.subscribers: list[trio.MemorySendChannel[Changed]] = []
         self.socket: trio.socket.SocketType | None = (
             trio.socket.from_stdlib_socket(inherited) if inherited is not None else None
@@ -79,6 +85,11 @@
         self.subscribers.append(made[0])
         return made[1]
 
+    def unsubscribe(self, events: trio.MemoryReceiveChannel[Changed]) -> None:
+        """Tell no more; the channel is closed."""
+        events.close()
+        self.subscribers = [channel for channel in self.subscribers if channel.statistics().open_receive_channels]
+
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Take part until cancelled, which says no goodbye: `leave` does.  An address that is taken is tried again."""
         task_status.started()
@@ -150,11 +161,23 @@
                 await trio.sleep(FLOODED)
                 continue
             tokens -= 1.0
+            if self.distribution is not None and data.startswith(DISTRIBUTION):
+                self._hand_to_distribution(self.distribution, data, sender)
+                continue
             try:
                 self._send.send_nowait((data, sender[0]))
             except trio.WouldBlock:
                 counts["flood"] += 1
 
+    def _hand_to_distribution(self, distribution: Distribution, data: bytes, sender: Address) -> None:
+        """Hand a datagram on that comes from one of the fleet's networks and is no longer than it may be."""
+        if not self.is_allowed(sender[0]):
+            self.machine.counts["network"] += 1
+        elif len(data) > self.plan.terms.datagram:
+            self.machine.counts["garbage"] += 1
+        else:
+            distribution.on_datagram(data, (sender[0], sender[1]))
+
     async def _own(self) -> None:
         """The one task that owns the machine."""
         machine = self.machine
@@ -176,14 +199,18 @@
             if found is not None:
                 await self._carry_out(machine.on_datagram(*found, now))
 
+    async def send(self, address: Address, data: bytes) -> None:
+        """Send a datagram; one that cannot be sent is counted."""
+        try:
+            if self.socket is not None:
+                await self.socket.sendto(data, address)
+        except OSError:  # its host is down, or no buffer is left: it is told again
+            self.machine.counts["unsent"] += 1
+
     async def _carry_out(self, actions: list[Action]) -> None:
         for action in actions:
             if isinstance(action, Send):
-                try:
-                    if self.socket is not None:
-                        await self.socket.sendto(action.data, action.address)
-                except OSError:  # its host is down, or no buffer is left: it is told again
-                    self.machine.counts["unsent"] += 1
+                await self.send(action.address, action.data)
             else:
                 log.info("fleet: %s %s", action.what, action.name, extra={
                     "life": action.life, "incarnation": action.incarnation, "told": action.told})  # fmt: skip
@@ -194,6 +221,10 @@
 
     async def on_call(self, name: str, argument: str) -> tuple[bool, Any]:
         """One call of the admin interface: whether it was done, and what there is to say."""
+        if name.startswith("config-"):
+            if self.configuration_calls is None:
+                return False, "no [fleet.configuration] in the file"
+            return True, await self.configuration_calls.on_call(name, argument.split())
         if name not in ("members", "status", "events", "leave", "forget"):
             if self.releases is None:
                 return False, "no [fleet.register] in the file"
--- a/thistleshore/follower.py
+++ b/thistleshore/follower.py
@@ -8,9 +8,10 @@
 
 import trio
 
+from oxbowarch.interface import ListKind
 from thistleshore.config import Plan
 from thistleshore.core.broker import Broker
-from thistleshore.core.model import SettingsTold
+from thistleshore.core.model import HostLine, HostsTold, SettingsTold
 from thistleshore.platform.discovery import Discovery
 from thistleshore.platform.downstream import Downstream
 from thistleshore.platform.messages import Routes
@@ -18,11 +19,13 @@
 from thistleshore.wiring.limits import longest_deadline, upstream_limits
 
 if TYPE_CHECKING:  # imported only where the plan has them
+    from thistleshore.distribution.applying import Applier
     from thistleshore.fleet.carrier import Carrier
     from thistleshore.restart.estate import Estate
 
 log = logging.getLogger("thistleshore")
 
+NEEDS_RESTART = frozenset({"contract", "service"})  # the rules of a file in which these differ do not hold yet
 DROPPED_FOR = 2.0  # s in which a class that new settings leave out is still taken: clients hear of it later than we
 
 
@@ -41,6 +44,7 @@
         self.plan, self.broker, self.upstreams = plan, broker, upstreams
         self.downstream, self.discovery = downstream, discovery
         self.fleet: Carrier | None = None  # tells the other members of another file
+        self.applier: Applier | None = None  # lays the agreed configuration over the file
         self.handover: Estate | None = None  # what the next process is to know of new settings
         self._newest: Routes | None = None
 
@@ -51,15 +55,39 @@
                 if found is None:
                     self.broker.record.sighup_rejected += 1
                     continue
-                if changed := self.plan.changed(found):
-                    log.warning("configuration reread: a restart is needed for %s", ", ".join(changed))
-                if found.numbered:
-                    await self._apply_settings(found, nursery)
-                self._apply_rules(found, changed)
-                self._move_discovery(found)
-                if self.fleet is not None:
-                    self.fleet.on_file(found.told)
-                self.broker.record.sighup_applied += 1
+                if await self._follow(found, nursery):
+                    self.broker.record.sighup_applied += 1
+                else:
+                    self.broker.record.sighup_rejected += 1
+
+    async def _follow(self, found: Plan, nursery: trio.Nursery) -> bool:
+        """Put a reading of the file in force, as far as it goes without a restart; whether it was taken."""
+        if changed := self.plan.changed(found):
+            log.warning("configuration reread: a restart is needed for %s", ", ".join(changed))
+        if self.applier is not None and not NEEDS_RESTART & set(changed):
+            overlaid = await self.applier.reread(found)
+            if overlaid is None:
+                return False
+            found = overlaid  # and nothing waits from here on, so that no version comes between
+        if found.numbered:
+            await self._apply_settings(found, nursery)
+        self._apply_rules(found, changed)
+        self._move_discovery(found)
+        if self.fleet is not None:
+            self.fleet.on_file(found.told)
+        return True
+
+    def adopt(self, found: Plan, hosts: Sequence[HostLine] | None) -> None:
+        """Put the rules and shares of an agreed configuration in force, and its hosts where it has some."""
+        if self.plan.live is not None and found.live is not None:
+            self.plan.live.swap(found.live.table)
+        _adopt_shares(self.broker, found)
+        if hosts is not None:
+            self.tell_hosts(hosts)
+
+    def tell_hosts(self, hosts: Sequence[HostLine]) -> None:
+        """These are all upstream hosts from now on; streams at the others run to their end."""
+        self.broker.post(HostsTold(ListKind.FULL, tuple(hosts)))
 
     async def _apply_settings(self, found: Plan, nursery: trio.Nursery) -> None:
         """New settings: the module's before the fronts', which name classes by its numbers."""
@@ -91,7 +119,7 @@
         live = self.plan.live
         if live is None or found.live is None:
             return
-        if tied := sorted({"contract", "service"} & set(changed)):
+        if tied := sorted(NEEDS_RESTART & set(changed)):
             # The new rules speak of the new contracts, which do not hold yet: half of a file must not.
             log.error(
                 "configuration reread: the old rules hold, as the new ones need a restart for %s", ", ".join(tied)
--- a/thistleshore/metrics.py
+++ b/thistleshore/metrics.py
@@ -6,7 +6,7 @@
 import logging
 from collections.abc import Callable, Iterable, Iterator, Mapping
 
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import h11
 import trio
@@ -18,6 +18,9 @@
 from thistleshore.listening import patiently
 from thistleshore.platform.messages import Peer
 
+if TYPE_CHECKING:
+    from thistleshore.distribution.machine import Distributor
+
 log = logging.getLogger("thistleshore")
 
 READ_WITHIN = 2.0  # s for a scraper to say what it wants and to take the page
@@ -96,6 +99,26 @@
         yield events
 
 
+class Configuration(Collector):
+    """The versions of the agreed configuration, as this member has them; 0 stands for its own file."""
+
+    def __init__(self, machine: Callable[[], Distributor | None]) -> None:
+        """`machine` gives None until the distribution has been set up."""
+        self.machine = machine
+
+    def collect(self) -> Iterator[Metric]:
+        machine = self.machine()
+        if machine is None:
+            return
+        yield GaugeMetricFamily("thistleshore_configuration_in_force", "version in force here", machine.applied.number)
+        yield GaugeMetricFamily("thistleshore_configuration_known", "newest version known here", machine.known.number)
+        events = CounterMetricFamily("thistleshore_configuration_events", "what the distribution did and met",
+                                     labels=("kind",))  # fmt: skip
+        for kind, count in sorted(machine.counts.items()):
+            events.add_metric((kind,), count)
+        yield events
+
+
 class Page:
     """Serves `GET /metrics`, one request a connection."""
 
--- a/thistleshore/releases/faults.py
+++ b/thistleshore/releases/faults.py
@@ -10,6 +10,13 @@
 import signal
 
 POINTS = ("driver-before", "driver-after", "keeper-taken", "keeper-beside", "keeper-trial", "keeper-ending")
+CONFIGURATION_POINTS = (
+    "configuration-deposited",
+    "configuration-agreed",
+    "configuration-checked",
+    "configuration-durable",
+    "configuration-in-force",
+)
 
 
 def point(name: str) -> None:
--- a/thistleshore/restart/estate.py
+++ b/thistleshore/restart/estate.py
@@ -131,6 +131,8 @@
             self.fleet.step_aside(aside)
             if self.fleet.releases is not None:
                 self.fleet.releases.step_aside(aside)
+            if self.fleet.distribution is not None:
+                self.fleet.distribution.step_aside(aside)
         if self.admin is not None:
             self.admin.step_aside(aside)
         settings = self.plan.settings
