Name the handover of a hot restart by the field's terms: HandoverState, HandoverHandler

Need: Estate, Heirs and Succession are metaphors that a newcomer has to have explained. The files are as the formatter writes them. No behaviour changes; nothing of the wire or the log is renamed.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -23,7 +23,7 @@
 from thistleshore.platform.messages import ListNames
 from thistleshore.platform.upstream import Upstreams, Ways
 from thistleshore.platform.watching import CARRIED, TOLD_AFTER, TOLD_AFTER_MOVE, Call, Pace, Refused, Watch, pace_of
-from thistleshore.restart import estate
+from thistleshore.restart.handover_state import HandoverState
 
 SIZES = (1, 40, 200, 1024)
 DRAIN = 3.0
@@ -553,11 +553,11 @@
         assert plan.http is not None
         broker, watch = Broker(Brain(settings(), 1, 0.0)), watching(9, seq=9)
         front = Downstream(plan.http.routes, broker.listed, broker.inbox, 9)
-        left = estate.Estate(plan, broker, front, Upstreams(Ways(1.0, 1.0, 9)), None, watch)
+        left = HandoverState(plan, broker, front, Upstreams(Ways(1.0, 1.0, 9)), None, watch)
         broker.version = 8
-        here = left.leave()[0]["list"]["seq"]
+        here = left.snapshot()[0]["list"]["seq"]
         watch.move(("127.0.0.1", 10))  # where it means nothing
-        return here, left.leave()[0]["list"]["seq"]
+        return here, left.snapshot()[0]["list"]["seq"]
 
     assert play(scenario) == (8, 0)
 
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -26,7 +26,7 @@
 from oxbowarch.interface import Effect, Entry, JobClass, ListKind, Request, Settings, State
 from tests.support import CUTS, GARBAGE, ROOT, free_port, steady
 from thistleshore.restart import frame
-from thistleshore.restart.estate import _pieces
+from thistleshore.restart.handover_state import _pieces
 
 # -- the frame
 
--- a/thistleshore/dispatcher.py
+++ b/thistleshore/dispatcher.py
@@ -136,7 +136,7 @@
             await fronts.start(front.run, address)
         task_status.started()
         if components.handover is not None:
-            await components.nursery.start(components.handover.succession.run)
+            await components.nursery.start(components.handover.links.run)
         components.serving.set()  # whoever is told so may start the next process
         components.start_member_tasks()
 
--- a/thistleshore/follower.py
+++ b/thistleshore/follower.py
@@ -19,7 +19,7 @@
 
 if TYPE_CHECKING:  # imported only where the plan has them
     from thistleshore.fleet.carrier import Carrier
-    from thistleshore.restart.estate import Estate
+    from thistleshore.restart.handover_state import HandoverState
 
 log = logging.getLogger("thistleshore")
 
@@ -41,7 +41,7 @@
         self.plan, self.broker, self.upstreams = plan, broker, upstreams
         self.downstream, self.discovery = downstream, discovery
         self.fleet: Carrier | None = None  # tells the other members of another file
-        self.handover: Estate | None = None  # what the next process is to know of new settings
+        self.handover: HandoverState | None = None  # what the next process is to know of new settings
         self._newest: Routes | None = None
 
     async def run(self, rereads: trio.MemoryReceiveChannel[Plan | None]) -> None:
--- a/thistleshore/restart/carrier.py
+++ b/thistleshore/restart/carrier.py
@@ -1,4 +1,4 @@
-"""The Unix socket between the two processes of a hot restart: one leaves, one takes over, and both tell of bans."""
+"""The Unix socket between the two processes of a hot restart: state and sockets go over it, then news of bans."""
 
 from __future__ import annotations
 
@@ -94,25 +94,35 @@
     def fileno(self) -> int: ...
 
 
-class Heirs(Protocol):
-    """What the process that serves does about those that take over."""
+class HandoverHandler(Protocol):
+    """What the process that serves does for the processes that take over from it."""
 
-    def leave(self) -> tuple[Mapping[str, Any], Sequence[tuple[str, HasFile]]]: ...
+    def snapshot(self) -> tuple[Mapping[str, Any], Sequence[tuple[str, HasFile]]]:
+        """The state to hand over, and the sockets by name."""
+        ...
 
-    def step_aside(self, aside: bool) -> None: ...
+    def step_aside(self, aside: bool) -> None:
+        """The next process serves, or has gone again."""
+        ...
 
-    async def ban(self, host: str, out: bool, source: Link) -> None: ...
+    async def on_ban(self, host: str, out: bool, source: Link) -> None:
+        """An operator has taken a host out at the other process, or called it back."""
+        ...
 
-    async def tell(self, link: Link) -> None: ...
+    async def tell_new_streams(self, link: Link) -> None:
+        """Tell the other process, until cancelled, of the streams that are opened here."""
+        ...
 
-    def hear(self, names: Any) -> None: ...
+    def on_stream_names(self, names: Any) -> None:
+        """The other process has told of streams that were opened there."""
+        ...
 
 
-class Succession:
-    """One process's end of all such lines: to the one before it, and to those that come after."""
+class HandoverLinks:
+    """One process's links to the process before it and to those that come after."""
 
-    def __init__(self, path: str, heirs: Heirs) -> None:
-        self.path, self.heirs = path, heirs
+    def __init__(self, path: str, handler: HandoverHandler) -> None:
+        self.path, self.handler = path, handler
         self.links: list[Link] = []
         self.before: Link | None = None  # to a process that would serve again in this one's place
 
@@ -127,7 +137,7 @@
         this one is gone; and one that comes after must not count on this one for that."""
         before, self.before = self.before, None
         if before is not None:
-            self.heirs.step_aside(True)
+            self.handler.step_aside(True)
             await before.say(ready=False)
         for link in list(self.links):
             if link is not before:
@@ -152,16 +162,16 @@
         async for values in link.heard():
             if values.get("ready") is True and not serves:
                 serves = True
-                self.heirs.step_aside(True)
+                self.handler.step_aside(True)
             if values.get("ready") is False and serves:
                 serves = False
-                self.heirs.step_aside(False)
+                self.handler.step_aside(False)
             if values.get("drains") is True and link is self.before:
                 self.before = None
             if link is self.before and "names" in values:
-                self.heirs.hear(values["names"])
+                self.handler.on_stream_names(values["names"])
             if isinstance(values.get("ban"), str):
-                await self.heirs.ban(values["ban"], values.get("out") is True, link)
+                await self.handler.on_ban(values["ban"], values.get("out") is True, link)
         return serves
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
@@ -218,7 +228,7 @@
                     greeting += part
                 if greeting != frame.GREETING:
                     raise frame.Spoilt("the greeting is of another version")
-                values, sockets = self.heirs.leave()
+                values, sockets = self.handler.snapshot()
                 data = frame.framed({**values, "sockets": [name for name, _ in sockets]})
                 fds = array.array("i", [kept.fileno() for _, kept in sockets])
                 more = [(socket.SOL_SOCKET, socket.SCM_RIGHTS, fds)] if fds else []
@@ -227,7 +237,7 @@
             log.info("handed over to the next process: %d bytes, %d sockets", len(data), len(sockets))
             self.links.append(link)
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self.heirs.tell, link)
+                nursery.start_soon(self.handler.tell_new_streams, link)
                 serves = await self._hear(link)
                 nursery.cancel_scope.cancel()
         except (OSError, trio.TooSlowError, frame.Spoilt) as problem:
@@ -240,7 +250,7 @@
                 self.links.remove(link)
             sock.close()
         if serves:
-            self.heirs.step_aside(False)
+            self.handler.step_aside(False)
 
 
 def _reachable(path: str) -> str:
--- a/thistleshore/restart/estate.py
+++ b/thistleshore/restart/handover_state.py
@@ -1,4 +1,4 @@
-"""What a dispatcher leaves to the process that replaces it, and what it takes from the one before."""
+"""The state that a dispatcher hands over to the process that replaces it, and takes over from the one before."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 from thistleshore.platform.messages import STATES, ListNames, Malformed, read_hosts
 from thistleshore.platform.peers import Peers
 from thistleshore.platform.upstream import Upstreams
-from thistleshore.restart.carrier import HasFile, Inherited, Link, Succession
+from thistleshore.restart.carrier import HandoverLinks, HasFile, Inherited, Link
 
 if TYPE_CHECKING:  # an operator's
     from thistleshore.admin.listener import Admin
@@ -32,15 +32,21 @@
 TELL = 0.02  # s between two looks at what the next process is to hear
 PIECE_MOST = 3000  # bytes of what one line tells
 HEALTH = {state: health for health, state in STATES.items()}
-SPOILT = (Malformed, KeyError, IndexError, TypeError, ValueError, AttributeError, OverflowError)
+MALFORMED_STATE = (Malformed, KeyError, IndexError, TypeError, ValueError, AttributeError, OverflowError)
 
 
-def written(host: UpstreamHost, names: ListNames, epoch: float) -> dict[str, Any]:
-    """A host as discovery's list words it."""
+def encode_host(host: UpstreamHost, names: ListNames, epoch: float) -> dict[str, Any]:
+    """A host in the form of discovery's list."""
     entry, dial = host.entry, host.dial
-    made = {"host": host.id.decode(), "site": _name(names.zones, entry.zone), "class": _name(names.kinds, entry.kind),
-            "block": entry.cell, "health": HEALTH[entry.state], "share": entry.weight,
-            "born_ms": (entry.started_at - epoch) * 1000 if entry.started_at else 0}  # fmt: skip
+    made = {
+        "host": host.id.decode(),
+        "site": _name(names.zones, entry.zone),
+        "class": _name(names.kinds, entry.kind),
+        "block": entry.cell,
+        "health": HEALTH[entry.state],
+        "share": entry.weight,
+        "born_ms": (entry.started_at - epoch) * 1000 if entry.started_at else 0,
+    }
     if isinstance(dial, tuple):
         made["dial"] = f"[{dial[0]}]:{dial[1]}" if ":" in dial[0] else f"{dial[0]}:{dial[1]}"
     return made
@@ -50,7 +56,7 @@
     return next((name for name, n in numbers.items() if n == number), "")
 
 
-def begin(plan: Plan, inherited: Inherited) -> tuple[Brain, tuple[HostLine, ...], int] | None:
+def restore(plan: Plan, inherited: Inherited) -> tuple[Brain, tuple[HostLine, ...], int] | None:
     """The module that goes on with what is inherited, the list and its version; None where that is no good."""
     now, http = trio.current_time(), plan.http
     assert http is not None
@@ -59,7 +65,7 @@
         seq, _, lines = read_hosts(inherited.values["list"], http.names, plan.epoch)
         brain.on_list(ListKind.CACHED, tuple(line.entry for line in lines), now)
         handover.give(brain, inherited.values["memory"], plan.class_names, http.routes.tenants or {}, now)
-    except SPOILT as problem:
+    except MALFORMED_STATE as problem:
         log.warning("nothing inherited, starting cold: %s: %s", type(problem).__name__, problem)
         return None
     log.info("inherited: %d hosts, %d of them out by hand", len(lines), len(brain.banned))
@@ -81,28 +87,41 @@
         yield part
 
 
-class Estate:
-    """The parts of a dispatcher that a hot restart is about."""
+class HandoverState:
+    """The state of a dispatcher that a hot restart hands over, and what it takes from the process before."""
 
-    def __init__(self, plan: Plan, broker: Broker, downstream: Downstream, upstreams: Upstreams, peers: Peers | None,
-                 watch: Discovery | None) -> None:  # fmt: skip
+    def __init__(
+        self,
+        plan: Plan,
+        broker: Broker,
+        downstream: Downstream,
+        upstreams: Upstreams,
+        peers: Peers | None,
+        watch: Discovery | None,
+    ) -> None:
         self.plan, self.broker, self.downstream, self.upstreams = plan, broker, downstream, upstreams
         self.peers, self.watch = peers, watch
         self.fleet: Carrier | None = None
         self.admin: Admin | None = None  # where both processes have one address for it
         self._opened: list[list[str]] = []  # names of streams opened here, for each process that has taken over
-        self.succession = Succession(plan.restart, self)
+        self.links = HandoverLinks(plan.restart, self)
 
-    def leave(self) -> tuple[dict[str, Any], Sequence[tuple[str, HasFile]]]:
+    def snapshot(self) -> tuple[dict[str, Any], Sequence[tuple[str, HasFile]]]:
         """All that the next process is to know, and the sockets that both use."""
         http, now = self.plan.http, trio.current_time()
         assert http is not None
-        hosts = [written(host, http.names, self.plan.epoch) for host in self.broker.hosts.values()
-                 if host.entry.state is not State.GONE]  # fmt: skip
+        hosts = [
+            encode_host(host, http.names, self.plan.epoch)
+            for host in self.broker.hosts.values()
+            if host.entry.state is not State.GONE
+        ]
         values = {
             # Not the watch's version: a list of its may wait for the broker, and what it says would be missed.
-            "list": {"seq": (self.watch is not None and self.watch.watch.seq and self.broker.version) or 0,
-                     "whole": True, "hosts": hosts},
+            "list": {
+                "seq": (self.watch is not None and self.watch.watch.seq and self.broker.version) or 0,
+                "whole": True,
+                "hosts": hosts,
+            },
             "memory": handover.take(self.broker.brain, self.plan.class_names, http.routes.tenants or {}, now),
             "names": self.downstream.known_names(),
             "number": self.broker.notebook.number,
@@ -141,7 +160,7 @@
                 settings = replace(settings, budget=settings.budget._replace(free=0.0))
             self.broker.post(SettingsTold(settings, self.plan.class_names))
 
-    async def tell(self, link: Link) -> None:
+    async def tell_new_streams(self, link: Link) -> None:
         """Until cancelled: streams that are opened here after the hand-over, by name.
 
         Else a repeat at the other process would run beside the first."""
@@ -161,18 +180,18 @@
         for names in self._opened:
             names.append(name)
 
-    def hear(self, names: Any) -> None:
+    def on_stream_names(self, names: Any) -> None:
         """Streams that the process before has opened, while both live."""
         if isinstance(names, list):
             self.downstream.know_names([name for name in names if isinstance(name, str)])
 
-    async def ban(self, host: str, out: bool, source: Link) -> None:
+    async def on_ban(self, host: str, out: bool, source: Link) -> None:
         """An operator has called it at another process."""
         await self.broker.inbox.send(BanAsked(host.encode(), out, known=True))
-        await self.succession.tell_ban(host, out, source)
+        await self.links.tell_ban(host, out, source)
 
     def inherit(self, inherited: Inherited) -> None:
-        """What the fronts are to know of the process before."""
+        """Take over the names of open streams and the number of the last datagram."""
         names, number = inherited.values.get("names"), inherited.values.get("number")
         if isinstance(names, list):
             self.downstream.know_names([name for name in names if isinstance(name, str)])
@@ -183,14 +202,14 @@
         """Keep to what the process before leaves of the means until it is gone."""
         try:
             below, above = (max(0, int(n)) for n in inherited.values["held"])
-        except SPOILT:
+        except MALFORMED_STATE:
             below, above = 0, 0
         gate, ways = self.downstream.gate, self.upstreams.ways
         below, above = min(below, gate.most // 2), min(above, ways.sockets_most // 2)
         gate.most -= below
         self.upstreams.ways = ways._replace(sockets_most=ways.sockets_most - above)
         try:
-            await self.succession.follow(inherited.link, serving)
+            await self.links.follow(inherited.link, serving)
             log.info("the process before has gone")
         finally:
             gate.most += below
--- a/thistleshore/wiring/components.py
+++ b/thistleshore/wiring/components.py
@@ -25,7 +25,7 @@
     from thistleshore.fleet.carrier import Carrier
     from thistleshore.releases.carrier import Releases
     from thistleshore.restart.carrier import Inherited
-    from thistleshore.restart.estate import Estate
+    from thistleshore.restart.handover_state import HandoverState
 
 
 class Front(Protocol):
@@ -87,7 +87,7 @@
     fleet: Carrier | None = None
     releases: Releases | None = None
     admin: Admin | None = None
-    handover: Estate | None = None
+    handover: HandoverState | None = None
     member_tasks: list[Callable[[], Awaitable[None]]] = field(default_factory=list)  # that wait for `serving`
 
     def ready(self) -> bool:
--- a/thistleshore/wiring/handover.py
+++ b/thistleshore/wiring/handover.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from thistleshore.restart.estate import Estate
+from thistleshore.restart.handover_state import HandoverState
 from thistleshore.wiring.components import Components
 
 
@@ -13,10 +13,12 @@
     plan, nursery, downstream = components.plan, components.nursery, components.downstream
     inherited = components.initial.inherited
     assert downstream is not None
-    handover = Estate(plan, components.broker, downstream, components.upstreams, components.peers, components.discovery)
+    handover = HandoverState(
+        plan, components.broker, downstream, components.upstreams, components.peers, components.discovery
+    )
     handover.fleet = components.fleet
     if components.admin is not None:
-        components.admin.tell_ban = handover.succession.tell_ban
+        components.admin.tell_ban = handover.links.tell_ban
         if components.fleet is not None:
             handover.admin = components.admin
     components.handover = components.follower.handover = handover
@@ -26,7 +28,7 @@
         nursery.start_soon(handover.live_beside, inherited, components.serving)
 
 
-async def _give_back(drain: trio.Event, handover: Estate) -> None:
+async def _give_back(drain: trio.Event, handover: HandoverState) -> None:
     """A process that is drained while the one before could still serve has that one serve again."""
     await drain.wait()
-    await handover.succession.on_drain()
+    await handover.links.on_drain()
--- a/thistleshore/wiring/inheritance.py
+++ b/thistleshore/wiring/inheritance.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from thistleshore.config import Plan
-from thistleshore.restart import carrier, estate
+from thistleshore.restart import carrier, handover_state
 from thistleshore.wiring.components import InitialState
 
 
@@ -12,8 +12,8 @@
     inherited = await carrier.ask(plan.restart)
     if inherited is None:
         return InitialState.cold(plan)
-    begun = estate.begin(plan, inherited)
-    if begun is None:
+    restored = handover_state.restore(plan, inherited)
+    if restored is None:
         return InitialState.cold(plan, inherited)
-    brain, known_hosts, list_version = begun
+    brain, known_hosts, list_version = restored
     return InitialState(brain, known_hosts, list_version, inherited)
