--- a/thistleshore/dispatcher.py
+++ b/thistleshore/dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from typing import TYPE_CHECKING
 
 import trio
 
@@ -16,6 +17,9 @@
 from thistleshore.wiring.components import Components, InitialState
 from thistleshore.wiring.limits import longest_deadline, upstream_limits
 
+if TYPE_CHECKING:  # imported only where the plan has it
+    from thistleshore.distribution.applying import Applier
+
 log = logging.getLogger("thistleshore")
 
 Rereads = trio.MemoryReceiveChannel[Plan | None]
@@ -30,12 +34,13 @@
     """Run until the event is set and all that was taken is finished; follow what the file says when read again.
 
     `task_status.started()` is called once every front listens."""
+    plan, applier = _configured(plan)
     initial = await _initial_state(plan)
     broker = _make_broker(plan, initial)
     upstreams = Upstreams(upstream_limits(plan))
     broker.carriers[tuple] = upstreams
     async with trio.open_nursery() as nursery:
-        components = Components(plan, drain, nursery, initial, broker, upstreams)
+        components = Components(plan, drain, nursery, initial, broker, upstreams, applier)
         nursery.start_soon(broker.run)
         nursery.start_soon(upstreams.run)
         if plan.peers is not None:
@@ -52,6 +57,16 @@
         nursery.cancel_scope.cancel()
 
 
+def _configured(plan: Plan) -> tuple[Plan, Applier | None]:
+    """The plan to start on: with the agreed configuration that is on the disk, where the fleet agrees on any."""
+    if plan.distribution is None:
+        return plan, None
+    from thistleshore.wiring import distribution
+
+    applier = distribution.make_applier(plan)
+    return applier.start(), applier
+
+
 async def _initial_state(plan: Plan) -> InitialState:
     if plan.restart and plan.http is not None:
         from thistleshore.wiring import inheritance
@@ -90,6 +105,7 @@
         components.downstream,
         components.discovery,
     )
+    components.follower.applier = components.applier
     if rereads is not None:
         components.nursery.start_soon(components.follower.run, rereads)
 
@@ -127,6 +143,10 @@
         from thistleshore.wiring import releases
 
         releases.join(components)
+    if components.applier is not None:
+        from thistleshore.wiring import distribution
+
+        distribution.join(components, components.applier)
 
 
 async def _serve_fronts(components: Components, task_status: trio.TaskStatus[None]) -> None:
@@ -136,7 +156,7 @@
             await fronts.start(front.run, address)
         task_status.started()
         if components.handover is not None:
-            await components.nursery.start(components.handover.succession.run)
+            await components.nursery.start(components.handover.links.run)
         components.serving.set()  # whoever is told so may start the next process
         components.start_member_tasks()
 
--- a/thistleshore/distribution/applying.py
+++ b/thistleshore/distribution/applying.py
@@ -51,14 +51,6 @@
     hosts: bool  # whether the body says which upstream hosts there are
 
 
-class Start(NamedTuple):
-    """What an instance starts on; the version is None where it starts on its own file."""
-
-    plan: Plan
-    held: Held | None
-    problem: str = ""  # why the version on the disk is not used
-
-
 Force = Callable[[Plan, Sequence[HostLine] | None], None]
 
 
@@ -70,30 +62,29 @@
         self.store = store
         self.in_force: Held | None = None
         self.force: Force | None = None  # puts a plan, and hosts where they are told, in force in the running process
+        self.on_reread: Callable[[], None] | None = None  # called when another reading of the file is taken
         self._file = file  # as it was last put in force
         self._keeps_shares: bool | None = None  # what the running process cannot change; None while it starts
-        self._hosts_told = False  # whether the hosts in force are those of a version
+        self.problems_at_start = 0  # versions on the disk that could not be used
+        self.hosts_told = False  # whether the hosts in force are those of a version
         self._turn = trio.Lock()
 
     # -- the start
 
-    def start(self) -> Start:
-        """Lay the version on the disk over the own file; the own file alone where that cannot be."""
+    def start(self) -> Plan:
+        """The plan to start on: the version on the disk over the own file, or the own file alone where that fails."""
+        plan = self._file
         try:
             held = self._read()
-            if held is None:
-                return self._started(self._file, None)
-            checked = self._check(held.body)
+            if held is not None:
+                checked = self._check(held.body)
+                plan, self.in_force, self.hosts_told = checked.plan, held, checked.hosts
+                log.info("configuration: started on version %d of the disk", held.stamp.number)
         except (StoreError, NotApplied) as problem:
+            self.problems_at_start += 1
             log.error("configuration: the version on the disk is not used, this instance's own file is: %s", problem)
-            return self._started(self._file, None, str(problem))
-        log.info("configuration: started on version %d of the disk", held.stamp.number)
-        self._hosts_told = checked.hosts
-        return self._started(checked.plan, held)
-
-    def _started(self, plan: Plan, held: Held | None, problem: str = "") -> Start:
-        self.in_force, self._keeps_shares = held, plan.agreements is not None
-        return Start(plan, held, problem)
+        self._keeps_shares = plan.agreements is not None
+        return plan
 
     def _read(self) -> Held | None:
         found = self.store.read()
@@ -128,18 +119,24 @@
             self.in_force = Held(stamp, body)
             point("configuration-in-force")
 
-    async def reread(self, file: Plan) -> Plan:
+    async def reread(self, file: Plan) -> Plan | None:
         """The plan of the own file, read again, with the version in force laid over it; the caller puts it in force.
 
-        NotApplied where they do not go together: then the former file counts on.
+        None, and a line in the log, where they do not go together: then the former reading counts on.
         """
         async with self._turn:
-            if self.in_force is None:
-                self._file = file
-                return file
-            checked = await trio.to_thread.run_sync(self._check, self.in_force.body, file)
+            found = file
+            if self.in_force is not None:
+                try:
+                    found = (await trio.to_thread.run_sync(self._check, self.in_force.body, file)).plan
+                except NotApplied as problem:
+                    number = self.in_force.stamp.number
+                    log.error("configuration not reread, the old one holds: version %d: %s", number, problem)
+                    return None
             self._file = file
-            return checked.plan
+        if self.on_reread is not None:
+            self.on_reread()
+        return found
 
     def _check(self, body: bytes, file: Plan | None = None) -> Checked:
         file = self._file if file is None else file
@@ -173,6 +170,6 @@
     def _put_in_force(self, checked: Checked) -> None:
         assert self.force is not None
         # A version without hosts gives the file's back, where the one before had some.
-        tell_hosts = checked.hosts or self._hosts_told
+        tell_hosts = checked.hosts or self.hosts_told
         self.force(checked.plan, checked.plan.known if tell_hosts else None)
-        self._hosts_told = checked.hosts
+        self.hosts_told = checked.hosts
--- a/thistleshore/distribution/carrier.py
+++ b/thistleshore/distribution/carrier.py
@@ -11,12 +11,11 @@
 import trio
 
 from thistleshore.distribution import agreement
-from thistleshore.distribution.applying import Applier, NotApplied, Start
+from thistleshore.distribution.applying import Applier, NotApplied
 from thistleshore.distribution.machine import Distributor
 from thistleshore.distribution.model import Action, Address, Apply, Peer, Send, Spread, Stamp, Terms, digest_of
 from thistleshore.fleet.model import Record, State
 from thistleshore.listening import Aside
-from thistleshore.releases.faults import point
 from thistleshore.releases.model import Value
 
 if TYPE_CHECKING:
@@ -70,10 +69,10 @@
 class Distribution:
     """Feeds the machine, and carries out what it asks for."""
 
-    def __init__(self, terms: Terms, fleet: FleetCarrier, releases: Releases, applier: Applier, start: Start) -> None:
+    def __init__(self, terms: Terms, fleet: FleetCarrier, releases: Releases, applier: Applier) -> None:
         self.fleet, self.releases, self.applier = fleet, releases, applier
-        self.serving_from = "disk" if start.held is not None else "file"
-        held = None if start.held is None else (start.held.stamp, start.held.body)
+        held = applier.in_force
+        self.serving_from = "disk" if held is not None else "file"
         self.machine = Distributor(
             fleet.plan.name,
             peer_of(fleet.machine.me),
@@ -81,16 +80,17 @@
             terms,
             trio.current_time(),
             int.from_bytes(os.urandom(8), "big"),
-            held,
+            None if held is None else (held.stamp, held.body),
         )
+        self.machine.counts["disk_unusable"] += applier.problems_at_start
         self._events, self._inbox = trio.open_memory_channel[Event](inf)
         self._applies, self._to_apply = trio.open_memory_channel[Apply](inf)
         self._agreed, self._to_learn = trio.open_memory_channel[Stamp](inf)
         self._newest_agreed: Stamp | None = None
         self._last_refused: Apply | None = None
         self._aside = Aside()
-        fleet.distribution = self
         releases.on_agreed = self.on_value
+        applier.on_reread = self.on_file
 
     # -- what others tell it; none of these waits
 
@@ -104,6 +104,8 @@
     def on_value(self, value: Value) -> None:
         """A majority of the voters holds this value of the register."""
         stamp = agreement.stamp(value, self.releases.register)
+        if stamp == self.machine.applied:
+            self.serving_from = "fleet"  # what the disk had is what the fleet agrees on
         if stamp.number and stamp != self._newest_agreed:
             self._newest_agreed = stamp
             self._agreed.send_nowait(stamp)
@@ -149,6 +151,7 @@
 
     async def _take_part(self) -> None:
         await self._follow_disk()
+        self._events.send_nowait(ViewChanged())
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._own)
             nursery.start_soon(self._watch_view)
@@ -164,7 +167,6 @@
     async def _own(self) -> None:
         """The one task that calls the machine."""
         machine = self.machine
-        await self._carry_out(machine.on_view(peers_of(self.fleet), trio.current_time()))
         while True:
             event = None
             with trio.move_on_at(max(machine.due, trio.current_time() + REST)):
--- a/thistleshore/follower.py
+++ b/thistleshore/follower.py
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:  # imported only where the plan has them
     from thistleshore.distribution.applying import Applier
     from thistleshore.fleet.carrier import Carrier
-    from thistleshore.restart.estate import Estate
+    from thistleshore.restart.handover_state import HandoverState
 
 log = logging.getLogger("thistleshore")
 
@@ -45,7 +45,7 @@
         self.downstream, self.discovery = downstream, discovery
         self.fleet: Carrier | None = None  # tells the other members of another file
         self.applier: Applier | None = None  # lays the agreed configuration over the file
-        self.handover: Estate | None = None  # what the next process is to know of new settings
+        self.handover: HandoverState | None = None  # what the next process is to know of new settings
         self._newest: Routes | None = None
 
     async def run(self, rereads: trio.MemoryReceiveChannel[Plan | None]) -> None:
@@ -65,10 +65,10 @@
         if changed := self.plan.changed(found):
             log.warning("configuration reread: a restart is needed for %s", ", ".join(changed))
         if self.applier is not None and not NEEDS_RESTART & set(changed):
-            overlaid = await self.applier.reread(found)
-            if overlaid is None:
+            combined = await self.applier.reread(found)
+            if combined is None:
                 return False
-            found = overlaid  # and nothing waits from here on, so that no version comes between
+            found = combined  # and nothing waits from here on, so that no version comes between
         if found.numbered:
             await self._apply_settings(found, nursery)
         self._apply_rules(found, changed)
--- a/thistleshore/wiring/components.py
+++ b/thistleshore/wiring/components.py
@@ -22,10 +22,12 @@
 
 if TYPE_CHECKING:  # imported only where the plan has them
     from thistleshore.admin.listener import Admin
+    from thistleshore.distribution.applying import Applier
+    from thistleshore.distribution.carrier import Distribution
     from thistleshore.fleet.carrier import Carrier
     from thistleshore.releases.carrier import Releases
     from thistleshore.restart.carrier import Inherited
-    from thistleshore.restart.estate import Estate
+    from thistleshore.restart.handover_state import HandoverState
 
 
 class Front(Protocol):
@@ -78,6 +80,7 @@
     initial: InitialState
     broker: Broker
     upstreams: Upstreams
+    applier: Applier | None = None  # of agreed configuration; `plan` has the version on the disk laid over the file
     follower: Follower = field(init=False)  # made once the fronts are
     serving: trio.Event = field(default_factory=trio.Event)  # set once every front listens
     fronts: list[BoundFront] = field(default_factory=list)
@@ -86,8 +89,9 @@
     discovery: Discovery | None = None
     fleet: Carrier | None = None
     releases: Releases | None = None
+    distribution: Distribution | None = None
     admin: Admin | None = None
-    handover: Estate | None = None
+    handover: HandoverState | None = None
     member_tasks: list[Callable[[], Awaitable[None]]] = field(default_factory=list)  # that wait for `serving`
 
     def ready(self) -> bool:
--- a/thistleshore/wiring/metrics.py
+++ b/thistleshore/wiring/metrics.py
@@ -7,7 +7,7 @@
 
 from thistleshore.contracts import Ledger
 from thistleshore.core.broker import Broker
-from thistleshore.metrics import Contracts, Page, Results, View
+from thistleshore.metrics import Configuration, Contracts, Page, Results, View
 from thistleshore.wiring.components import Components
 
 
@@ -20,6 +20,8 @@
         collectors.append(View(fleet.members, fleet.status))
     if broker.ledger is not None:
         collectors.append(_contracts(broker, broker.ledger))
+    if plan.distribution is not None:
+        collectors.append(Configuration(lambda: components.distribution and components.distribution.machine))
     await components.nursery.start(Page(*collectors).run, plan.metrics)
 
 
--- a/thistleshore/wiring/releases.py
+++ b/thistleshore/wiring/releases.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+from pathlib import Path
 
 import trio
 
@@ -10,6 +11,7 @@
 from thistleshore.config import Plan
 from thistleshore.core.broker import Broker
 from thistleshore.core.model import BanAsked
+from thistleshore.distribution.store import BODY_FOLDER, FileBodyStore
 from thistleshore.fleet.machine import Fleet
 from thistleshore.releases.carrier import Releases
 from thistleshore.releases.figures import Counter
@@ -68,6 +70,8 @@
         drain=components.drain,
         figures=counter.figures,
         view=lambda: (machine.settled, machine.majority),
+        # Kept by each voter, whether or not it follows the configuration itself: what the others agree on needs it.
+        bodies=FileBodyStore(Path(plan.releases.folder) / BODY_FOLDER) if plan.releases.listen is not None else None,
     )
     components.start_as_member(components.releases.run)
 
