Configuration agreed by the register, with bodies that a majority of voters holds

Versions of the configuration were designed, and nothing agreed on them.

Voters keep bodies (Deposit, FetchBody) and accept no value whose current body they lack; a voter that missed a deposit fetches the body, one that is taken in again is handed it before. Releases tells of values that a majority holds (agreed, on_agreed). distribution/document.py checks a body and lays it over an instance's file; distribution/store.py has the durable files. [fleet.configuration] in the operator's file.

A round took a promise that came after its majority for "no answer": with one voter unable to accept it gave up although the late one could. Such a promise is now passed over.

--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -26,7 +26,8 @@
 SUPPLIED = str(ROOT / "deploy" / "expressions.toml")
 NEW = ("click", "lark", "re2", "netaddr", "xxhash", "msgspec", "thistleshore.cli", "thistleshore.expressions",
        "thistleshore.routing", "thistleshore.contracts", "thistleshore.metrics", "structlog", "thistleshore.fleet",
-       "thistleshore.rig", "thistleshore.releases", "thistleshore.config.fleets", "matplotlib", "rich", "numpy",
+       "thistleshore.rig", "thistleshore.releases", "thistleshore.distribution",
+       "thistleshore.config.fleets", "matplotlib", "rich", "numpy",
        "sqlite3",
        "prometheus_client", "thistleshore.config.operator", "thistleshore.beanstalkd.downstream")  # fmt: skip
 
--- a/thistleshore/config/fleets.py
+++ b/thistleshore/config/fleets.py
@@ -32,7 +32,9 @@
         for file, plan in members.items():
             assert plan.fleet is not None
             for key, folder in (("keep.dir", plan.keep.folder if plan.keep is not None else ""),
-                                ("fleet.register.dir", plan.releases.folder if plan.releases is not None else "")):
+                                ("fleet.register.dir", plan.releases.folder if plan.releases is not None else ""),
+                                ("fleet.configuration.dir",
+                                 plan.distribution.folder if plan.distribution is not None else "")):
                 if folder and (other := folders.setdefault(f"{plan.fleet.advertise[0]} {key} {folder}", file)) != file:
                     found.append(f"{file}: {key}: {folder} is also that of {other}, on one machine")
         reached = {plan.fleet.advertise for plan in members.values() if plan.fleet is not None}
--- a/thistleshore/config/operator.py
+++ b/thistleshore/config/operator.py
@@ -22,14 +22,15 @@
 from thistleshore.beanstalkd.upstream import HOST_PREFIX, HostSeat
 from thistleshore.config.errors import ConfigError
 from thistleshore.config.platform import (
-    IDLE_SHARE, SOCKETS, SOCKETS_SPARE, Address, BeanstalkdPlan, ExchangePlan, FleetPlan, HttpPlan, KeepPlan, Plan,
-    ReleasesPlan, address, number, path_of, sockets_of,
+    IDLE_SHARE, SOCKETS, SOCKETS_SPARE, Address, BeanstalkdPlan, DistributionPlan, ExchangePlan, FleetPlan, HttpPlan,
+    KeepPlan, Plan, ReleasesPlan, address, number, path_of, sockets_of,
 )  # fmt: skip
 from thistleshore.contracts import Agreements, ContractTerms, MemberTerms, Retries
 from thistleshore.contracts.book import Book, Budget, Contract
 from thistleshore.contracts.exchange import Terms as ExchangeTerms
 from thistleshore.contracts.model import OTHERS
 from thistleshore.core.model import HostLine
+from thistleshore.distribution.model import Terms as DistributionTerms
 from thistleshore.fleet.model import NAME_MOST, Terms as FleetTerms
 from thistleshore.logs import FORMATS
 from thistleshore.expressions import Limits, NetworkError, Rule, Source, address_set, request_environment
@@ -40,6 +41,7 @@
 from thistleshore.routing import Live, RouteTable, TableError, Terms
 from thistleshore.routing.table import KINDS
 
+AGREED = ("out", "register", "configuration")  # tables of `[fleet]` with readers of their own
 KEPT_TUBES = (REPLY_PREFIX, HOST_PREFIX)  # tubes of these names mean something else
 EFFECTS = {"safe": Effect.SAFE, "keyed": Effect.KEYED, "unsafe": Effect.UNSAFE}
 GROUPS = {"all": Group.ALL, "bay": Group.CELL}
@@ -207,6 +209,7 @@
         exchange = self._exchange(balancers, agreements)
         fleet = self._fleet(name)
         releases = self._releases(name)
+        distribution = self._distribution()
         metrics, form = None, "plain"
         if "metrics" in self.conf:
             with self._section("metrics") as part:
@@ -230,7 +233,8 @@
         return Plan(name, int.from_bytes(os.urandom(8), "big"), settings, http, tubes, tuple(known), epoch,
                     connect_within, IDLE_SHARE * idle, sockets, streams, live, agreements, exchange, metrics, form,
                     self.conf, class_names=tuple(_names(contracts)), admin=admin, restart=restart,
-                    fleet=fleet, releases=releases, keep=keep, service_names=tuple(services))  # fmt: skip
+                    fleet=fleet, releases=releases, keep=keep, service_names=tuple(services),
+                    distribution=distribution)  # fmt: skip
 
     def _services(self) -> dict[str, int]:
         services: dict[str, int] = {}
@@ -392,7 +396,7 @@
             return None
         usual = FleetTerms()
         # What is agreed about the fleet has tables of its own, see `_releases`.
-        found_here = {key: value for key, value in dict(self.conf["fleet"]).items() if key not in ("out", "register")}
+        found_here = {key: value for key, value in dict(self.conf["fleet"]).items() if key not in AGREED}
         with Section(found_here, "fleet", self.faults) as part:
             fleet, listen, zone = part.text("name"), part.address("listen"), part.text("zone", "")
             advertise = part.address("advertise") if "advertise" in part.left else listen
@@ -448,6 +452,21 @@
                 part.fault("listen", f"{name!r} is none of the voters")
         return ReleasesPlan(voters, limits, listen, folder)
 
+    def _distribution(self) -> DistributionPlan | None:
+        """`[fleet.configuration]`."""
+        tables = self.conf.get("fleet")
+        if not isinstance(tables, Mapping) or "configuration" not in tables:
+            return None
+        if "register" not in tables:
+            self.faults.append("fleet.register: missing: versions of the configuration are agreed by its voters")
+        usual = DistributionTerms()
+        with Section(tables["configuration"], "fleet.configuration", self.faults) as part:
+            folder = part.text("dir")
+            sync, fresh = part.number("sync", usual.sync, 0.05), part.number("fresh", usual.fresh, 0.1)
+            if fresh < 2 * sync:
+                part.fault("fresh", "at least twice `sync`: one lost report must not make an instance unknown")
+        return DistributionPlan(folder, usual._replace(sync=sync, fresh=fresh))
+
     def _keep(self, restart: str) -> KeepPlan | None:
         """`[keep]`."""
         if "keep" not in self.conf:
--- a/thistleshore/config/platform.py
+++ b/thistleshore/config/platform.py
@@ -24,6 +24,7 @@
     from thistleshore.beanstalkd.upstream import HostSeat
     from thistleshore.contracts import Agreements
     from thistleshore.contracts.exchange import Terms as ExchangeTerms
+    from thistleshore.distribution.model import Terms as DistributionTerms
     from thistleshore.fleet.model import Terms as FleetTerms
     from thistleshore.releases.model import Limits
     from thistleshore.routing import Live
@@ -88,6 +89,14 @@
     folder: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class DistributionPlan:
+    """How this instance follows the configuration that its fleet agrees on."""
+
+    folder: str  # of the durable version
+    terms: DistributionTerms
+
+
 @dataclass(frozen=True, slots=True)
 class KeepPlan:
     """How `thistleshore keep` keeps this dispatcher.  Times in seconds."""
@@ -142,6 +151,7 @@
     fleet: FleetPlan | None = None  # None: it is in no view of a fleet
     releases: ReleasesPlan | None = None  # None: nothing is agreed
     keep: KeepPlan | None = None  # for `thistleshore keep`
+    distribution: DistributionPlan | None = None  # None: its own file alone is in force
 
     def changed(self, other: Plan) -> list[str]:
         """The keys in which another reading of the file differs and which hold until a restart."""
--- /dev/null
+++ b/thistleshore/distribution/document.py
@@ -0,0 +1,140 @@
+"""The body of a version: TOML text of the tables that all instances share, checked, and laid over an instance's file.
+
+What a document may hold is what a process can put in force while it serves.  Everything else is refused by name, at the
+push already and again at each instance, whose own file it has to fit.
+"""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+from thistleshore import config
+from thistleshore.config.platform import MOVES
+from thistleshore.distribution.model import BODY_MOST, FORMAT
+
+DISTRIBUTED = ("match", "address_set", "expressions", "member", "contracts", "host")
+NESTING_MOST = 16  # tables and lists in one another, and parts of a dotted key
+SOURCE = "configuration"  # what faults call a document without a file
+OWN_FILE = "this instance's file"
+
+_KEY_PART = r"""(?:[\w-]+|"(?:[^"\\\n]|\\.)*"|'[^'\n]*')"""
+_DEEP_KEY = re.compile(rf"(?<![\w-])(?:{_KEY_PART}[ \t]*\.[ \t]*){{{NESTING_MOST}}}")
+_FIRST_KEY = re.compile(r"(?:\d+:\d+: )?(\w+)")  # of a fault, behind its place in an expression
+
+
+class DocumentError(ValueError):
+    """A document that cannot be put in force; each of `problems` names the file and the key."""
+
+    def __init__(self, problems: tuple[str, ...]) -> None:
+        super().__init__("\n".join(problems))
+        self.problems = problems
+
+
+class Document(NamedTuple):
+    """Tables that replace those of an instance's own file; `source` is how faults name where they come from."""
+
+    tables: Mapping[str, Any]
+    source: str = SOURCE
+
+
+def parse(body: bytes, source: str = SOURCE, body_format: int = FORMAT) -> Document:
+    """The document of a body, or DocumentError with all that is wrong with it by itself."""
+    if body_format > FORMAT:
+        raise DocumentError((f"{source}: it has format {body_format}, and this program reads {FORMAT}",))
+    tables = _tables(body, source)
+    if problems := (*_undistributed(tables), *_hosts_without_address(tables)):
+        raise DocumentError(tuple(f"{source}: {problem}" for problem in problems))
+    return Document(tables, source)
+
+
+def overlay(told: Mapping[str, Any], document: Document) -> dict[str, Any]:
+    """An instance's own tables with those of the document, each of which replaces the file's whole."""
+    return {**told, **document.tables}
+
+
+def plan_of(told: Mapping[str, Any], document: Document, epoch: float) -> config.Plan:
+    """The plan of the document over an instance's own tables `told`, as the file words them.
+
+    DocumentError where they do not fit, or where the instance could not put the plan in force without a restart.
+    """
+    if problems := _needing_restart(told, document):
+        raise DocumentError(tuple(f"{document.source}: {problem}" for problem in problems))
+    try:
+        return config.operator_plan(overlay(told, document), epoch)
+    except config.ConfigError as problem:
+        raise DocumentError(tuple(_with_source(text, document) for text in problem.problems)) from None
+
+
+def _tables(body: bytes, source: str) -> dict[str, Any]:
+    if len(body) > BODY_MOST:
+        raise DocumentError((f"{source}: it has over {BODY_MOST} bytes",))
+    too_deep = DocumentError((f"{source}: it is nested deeper than {NESTING_MOST}",))
+    try:
+        text = body.decode()
+    except UnicodeDecodeError as problem:
+        raise DocumentError((f"{source}: {problem}",)) from None
+    if _DEEP_KEY.search(text):  # the time that the parser takes grows with the square of the parts of one key
+        raise too_deep
+    try:
+        tables = tomllib.loads(text)
+    except RecursionError:
+        raise too_deep from None
+    except ValueError as problem:
+        raise DocumentError((f"{source}: {problem}",)) from None
+    if _depth(tables) > NESTING_MOST:
+        raise too_deep
+    return tables
+
+
+def _depth(tables: Mapping[str, Any]) -> int:
+    """How many tables and lists are in one another; by a loop, as a hostile document is deeper than the stack."""
+    depth, level = 0, [tables]
+    while level:
+        depth += 1
+        values = [value for found in level for value in (found.values() if isinstance(found, Mapping) else found)]
+        level = [value for value in values if isinstance(value, Mapping | list)]
+    return depth
+
+
+def _undistributed(tables: Mapping[str, Any]) -> list[str]:
+    return [f"{key}: not a table that is distributed: it takes a restart" for key in tables if key not in DISTRIBUTED]
+
+
+def _hosts_without_address(tables: Mapping[str, Any]) -> list[str]:
+    """Hosts without one are seats of a beanstalkd front, which hold until a restart."""
+    hosts = tables.get("host", [])
+    if not isinstance(hosts, list):
+        return ["host: tables of the form [[host]] are wanted"]
+    return [f"host[{n}].address: missing" for n, host in enumerate(hosts) if not _has_address(host)]
+
+
+def _has_address(host: Any) -> bool:
+    return isinstance(host, Mapping) and "address" in host
+
+
+def _needing_restart(told: Mapping[str, Any], document: Document) -> list[str]:
+    """What this instance could not put in force while it serves; a list of hosts is put in force whole.
+
+    `Plan.changed` asks for a restart at a change of hosts, as SIGHUP does not follow them, so it is not asked here.
+    """
+    problems = [
+        f"{key}: it takes a restart"
+        for key, found in document.tables.items()
+        if key != "host" and key not in MOVES and told.get(key) != found
+    ]
+    if "member" in document.tables and "member" not in told:
+        problems.append(f"member: {OWN_FILE} has none, and to begin keeping shares takes a restart")
+    seats = [host for host in told.get("host", []) if not _has_address(host)]
+    if "host" in document.tables and seats:
+        problems.append(f"host: {OWN_FILE} has hosts without an address, and those hold until a restart")
+    return problems
+
+
+def _with_source(problem: str, document: Document) -> str:
+    """A fault of the plan with the source of the table that it is in."""
+    first = _FIRST_KEY.match(problem)
+    from_document = first is not None and first.group(1) in document.tables
+    return f"{document.source if from_document else OWN_FILE}: {problem}"
--- /dev/null
+++ b/thistleshore/distribution/store.py
@@ -0,0 +1,223 @@
+"""Durable files: the version in force at this instance, and the bodies that a voter keeps.
+
+Every file is written whole beside its place, synced, renamed, and its folder synced, so that it is seen as it was or as
+it is to be, also after a crash.
+"""
+
+from __future__ import annotations
+
+import itertools
+import os
+import re
+import time
+from collections.abc import Collection
+from pathlib import Path
+
+import msgspec
+
+from thistleshore.distribution.model import BODY_MOST, FORMAT, Stamp, digest_of
+from thistleshore.releases.store import Unusable
+
+VERSION_FILE = "configuration.version"
+FILE_FORMAT = 1  # of VERSION_FILE; that of the body is in its stamp
+FILE_MOST = 2 * BODY_MOST
+BODY_FOLDER = "bodies"  # below a voter's folder
+OTHERS_KEPT = 8  # bodies that no entry of the history names
+TEMPORARY_KEPT = 600.0  # s, after which the temporary file of a process that died is removed
+
+_MAGIC = b"thistleshore configuration "
+_DIGEST = re.compile(r"[0-9a-f]{32}")
+_writes = itertools.count()
+
+
+class StoreError(Exception):
+    """The file in force cannot be used; the text says why."""
+
+
+class Torn(StoreError):
+    """The file is cut off or altered."""
+
+
+class NewerFormat(StoreError):
+    """A newer program wrote the file, or its body is of a newer format."""
+
+
+class OtherFleet(StoreError):
+    """The file is that of another fleet."""
+
+
+class Unreadable(StoreError):
+    """The system did not give the file out."""
+
+
+class Unwritable(StoreError):
+    """The disk took nothing: what was there before still is."""
+
+
+class _Saved(msgspec.Struct, frozen=True, array_like=True):
+    """What stands in the file behind its format and checksum."""
+
+    fleet: str
+    stamp: Stamp
+    body: bytes
+
+
+class VersionStore:
+    """One instance's version in force, in one file.
+
+    The file is `thistleshore configuration FORMAT CHECKSUM`, a line feed, and MessagePack.  A file that was set back to
+    an older copy of itself cannot be told from a sound one: the instance then starts on the older version, and the
+    comparison with its relays brings it up again.
+
+    Two processes of a hot restart may write at the same time: each writes a temporary file of its own, and the rename
+    that comes last stays.
+    """
+
+    def __init__(self, folder: Path, fleet: str) -> None:
+        self.folder, self.fleet = folder, fleet
+
+    def read(self) -> tuple[Stamp, bytes] | None:
+        """The stamp and the body, None where nothing was ever written; StoreError where they cannot be used."""
+        try:
+            data = _read_bounded(self.folder / VERSION_FILE, FILE_MOST)
+        except FileNotFoundError:
+            return None
+        except OSError as problem:
+            raise Unreadable(f"the version in force cannot be read: {problem.strerror}") from None
+        saved = _decode(data)
+        if saved.fleet != self.fleet:
+            raise OtherFleet(f"the version in force is that of the fleet {saved.fleet!r}, not of {self.fleet!r}")
+        if saved.stamp.format > FORMAT:
+            told = f"the body in force has format {saved.stamp.format}, and this program reads {FORMAT}"
+            raise NewerFormat(told)
+        if len(saved.body) != saved.stamp.size or digest_of(saved.body) != saved.stamp.digest:
+            raise Torn("the version in force is torn: its body is not that of its stamp")
+        return saved.stamp, saved.body
+
+    def write(self, stamp: Stamp, body: bytes) -> None:
+        """Durable once this returns; Unwritable where the disk takes nothing."""
+        data = _encode(_Saved(self.fleet, stamp, body))
+        try:
+            self.folder.mkdir(parents=True, exist_ok=True)
+            _replace(self.folder / VERSION_FILE, data)
+        except OSError as problem:
+            raise Unwritable(f"the disk takes nothing: {problem.strerror}") from None
+
+
+class FileBodyStore:
+    """The bodies that a voter keeps: files named by their digests, each checked against its name when it is read."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+
+    def read(self, digest: str) -> bytes | None:
+        """The body; None where there is none of that digest, or where it is not whole any more."""
+        if not _DIGEST.fullmatch(digest):
+            return None
+        try:
+            body = _read_bounded(self.folder / digest, BODY_MOST)
+        except OSError:
+            return None
+        return body if digest_of(body) == digest else None
+
+    def keep(self, digest: str, body: bytes, named: Collection[str]) -> None:
+        """Durable once this returns; Unusable where it is not that body, or where the disk takes nothing.
+
+        Kept besides are the bodies that `named` has, and the OTHERS_KEPT newest of the others.
+        """
+        if len(body) > BODY_MOST:
+            raise Unusable(f"the body has over {BODY_MOST} bytes")
+        if digest_of(body) != digest:
+            raise Unusable("the body is not that of its digest")
+        try:
+            self.folder.mkdir(parents=True, exist_ok=True)
+            if self.read(digest) is None:
+                _replace(self.folder / digest, body)
+            else:
+                os.utime(self.folder / digest)
+                _sync_folder(self.folder)  # the process that renamed it may have died before it did so
+        except OSError as problem:
+            raise Unusable(f"its disk takes nothing: {problem.strerror}") from None
+        self._drop_others({digest, *named})
+
+    def _drop_others(self, wanted: Collection[str]) -> None:
+        """Remove what is no longer wanted; what cannot be removed stays, and does no harm."""
+        others: list[tuple[int, Path]] = []
+        try:
+            for path in self.folder.iterdir():
+                if _DIGEST.fullmatch(path.name) and path.name not in wanted:
+                    others.append((path.stat().st_mtime_ns, path))
+            for _, path in sorted(others, reverse=True)[OTHERS_KEPT:]:
+                path.unlink(missing_ok=True)
+        except OSError:
+            pass
+
+
+def _encode(saved: _Saved) -> bytes:
+    content = msgspec.msgpack.encode(saved)
+    return b"%s%d %s\n%s" % (_MAGIC, FILE_FORMAT, digest_of(content).encode(), content)
+
+
+def _decode(data: bytes) -> _Saved:
+    """What the file says, or Torn or NewerFormat."""
+    head, _, content = data.partition(b"\n")
+    file_format, _, checksum = head.removeprefix(_MAGIC).partition(b" ")
+    if not head.startswith(_MAGIC) or not file_format.isdigit():
+        raise Torn("the version in force is torn: it does not begin as such a file does")
+    if int(file_format[:9]) > FILE_FORMAT:
+        told = f"the version in force has format {int(file_format[:9])}, and this program reads {FILE_FORMAT}"
+        raise NewerFormat(told)
+    if digest_of(content).encode() != checksum:
+        raise Torn("the version in force is torn: the checksum is wrong")
+    try:
+        return msgspec.msgpack.decode(content, type=_Saved)
+    except msgspec.MsgspecError as problem:
+        raise Torn(f"the version in force is torn: {problem}") from None
+
+
+def _read_bounded(path: Path, most: int) -> bytes:
+    """The bytes of a file, and one more than `most` where it is longer: no check takes those for whole."""
+    with path.open("rb") as file:
+        return file.read(most + 1)
+
+
+def _replace(path: Path, data: bytes) -> None:
+    """Put a file in its place, whole and durable; OSError leaves the one before."""
+    _remove_left_over(path.parent)
+    temporary = path.with_name(f"{path.name}.{os.getpid()}.{next(_writes)}.tmp")
+    try:
+        _write_synced(temporary, data)
+        os.replace(temporary, path)
+    except OSError:
+        temporary.unlink(missing_ok=True)
+        raise
+    _sync_folder(path.parent)
+
+
+def _write_synced(path: Path, data: bytes) -> None:
+    descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
+    try:
+        left = memoryview(data)
+        while left:
+            left = left[os.write(descriptor, left) :]
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def _sync_folder(folder: Path) -> None:
+    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def _remove_left_over(folder: Path) -> None:
+    """Remove temporary files of processes that died long ago."""
+    for path in folder.glob("*.tmp"):
+        try:
+            if time.time() - path.stat().st_mtime > TEMPORARY_KEPT:
+                path.unlink(missing_ok=True)
+        except OSError:
+            continue
--- a/thistleshore/releases/carrier.py
+++ b/thistleshore/releases/carrier.py
@@ -19,16 +19,16 @@
 
 from thistleshore.config import Address
 from thistleshore.config.platform import ReleasesPlan
+from thistleshore.distribution.model import digest_of
 from thistleshore.listening import TAKEN_PAUSE, Aside, patiently
 from thistleshore.releases import places, waves
 from thistleshore.releases.driver import Driver, Figures, Seen
 from thistleshore.releases.model import Limits, Refusal, Standing, Value
 from thistleshore.releases.register import (
-    NONE, Accept, Acceptor, Ballot, Change, Held, Outcome, Prepare, Promise, Accepted, Rejected, Reply, Round, Unable,
-    merged,
+    NONE, Accept, Acceptor, Ballot, Change, Held, Outcome, Prepare, Accepted, Reply, Round, Unable, merged,
 )  # fmt: skip
 from thistleshore.releases.faults import point
-from thistleshore.releases.store import Busy, Store, Unusable
+from thistleshore.releases.store import BodyStore, Busy, Store, Unusable
 
 log = logging.getLogger("thistleshore")
 
@@ -36,6 +36,7 @@
 CHANGE = 3.0  # s for a change, with all its rounds
 AGAIN = (0.01, 0.08)  # s before a round that met another is made again, doubled each time
 LOOK = 0.25  # s between two looks at the value
+BODY_LOOK = 1.0  # s between two looks whether this voter holds the body of the version in force
 FRESH = 1.0  # s for which what a majority said counts as now
 REPORT_KEPT = 3.0  # s for which a voter tells what an instance reported
 SET_BACK = "its file was set back to an older copy"
@@ -84,16 +85,44 @@
     begin: bool  # only where nothing ever was
 
 
-Question = Prepare | Accept | Learn | Install
+class Deposit(msgspec.Struct, frozen=True, tag=True):
+    """Keep this body of configuration; answered by Deposited, or by Unable."""
+
+    digest: str
+    body: bytes
+
+
+class Deposited(msgspec.Struct, frozen=True, tag=True):
+    """The body is durable at this voter."""
+
+    digest: str
+
+
+class FetchBody(msgspec.Struct, frozen=True, tag=True):
+    """Give the body of that digest; answered by Body, or by Unable."""
+
+    digest: str
+
+
+class Body(msgspec.Struct, frozen=True, tag=True):
+    """A body of configuration as a voter holds it."""
+
+    digest: str
+    body: bytes
+
+
+Question = Prepare | Accept | Learn | Install | Deposit | FetchBody
+Answer = Reply | Known | Deposited | Body
 _questions = msgspec.msgpack.Decoder(Question)
-_answers = msgspec.msgpack.Decoder(Promise | Accepted | Rejected | Unable | Known)
+_answers: msgspec.msgpack.Decoder[Answer] = msgspec.msgpack.Decoder(Answer)
 
 
 class Voter:
     """This instance's vote, where it has one: nothing is answered before it is on the disk."""
 
-    def __init__(self, name: str, folder: Path) -> None:
+    def __init__(self, name: str, folder: Path, bodies: BodyStore | None = None) -> None:
         self.name, self.folder, self.why = name, folder, "it does not run yet"
+        self.bodies = bodies  # None: it keeps none, and accepts no value with a configuration
         self.store: Store | None = None
         self.acceptor: Acceptor | None = None
         self.reports: dict[str, tuple[float, Report]] = {}
@@ -147,19 +176,26 @@
             elif held.voter != self.name:
                 self.why = f"its file is that of {held.voter}"
             else:
-                self.acceptor = Acceptor(held)
+                self.acceptor = Acceptor(held, self._holds)
         except Unusable as problem:
             self.why = str(problem)
         if self.why:
             log.warning("register: no vote here: %s", self.why)
 
-    def answer(self, asked: Question, now: float) -> Reply | Known:
+    def _holds(self, digest: str) -> bool:
+        return self.bodies is not None and self.bodies.read(digest) is not None
+
+    def answer(self, asked: Question, now: float) -> Answer:
         """What to answer; the state it speaks of is durable by then."""
         if isinstance(asked, Learn):
             self.seen = merged(self.seen, asked.seen)
             return self._known(asked.report, now)
         if isinstance(asked, Install):
             return self._install(asked)
+        if isinstance(asked, Deposit):
+            return self._deposit(asked)
+        if isinstance(asked, FetchBody):
+            return self._fetch_body(asked)
         if self.acceptor is None or self.store is None:
             return Unable(self.why)
         value = self.acceptor.held.value
@@ -174,6 +210,23 @@
             self.acceptor.held = after
         return reply
 
+    def _deposit(self, asked: Deposit) -> Deposited | Unable:
+        if self.bodies is None:
+            return Unable("it keeps no bodies of configuration")
+        if self.store is None:
+            return Unable(self.why)
+        value = self.acceptor.held.value if self.acceptor is not None else None
+        history = value.configuration.history if value is not None else ()
+        try:
+            self.bodies.keep(asked.digest, asked.body, {entry.digest for entry in history})
+        except Unusable as problem:
+            return Unable(str(problem))
+        return Deposited(asked.digest)
+
+    def _fetch_body(self, asked: FetchBody) -> Body | Unable:
+        body = self.bodies.read(asked.digest) if self.bodies is not None else None
+        return Unable("it does not hold that body") if body is None else Body(asked.digest, body)
+
     def _known(self, report: Report | None, now: float) -> Known:
         if report is not None:
             self.reports[report.name] = now, report
@@ -195,7 +248,7 @@
             self.store.write(asked.held)
         except Unusable as problem:
             return Unable(str(problem))
-        self.acceptor, self.why = Acceptor(asked.held), ""
+        self.acceptor, self.why = Acceptor(asked.held, self._holds), ""
         self._checked.add(self.name)
         log.info("register: this instance votes")
         return Accepted(asked.held.accepted, asked.held.writes)
@@ -208,13 +261,16 @@
                  ban: Callable[[str, bool], Awaitable[None]], clear: Callable[[str], bool], ready: Callable[[], bool],
                  zones: Callable[[str], Mapping[str, str]],
                  drain: trio.Event, figures: Callable[[], Figures],
-                 view: Callable[[], tuple[bool, bool]]) -> None:  # fmt: skip
-        """`view` tells whether the view of the fleet is settled, and whether it has a majority."""
+                 view: Callable[[], tuple[bool, bool]], bodies: BodyStore | None = None) -> None:  # fmt: skip
+        """`view` tells whether the view of the fleet is settled, and whether it has a majority; `bodies` is where this
+        instance keeps those of the configuration, if it votes."""
         self.figures, self.view, self.zones, self.driver = figures, view, zones, Driver()
         self.plan, self.name, self.life, self.standing = plan, name, life, standing
         self.ban, self.clear, self.ready, self.drain = ban, clear, ready, drain
-        self.voter = Voter(name, Path(plan.folder)) if plan.listen is not None else None
+        self.voter = Voter(name, Path(plan.folder), bodies) if plan.listen is not None else None
         self.known: Value | None = None  # the latest that is known, agreed or not
+        self.agreed: Value | None = None  # the latest that a majority is known to hold
+        self.on_agreed: Callable[[Value], None] | None = None  # called when `agreed` moves on
         self.fresh_until = 0.0  # until then a majority has said so
         self.applied = 0
         self.reports: dict[str, Report] = {}
@@ -237,6 +293,8 @@
             async with trio.open_nursery() as nursery:
                 if self.voter is not None and self.plan.listen is not None:
                     nursery.start_soon(self._listen, self.plan.listen)
+                    if self.voter.bodies is not None:
+                        nursery.start_soon(self._keep_current_body, self.voter)
                 nursery.start_soon(self._follow)
         finally:
             if self.voter is not None:
@@ -270,7 +328,7 @@
 
         await trio.serve_listeners(serve, [listener])
 
-    async def _ask(self, voter: str, question: Question) -> Reply | Known | None:
+    async def _ask(self, voter: str, question: Question) -> Answer | None:
         """A voter's answer; None where none came in time."""
         if voter == self.name and self.voter is not None:
             return self.voter.answer(question, trio.current_time())
@@ -278,18 +336,17 @@
         if address is None:
             return Unable("this instance's file has no address of it")
         # A file that is made anew takes a busy disk longer than one that is there.
-        with trio.move_on_after(CHANGE if isinstance(question, Install) else ANSWER):
+        with trio.move_on_after(CHANGE if isinstance(question, Install | Deposit) else ANSWER):
             try:
                 async with await trio.open_tcp_stream(*address) as stream:
                     await _write(stream, question)
-                    found: Reply | Known = _answers.decode(await _read(stream))
-                    return found
+                    return _answers.decode(await _read(stream))
             except (OSError, EOFError, trio.BrokenResourceError, trio.ClosedResourceError, msgspec.MsgspecError):
                 return None
         return None
 
-    async def _ask_all(self, questions: Mapping[str, Question]) -> dict[str, Reply | Known | None]:
-        found: dict[str, Reply | Known | None] = {}
+    async def _ask_all(self, questions: Mapping[str, Question]) -> dict[str, Answer | None]:
+        found: dict[str, Answer | None] = {}
 
         async def one(voter: str, question: Question) -> None:
             found[voter] = await self._ask(voter, question)
@@ -336,7 +393,7 @@
 
             async def one(voter: str, question: Question) -> None:
                 reply = await self._ask(voter, question)
-                await send.send((voter, None if isinstance(reply, Known) else reply))
+                await send.send((voter, None if isinstance(reply, Known | Deposited | Body) else reply))
 
             def ask(questions: Mapping[str, Prepare | Accept]) -> int:
                 for voter, question in questions.items():
@@ -351,9 +408,74 @@
         self._seen = merged(self._seen, this.seen)
         return this.outcome or Outcome("lost", told="; ".join(f"{n}: {why}" for n, why in sorted(this.unable.items())))
 
+    # -- bodies of the configuration ---------------------------------------------------------------------------
+
+    @property
+    def register(self) -> int:
+        """Which register the voters hold; 0 until one of them has told it."""
+        return self._register
+
+    async def deposit(self, body: bytes) -> int:
+        """Have every voter that can be reached keep the body; how many do.
+
+        NoMajority where they are no majority of the voters: then no version of that body may be proposed.
+        """
+        voters = await self._voters()
+        question = Deposit(digest_of(body), body)
+        held, failed = set[str](), dict.fromkeys(voters, "no answer")
+
+        async def one(voter: str) -> None:
+            match await self._ask(voter, question):
+                case Deposited(digest=digest) if digest == question.digest:
+                    held.add(voter)
+                    del failed[voter]
+                case Unable(why=why):
+                    failed[voter] = why
+            if 2 * len(held) > len(voters):  # the others have a moment more
+                scope = nursery.cancel_scope
+                scope.deadline = min(scope.deadline, trio.current_time() + ANSWER)
+
+        async with trio.open_nursery() as nursery:
+            for voter in voters:
+                nursery.start_soon(one, voter)
+        if 2 * len(held) <= len(voters):
+            raise NoMajority("; ".join(f"{voter}: {why}" for voter, why in sorted(failed.items())))
+        return len(held)
+
+    async def fetch_body(self, digest: str) -> bytes | None:
+        """The body of that digest, from the first voter that gives it whole."""
+        others = [voter for voter in await self._voters() if voter != self.name]
+        self._random.shuffle(others)
+        for voter in (self.name, *others) if self.voter is not None else others:
+            found = await self._ask(voter, FetchBody(digest))
+            if isinstance(found, Body) and digest_of(found.body) == digest:
+                return found.body
+        return None
+
+    async def _voters(self) -> tuple[str, ...]:
+        """Those of the latest value that is known; those of the file where none can be had."""
+        if self.known is None:
+            await self._look()
+        return self.known.voters if self.known is not None else tuple(self.plan.voters)
+
+    async def _keep_current_body(self, voter: Voter) -> None:
+        """Have this voter hold the body of the version in force, also where it missed the deposit."""
+        while True:
+            await trio.sleep(BODY_LOOK * self._random.uniform(0.75, 1.25))
+            entry = self.known.configuration.current if self.known is not None else None
+            if entry is None or isinstance(voter.answer(FetchBody(entry.digest), trio.current_time()), Body):
+                continue
+            body = await self.fetch_body(entry.digest)
+            if body is not None:
+                voter.answer(Deposit(entry.digest, body), trio.current_time())
+
     # -- following -----------------------------------------------------------------------------------------
 
     def _learned(self, value: Value, agreed: bool) -> None:
+        if agreed and (self.agreed is None or value.number > self.agreed.number):
+            self.agreed = value
+            if self.on_agreed is not None:
+                self.on_agreed(value)
         if self.known is None or value.number >= self.known.number:
             self.known = value
             if agreed:
@@ -626,8 +748,23 @@
         if not isinstance(reply, Accepted):
             told = f"{name} is no voter now, and could not be taken in: "
             return {"status": "refused", "told": told + (reply.why if isinstance(reply, Unable) else "no answer")}
+        if problem := await self._hand_body(name, found):
+            return {"status": "refused", "told": f"{name} is no voter now, and could not be taken in: {problem}"}
         return self._outcome(await self.change(lambda value: places.change_voter(value, name, True, self.name, now)))
 
+    async def _hand_body(self, name: str, value: Value) -> str:
+        """Have a voter that is taken in hold the body of the version in force; why it does not, "" where it does."""
+        entry = value.configuration.current
+        if entry is None:
+            return ""
+        body = await self.fetch_body(entry.digest)
+        if body is None:
+            return f"no voter gave the body of version {entry.number}"
+        reply = await self._ask(name, Deposit(entry.digest, body))
+        if isinstance(reply, Deposited):
+            return ""
+        return reply.why if isinstance(reply, Unable) else "no answer"
+
 
 async def _read(stream: trio.SocketStream) -> bytes:
     data = b""
--- a/thistleshore/releases/model.py
+++ b/thistleshore/releases/model.py
@@ -9,6 +9,7 @@
 HISTORY_MOST = 64
 REASON_MOST = 200  # characters
 PLACES_MOST = 256
+CONFIGURATIONS_MOST = 32  # versions of the configuration in the history
 
 Kind = Literal["dispatcher", "host"]
 Limit = Annotated[int, msgspec.Meta(ge=0)] | Annotated[str, msgspec.Meta(pattern=r"^(100|[0-9]{1,2})%$")]
@@ -89,8 +90,38 @@
     when: float
 
 
+class ConfigurationEntry(msgspec.Struct, frozen=True):
+    """One version of the configuration, without its body; `when` is Unix time at the instance that pushed it."""
+
+    number: int
+    digest: str  # of the body, see `distribution.model.digest_of`
+    size: int  # bytes of the body
+    by: str
+    reason: str
+    when: float
+    against: int  # the version that was in force before it
+    restored: int = 0  # the version whose body a rollback brought back; 0: none
+
+
+class Configuration(msgspec.Struct, frozen=True):
+    """The version in force, and the latest ones, oldest first.  Version numbers are their own, not those of `Value`."""
+
+    number: int = 0  # 0: none was pushed yet
+    history: tuple[ConfigurationEntry, ...] = ()  # CONFIGURATIONS_MOST at most
+
+    @property
+    def current(self) -> ConfigurationEntry | None:
+        """The entry of the version in force."""
+        return self.history[-1] if self.history else None
+
+
 class Value(msgspec.Struct, frozen=True):
-    """`number` grows with each change, and with nothing else."""
+    """`number` grows with each change, and with nothing else.
+
+    Files and messages of a program without `configuration` decode with its default.  The other way round, such a
+    program drops the field and writes the value back without it: every voter and every proposer (any instance with
+    `[fleet.register]`) must run a program that knows it before the first version is pushed.
+    """
 
     number: int
     voters: tuple[str, ...]
@@ -100,6 +131,7 @@
     release: Release | None = None
     runs: dict[str, str] = {}  # noqa: RUF012 - the version of each, by `run_key`; BASE where it is not named
     versions: dict[str, Version] = {}  # noqa: RUF012 - those that runs, the release or its way back name
+    configuration: Configuration = Configuration()
 
     def version_of(self, kind: str, name: str) -> str:
         """What it runs, as far as it was told."""
--- a/thistleshore/releases/register.py
+++ b/thistleshore/releases/register.py
@@ -20,6 +20,7 @@
 Ballot = tuple[int, str]  # a number, and who proposes
 NONE: Ballot = (0, "")
 Change = Callable[[Value], Value | Refusal]
+Holds = Callable[[str], bool]  # whether the body of that digest is on this voter's disk
 
 
 class Held(msgspec.Struct, frozen=True):
@@ -84,11 +85,20 @@
     return found
 
 
+def holds_no_body(digest: str) -> bool:
+    """Of a voter that keeps no bodies of configuration."""
+    return False
+
+
 class Acceptor:
-    """One voter's decisions; `held` is what is on its disk."""
+    """One voter's decisions; `held` is what is on its disk.
+
+    It accepts no value whose configuration it does not hold the body of: so a majority that has accepted a version is a
+    majority from which its body can be fetched.
+    """
 
-    def __init__(self, held: Held) -> None:
-        self.held = held
+    def __init__(self, held: Held, holds: Holds = holds_no_body) -> None:
+        self.held, self.holds = held, holds
 
     def on_prepare(self, asked: Prepare) -> tuple[Held | None, Reply]:
         held = self.held
@@ -106,6 +116,9 @@
             return None, problem
         if asked.ballot < held.promised:
             return None, Rejected(held.promised)
+        current = asked.value.configuration.current
+        if current is not None and not self.holds(current.digest):
+            return None, Unable(f"it does not hold the body of version {current.number}")
         after = msgspec.structs.replace(held, promised=asked.ballot, accepted=asked.ballot, value=asked.value,
                                         writes=held.writes + 1, seen=merged(held.seen, asked.seen))  # fmt: skip
         return after, Accepted(asked.ballot, after.writes)
@@ -157,6 +170,8 @@
                 self.outcome = Outcome("again", higher=higher)
             case Promise() if reply.ballot == self.ballot and self._value is None:
                 return self._promised(voter, reply)
+            case Promise() if reply.ballot == self.ballot:
+                pass  # a majority was there before it; this voter's answer to the Accept is still to come
             case Accepted() if reply.ballot == self.ballot and self._value is not None:
                 self._accepted.add(voter)
                 self.seen = merged(self.seen, {voter: reply.writes})
--- a/thistleshore/releases/store.py
+++ b/thistleshore/releases/store.py
@@ -6,7 +6,9 @@
 import os
 import sqlite3
 import zlib
+from collections.abc import Collection
 from pathlib import Path
+from typing import Protocol
 
 import msgspec
 
@@ -24,6 +26,16 @@
     """Another process has it now."""
 
 
+class BodyStore(Protocol):
+    """Where a voter keeps bodies of configuration, by their digests."""
+
+    def read(self, digest: str) -> bytes | None:
+        """The body, None where it is not held whole."""
+
+    def keep(self, digest: str, body: bytes, named: Collection[str]) -> None:
+        """Durable once this returns, else Unusable.  Of others it may drop those that `named` does not have."""
+
+
 class Store:
     """The file in one folder, locked while it is open."""
 
