--- a/thistleshore/distribution/machine.py
+++ b/thistleshore/distribution/machine.py
@@ -2,20 +2,58 @@
 
 Every public method takes the time (seconds of a monotonic clock), changes the state and returns actions; none waits.
 `due` is when `on_time` wants to be called next.
+
+A version passes through these stages here:
+
+    known      the register agreed on it, or another instance that holds its body told of it
+    held       its body was fetched, or came with the register's word, and fits the digest; it is offered to the
+               children in the tree from now on
+    applied    the carrier said that it is durable and in force; only now it is reported
+
+Each stage only goes up in numbers.  One version is applied at a time, and the newest that is held is the next.
 """
 
 from __future__ import annotations
 
 import random as randoms
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from math import inf
 
-from thistleshore.distribution.model import NO_VERSION, Action, Address, Peer, Spread, Stamp, Terms
+from thistleshore.distribution import wire
+from thistleshore.distribution.bodies import Bodies, Mismatch, decode, fits
+from thistleshore.distribution.model import (
+    BODY_MOST,
+    FORMAT,
+    NO_VERSION,
+    REASON_MOST,
+    Action,
+    Address,
+    Apply,
+    Noted,
+    Peer,
+    Row,
+    Send,
+    Spread,
+    Stamp,
+    Terms,
+)
+from thistleshore.distribution.offers import Offers
+from thistleshore.distribution.reports import Heard, Reports
+from thistleshore.distribution.transfer import Fetching, Serving, Source, Taken
+from thistleshore.distribution.tree import Tree
+
+JITTER_LEAST, JITTER_SPAN = 0.75, 0.5  # of `sync`: times between reports go from 0.75 to 1.25 of it
+WAIT_LEAST = 0.25  # of `wait_most`, for one whose relays did not answer
+SOURCES_MOST = 4  # of those that told of the newest version
+TRANSFER_BITS = 48
 
 
 class Distributor:
-    """What one instance knows of agreed versions, and how it passes them on."""
+    """What one instance knows of agreed versions, and how it passes them on.
+
+    The owner may replace `me` (another life, another address) before it calls `on_view`.
+    """
 
     def __init__(
         self,
@@ -32,41 +70,420 @@
         self.applied: Stamp = held[0] if held is not None else NO_VERSION
         self.known: Stamp = self.applied
         self.counts: Counter[str] = Counter()
-        self.due: float = inf
         self._random = randoms.Random(seed)
+        self._peers: dict[str, Peer] = {}
+        self._tree = Tree(me, {}, voters)
+        self._bodies = Bodies(terms.kept)
+        self._offers = Offers(terms)
+        self._reports = Reports(terms)
+        self._room = wire.room(fleet, me.name, terms.datagram)
+        self._serving = Serving(self._bodies, terms, self._room)
+        self._applying: Stamp | None = None
+        self._refused, self._reason = 0, ""
+        self._sources: list[Source] = []  # that told of `known`, the latest first
+        self._fetching: Fetching | None = None
+        self._fetch_again_at = inf  # after all sources were of no use
+        self._report_number = 0
+        self._report_at = now + terms.sync * self._random.random()
+        self._unasked: list[Peer] = []  # parents that the report goes to, where those before do not answer
+        self._answer_due = inf
+        self._noted_register = 0  # the last other register that was noted
+        self._noted_large = 0  # the last version that was noted as too large
+        self._out: list[Action] = []
+        if held is not None:
+            self._bodies.add(*held, in_force=held[0].number)
+            self._offers.stamp = held[0]
+        self.due: float = inf
+        self._done()
+
+    # -- events in -------------------------------------------------------------------------------
 
     def on_view(self, peers: Iterable[Peer], now: float) -> list[Action]:
         """The other members have changed; `peers` are all that the view knows, dead ones too until forgotten."""
-        return []
+        children = {peer.name for peer in self._tree.children}
+        self._peers = {peer.name: peer for peer in peers if peer.name != self.me.name}
+        self._tree = Tree(self.me, self._peers, self.voters)
+        self._reports.on_view(self._peers)
+        self._offers.keep_only(self._tree.children)
+        if self._bodies.newest.number:
+            new = [peer for peer in self._tree.children if peer.name not in children]
+            self._offer_to(self._offers.extend(new, now))
+        return self._done()
 
     def on_agreed(self, stamp: Stamp, body: bytes | None, now: float) -> list[Action]:
         """The register has agreed on a version; `body` where this instance has it."""
-        return []
+        if not self._acceptable(stamp):
+            if stamp.size > BODY_MOST and stamp.number > self._refused:
+                self._refuse(stamp, f"a body of {stamp.size} bytes is longer than {BODY_MOST}", now)
+            return self._done()
+        if self._newer(stamp, self.known):
+            self.known, self._sources = stamp, []
+        if not self._newer(stamp, self._bodies.newest):
+            return self._done()
+        if body is not None and fits(stamp, body):
+            self._hold(stamp, body, now)
+        else:
+            if body is not None:
+                self._count_mismatch("register")
+            self._fetch_known(now)
+        return self._done()
 
     def on_datagram(self, data: bytes, sender: Address, now: float) -> list[Action]:
         """Take a datagram in; what is no datagram of this fleet changes nothing and is counted."""
-        return []
+        self.counts["heard"] += 1
+        self.counts["bytes_heard"] += len(data)
+        try:
+            envelope = wire.read(data, self.fleet, self.terms.datagram)
+        except wire.Spoilt as problem:
+            self.counts[str(problem)] += 1
+            return self._done()
+        if envelope.sender == self.me.name:
+            self.counts["own"] += 1
+            return self._done()
+        peer = self._peers.get(envelope.sender)
+        source = Source(envelope.sender, sender if peer is None else peer.address)
+        self._take(envelope.message, envelope.life, source, now)
+        return self._done()
 
     def on_time(self, now: float) -> list[Action]:
         """Do what is due."""
-        return []
+        if now >= self._offers.due:
+            self._offer_to(self._offers.on_time(now))
+        if now >= self._answer_due:
+            self._report_to_next(now)
+        if now >= self._report_at:
+            self._report(now, everywhere=self._tree.is_voter)
+        if self._fetching is not None and now >= self._fetching.due:
+            self._fetch_late(self._fetching, now)
+        if now >= self._fetch_again_at:
+            self._fetch_known(now)
+        return self._done()
 
     def on_applied(self, stamp: Stamp, now: float) -> list[Action]:
         """The version of an `Apply` is durable and in force."""
-        return []
+        self._applying = None
+        if self._newer(stamp, self.applied):
+            self.applied = stamp
+            if stamp.number >= self._refused:
+                self._refused, self._reason = 0, ""
+            self._report(now, everywhere=True)
+        else:
+            self.counts["stray"] += 1
+        self._apply_newest(now)
+        return self._done()
 
     def on_refused(self, stamp: Stamp, reason: str, now: float) -> list[Action]:
         """The version of an `Apply` could not be put in force; the one before still is."""
-        return []
+        self._applying = None
+        self._refuse(stamp, reason, now)
+        self._apply_newest(now)
+        return self._done()
+
+    # -- what others in this process ask ---------------------------------------------------------
 
     def ask_spread(self, now: float) -> list[Action]:
         """Ask the zone relays of all zones for the fresh reports that they hold."""
-        return []
+        for relays in self._tree.zone_relays.values():
+            for relay in relays:
+                if relay.name != self.me.name:
+                    self._send(relay.address, wire.Ask())
+        return self._done()
 
     def spread(self, number: int, now: float) -> Spread:
         """How far the fleet is with a version, by the fresh reports that are known here now."""
-        return Spread(number, ())
+        return self._reports.count(number, self.known.register, self._own_report(now), self.me, now)
 
     def body(self, number: int) -> bytes | None:
         """The body of a version that is kept here."""
-        return None
+        found = self._bodies.get(number)
+        return None if found is None else found[1]
+
+    # -- datagrams ---------------------------------------------------------------------------------
+
+    def _take(self, message: wire.Message, life: int, source: Source, now: float) -> None:
+        match message:
+            case wire.Report():
+                self._on_report(message, life, source, now)
+            case wire.Answer():
+                self._on_answer(message, source, now)
+            case wire.Offer():
+                self._send(source.address, wire.Acknowledge(message.stamp.number))
+                self._hear(message.stamp, source, now)
+            case wire.Acknowledge():
+                self._offers.on_acknowledge(source.name, message.number)
+            case wire.Fetch():
+                self._on_fetch(message, source, now)
+            case wire.Part():
+                self._on_part(message, now)
+            case wire.Busy():
+                self._on_busy(message, now)
+            case wire.Lacking():
+                self._on_lacking(message, now)
+            case wire.Ask():
+                self._on_ask(source, now)
+            case wire.Rows():
+                self.counts["rows_useless"] += self._reports.take_rows(message, now)
+
+    def _on_report(self, report: wire.Report, life: int, source: Source, now: float) -> None:
+        row = Row(source.name, life, report.applied, report.refused, report.reason)
+        if not self._reports.take(Heard(row, report.register, now)):
+            self.counts["report_useless"] += 1
+        self._send(source.address, wire.Answer(report.number, self._bodies.newest))
+        self._hear(report.held, source, now)
+
+    def _on_answer(self, answer: wire.Answer, source: Source, now: float) -> None:
+        if answer.number == self._report_number and self._answer_due < inf:
+            self._unasked = []
+            self._answer_due = inf
+            self._report_at = now + self._sync_time()
+        self._hear(answer.held, source, now)
+
+    def _on_ask(self, source: Source, now: float) -> None:
+        if self._is_stranger(source):
+            return
+        for rows in self._reports.tell(self._own_report(now), self._room, now):
+            self._send(source.address, rows)
+
+    def _is_stranger(self, source: Source) -> bool:
+        """Whether the sender is not in the view: what is longer than its question is not sent to just any address."""
+        if source.name in self._peers:
+            return False
+        self.counts["stranger"] += 1
+        return True
+
+    def _on_fetch(self, request: wire.Fetch, source: Source, now: float) -> None:
+        if self._is_stranger(source):
+            return
+        for message in self._serving.answer(request, source.name, self._random.random(), now):
+            if isinstance(message, wire.Part):
+                self.counts["parts"] += 1
+                self.counts["transfers"] += message.index == message.count - 1
+                self.counts["whole" if message.base == 0 else "differences"] += message.index == message.count - 1
+            elif isinstance(message, wire.Busy):
+                self.counts["busy"] += 1
+            else:
+                self.counts["lacking"] += 1
+            self._send(source.address, message)
+
+    # -- versions ----------------------------------------------------------------------------------
+
+    @staticmethod
+    def _newer(stamp: Stamp, than: Stamp) -> bool:
+        """Numbers never go down: what is not newer changes nothing."""
+        return stamp.number > than.number
+
+    def _hear(self, stamp: Stamp, source: Source, now: float) -> None:
+        """Another instance holds the body of this version."""
+        if not stamp.number or not self._acceptable(stamp):
+            return
+        if self._newer(stamp, self.known):
+            self.known, self._sources = stamp, [source]
+        elif stamp.number == self.known.number and source not in self._sources:
+            self._sources = [source, *self._sources[: SOURCES_MOST - 1]]
+        else:
+            return
+        if self._newer(self.known, self._bodies.newest):
+            self._fetch_known(now)
+
+    def _acceptable(self, stamp: Stamp) -> bool:
+        """Whether a version may be one of this instance's register, by all that is known here."""
+        register = self.known.register
+        if register and stamp.register != register:
+            self._note_other_register(stamp)
+            return False
+        if stamp.size > BODY_MOST:
+            self.counts["too_large"] += 1
+            if stamp.number != self._noted_large:
+                self._noted_large = stamp.number
+                self._note("too_large", stamp)
+            return False
+        kept = self._bodies.get(stamp.number)
+        same = self.known if stamp.number == self.known.number else kept[0] if kept is not None else stamp
+        if same != stamp:
+            self.counts["conflict"] += 1
+            return False
+        return True
+
+    def _note_other_register(self, stamp: Stamp) -> None:
+        self.counts["other_register"] += 1
+        if stamp.register != self._noted_register:
+            self._noted_register = stamp.register
+            self._note("other_register", stamp)
+
+    def _hold(self, stamp: Stamp, body: bytes, now: float) -> None:
+        """The body of a version is here, and fits: pass it on and put it in force."""
+        self._bodies.add(stamp, body, self.applied.number)
+        if self._fetching is not None and self._fetching.stamp.number <= stamp.number:
+            self._fetching = None
+        self._offer_to(self._offers.start(stamp, self._tree.children, now))
+        self._apply_newest(now)
+        if self._newer(self.known, stamp):
+            self._fetch_known(now)
+        else:
+            self._fetch_again_at = inf
+
+    def _apply_newest(self, now: float) -> None:
+        stamp = self._bodies.newest
+        if self._applying is not None or not self._newer(stamp, self.applied) or stamp.number == self._refused:
+            return
+        if stamp.format > FORMAT:
+            self._refuse(stamp, f"format {stamp.format} is newer than {FORMAT}", now)
+            return
+        found = self._bodies.get(stamp.number)
+        assert found is not None
+        self._applying = stamp
+        self._out.append(Apply(*found))
+
+    def _refuse(self, stamp: Stamp, reason: str, now: float) -> None:
+        self.counts["refused"] += 1
+        self._refused = stamp.number
+        self._reason = reason.encode()[:REASON_MOST].decode(errors="ignore")
+        self._note("refused", stamp, reason)
+        self._report(now, everywhere=True)
+
+    # -- offers ------------------------------------------------------------------------------------
+
+    def _offer_to(self, peers: Iterable[Peer]) -> None:
+        for peer in peers:
+            self.counts["offers"] += 1
+            self._send(peer.address, wire.Offer(self._offers.stamp))
+
+    # -- reports -----------------------------------------------------------------------------------
+
+    def _own_report(self, now: float) -> Heard:
+        row = Row(self.me.name, self.me.life, self.applied.number, self._refused, self._reason)
+        return Heard(row, self.applied.register, now)
+
+    def _report(self, now: float, everywhere: bool) -> None:
+        """Report to the first parent that answers; `everywhere`: to all relays of the zone as well."""
+        self._report_number += 1
+        self._unasked = list(self._shuffled_parents())
+        first = self._unasked[:1]
+        self._report_to_next(now)
+        if everywhere:
+            for relay in self._tree.own_zone_relays:
+                if relay not in first:
+                    self._send_report(relay, number=0)
+
+    def _report_to_next(self, now: float) -> None:
+        if self._unasked:
+            self._answer_due = now + self.terms.answer
+            self._report_at = inf
+            self._send_report(self._unasked.pop(0), self._report_number)
+        else:
+            self._answer_due = inf
+            self._report_at = now + (self._sync_time() if self._tree.is_voter else self._wait_time())
+            self.counts["unanswered"] += 1
+
+    def _send_report(self, peer: Peer, number: int) -> None:
+        own = self.applied
+        report = wire.Report(number, own.register, own.number, self._refused, self._reason, self._bodies.newest)
+        self._send(peer.address, report)
+
+    def _shuffled_parents(self) -> Iterator[Peer]:
+        for level in self._tree.parents:
+            yield from self._random.sample(level, len(level))
+
+    def _wait_time(self) -> float:
+        """For one that nobody answered: by chance, so that many in the same case do not come at once."""
+        return self.terms.wait_most * (WAIT_LEAST + (1.0 - WAIT_LEAST) * self._random.random())
+
+    def _sync_time(self) -> float:
+        return self.terms.sync * (JITTER_LEAST + JITTER_SPAN * self._random.random())
+
+    # -- fetching ----------------------------------------------------------------------------------
+
+    def _fetch_known(self, now: float) -> None:
+        """Fetch the newest known version, unless an earlier one is already coming in."""
+        self._fetch_again_at = inf
+        if not self._newer(self.known, self._bodies.newest):
+            return
+        fetching = self._fetching
+        if fetching is not None and fetching.stamp == self.known:
+            for source in self._sources[:1]:
+                fetching.add_source(source)
+            return
+        if fetching is not None and fetching.begun:
+            return
+        sources = [*self._sources, *(Source(peer.name, peer.address) for peer in self._shuffled_parents())]
+        number = self._random.getrandbits(TRANSFER_BITS)
+        self._fetching = Fetching(self.known, self._bodies.newest, sources, self.terms, number)
+        self._request(self._fetching, now)
+
+    def _request(self, fetching: Fetching, now: float) -> None:
+        source = fetching.source
+        if source is None:
+            self._fetching = None
+            self._fetch_again_at = now + self._wait_time()
+            self.counts["unfetched"] += 1
+            return
+        self._send(source.address, fetching.request(now))
+
+    def _fetch_late(self, fetching: Fetching, now: float) -> None:
+        if not fetching.on_silence():
+            self.counts["silent_sources"] += 1
+            fetching.next_source()
+        self._request(fetching, now)
+
+    def _on_part(self, part: wire.Part, now: float) -> None:
+        fetching = self._fetching
+        taken = Taken.STRAY if fetching is None else fetching.on_part(part, now)
+        if fetching is None or taken is Taken.STRAY:
+            self.counts["stray_part"] += 1
+        elif taken is Taken.WINDOW:
+            self._request(fetching, now)
+        elif taken is Taken.COMPLETE:
+            self._on_complete(fetching, now)
+        elif taken is Taken.UNSOUND:
+            self._on_mismatch(fetching, now)
+
+    def _on_complete(self, fetching: Fetching, now: float) -> None:
+        encoding = fetching.encoding
+        found = self._bodies.get(encoding.base) if encoding.base else None
+        try:
+            body = decode(encoding.data, found[1] if found is not None else None, fetching.stamp)
+        except Mismatch:
+            self._on_mismatch(fetching, now)
+            return
+        self.counts["fetched"] += 1
+        self._fetching = None
+        if self._newer(fetching.stamp, self._bodies.newest):
+            self._hold(fetching.stamp, body, now)
+
+    def _on_mismatch(self, fetching: Fetching, now: float) -> None:
+        """The source sent something that is not the body: it is not asked again, and the next for no difference."""
+        self._count_mismatch(fetching.source.name if fetching.source is not None else "")
+        fetching.next_source(whole=True)
+        self._request(fetching, now)
+
+    def _on_busy(self, busy: wire.Busy, now: float) -> None:
+        if (fetching := self._fetching) is not None and busy.transfer == fetching.transfer:
+            fetching.on_busy(now + busy.after / 1000)
+
+    def _on_lacking(self, lacking: wire.Lacking, now: float) -> None:
+        if (fetching := self._fetching) is not None and lacking.transfer == fetching.transfer:
+            fetching.next_source()
+            self._request(fetching, now)
+
+    # -- actions -----------------------------------------------------------------------------------
+
+    def _count_mismatch(self, source: str) -> None:
+        self.counts["mismatch"] += 1
+        self._out.append(Noted("mismatch", source))
+
+    def _note(self, what: str, stamp: Stamp, told: str = "") -> None:
+        text = f"version {stamp.number} of register {stamp.register}"
+        self._out.append(Noted(what, f"{text}: {told}" if told else text))
+
+    def _send(self, address: Address, message: wire.Message) -> None:
+        data = wire.write(self.fleet, self.me.name, self.me.life, message)
+        self.counts["sent"] += 1
+        self.counts["bytes"] += len(data)
+        self._out.append(Send(address, data))
+
+    def _done(self) -> list[Action]:
+        self.due = min(self._report_at, self._answer_due, self._offers.due, self._fetch_again_at)
+        if self._fetching is not None:
+            self.due = min(self.due, self._fetching.due)
+        out, self._out = self._out, []
+        return out
--- /dev/null
+++ b/thistleshore/distribution/reports.py
@@ -0,0 +1,155 @@
+"""The fresh reports of other instances: kept, told to those who ask, and counted.
+
+Reports of members that say the same are told in short: a token of eight bytes that stands for the member and its life,
+and the age of the report.  Whoever asked finds the member by its own view.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections import Counter
+from collections.abc import Iterable, Iterator, Mapping
+from itertools import islice
+from typing import NamedTuple
+
+import msgspec
+import xxhash
+
+from thistleshore.distribution.model import Peer, Row, Spread, Terms, Zone
+from thistleshore.distribution.wire import AGE_MOST, ROWS_MOST, AgedRow, Rows, row_size
+
+SHORT = struct.Struct("!QH")  # the token of a member, and the age of its report in ms
+
+
+class Heard(NamedTuple):
+    """A report, and when it was heard here."""
+
+    row: Row
+    register: int  # that of `row.applied`
+    at: float
+
+
+def token_of(name: str, life: int) -> int:
+    """Stands for one life of a member."""
+    return xxhash.xxh3_64_intdigest(f"{name}\0{life}")
+
+
+class Reports:
+    """The last report of each member of the view."""
+
+    def __init__(self, terms: Terms) -> None:
+        self._terms = terms
+        self._peers: Mapping[str, Peer] = {}
+        self._heard: dict[str, Heard] = {}
+        self._by_token: dict[int, Peer] | None = None  # made when it is needed
+
+    def on_view(self, peers: Mapping[str, Peer]) -> None:
+        """The members have changed: what others said goes."""
+        self._peers = peers
+        self._heard = {name: heard for name, heard in self._heard.items() if name in peers}
+        self._by_token = None
+
+    def take(self, heard: Heard) -> bool:
+        """Keep a report; False where its member is not in the view, or has said something later."""
+        row = heard.row
+        if row.name not in self._peers:
+            return False
+        if (kept := self._heard.get(row.name)) is not None:
+            if row.life < kept.row.life:
+                return False
+            if row.life == kept.row.life and (row.applied < kept.row.applied or heard.at < kept.at):
+                return False
+        self._heard[row.name] = heard
+        return True
+
+    def take_rows(self, message: Rows, now: float) -> int:
+        """Keep what another instance holds; how many of those reports were of no use."""
+        useless = len(message.members) % SHORT.size
+        whole = len(message.members) - useless
+        for token, age in SHORT.iter_unpack(message.members[:whole]):
+            peer = self._tokens().get(token)
+            if peer is None:
+                useless += 1
+                continue
+            row = Row(peer.name, peer.life, message.applied)
+            useless += not self.take(Heard(row, message.register, now - age / 1000))
+        for aged in message.rows:
+            useless += not self.take(Heard(aged.row, aged.register, now - aged.age / 1000))
+        return useless
+
+    def tell(self, own: Heard, room: int, now: float) -> list[Rows]:
+        """All fresh reports as messages of at most so many bytes beyond their numbers."""
+        fresh = [own, *(heard for heard in self._heard.values() if self._is_fresh(heard, now))]
+        plain = Counter((heard.register, heard.row.applied) for heard in fresh if not heard.row.refused)
+        common = plain.most_common(1)[0][0] if plain else None
+        short, whole = [], []
+        for heard in fresh:
+            if (heard.register, heard.row.applied) == common and not heard.row.refused:
+                short.append(SHORT.pack(token_of(heard.row.name, heard.row.life), _age(heard, now)))
+            else:
+                whole.append(AgedRow(heard.row, heard.register, _age(heard, now)))
+        register, applied = common or (0, 0)
+        messages = [Rows(register, applied, members, ()) for members in _chunks(short, room // SHORT.size)]
+        messages += [Rows(0, 0, b"", rows) for rows in _filled(whole, room)]
+        return messages
+
+    def count(self, number: int, register: int, own: Heard, me: Peer, now: float) -> Spread:
+        """How far each zone is with a version of that register."""
+        by_zone: dict[str, list[Peer]] = {me.zone: [me]}
+        for peer in self._peers.values():
+            by_zone.setdefault(peer.zone, []).append(peer)
+        zones = []
+        for zone, members in sorted(by_zone.items()):
+            rows = {peer.name: self._row_of(peer, register, own, now) for peer in members}
+            behind = sorted((row for row in rows.values() if row and row.applied < number), key=lambda row: row.name)
+            unknown = sorted(name for name, row in rows.items() if row is None)
+            applied = len(members) - len(behind) - len(unknown)
+            zones.append(Zone(zone, len(members), applied, tuple(behind), tuple(unknown)))
+        return Spread(number, tuple(zones))
+
+    def _row_of(self, peer: Peer, register: int, own: Heard, now: float) -> Row | None:
+        """What a member says now; None where it is unknown."""
+        if peer.name == own.row.name:
+            heard = own
+        else:
+            found = self._heard.get(peer.name)
+            if found is None or not peer.alive or found.row.life != peer.life or not self._is_fresh(found, now):
+                return None
+            heard = found
+        if heard.row.applied and heard.register != register:
+            reason = heard.row.reason or f"version {heard.row.applied} of register {heard.register} is in force"
+            return msgspec.structs.replace(heard.row, applied=0, reason=reason)
+        return heard.row
+
+    def _is_fresh(self, heard: Heard, now: float) -> bool:
+        return now - heard.at <= self._terms.fresh
+
+    def _tokens(self) -> dict[int, Peer]:
+        if self._by_token is None:
+            self._by_token = {token_of(peer.name, peer.life): peer for peer in self._peers.values()}
+        return self._by_token
+
+
+def _age(heard: Heard, now: float) -> int:
+    return min(AGE_MOST, max(0, round((now - heard.at) * 1000)))
+
+
+def _chunks(pieces: Iterable[bytes], most: int) -> Iterator[bytes]:
+    remaining = iter(pieces)
+    while chunk := list(islice(remaining, most)):
+        yield b"".join(chunk)
+
+
+def _filled(rows: Iterable[AgedRow], room: int) -> Iterator[tuple[AgedRow, ...]]:
+    """The rows in groups that fit into a datagram each."""
+    group: list[AgedRow] = []
+    used = 0
+    for row in rows:
+        size = row_size(row)
+        if group and (used + size > room or len(group) == ROWS_MOST):
+            yield tuple(group)
+            group, used = [], 0
+        group.append(row)
+        used += size
+    if group:
+        yield tuple(group)
--- /dev/null
+++ b/thistleshore/distribution/tree.py
@@ -0,0 +1,94 @@
+"""Who passes versions on to whom: a tree over the living members of the view, the same at all that share the view.
+
+Relays are picked by rendezvous hashing: each member has a weight in its zone and one in its region, and the heaviest
+that live are the relays.  When one dies only its own place changes hands.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterable, Mapping
+from functools import lru_cache
+
+import xxhash
+
+from thistleshore.distribution.model import RELAYS, Peer, region_of
+
+WEIGHTS_KEPT = 8192
+
+
+@lru_cache(maxsize=WEIGHTS_KEPT)
+def weight(scope: str, name: str) -> int:
+    """The weight of a member in a zone or region."""
+    return xxhash.xxh3_64_intdigest(f"{scope}\0{name}")
+
+
+def heaviest(scope: str, peers: Iterable[Peer]) -> tuple[Peer, ...]:
+    """The relays among these peers, the heaviest first."""
+    return tuple(heapq.nlargest(RELAYS, peers, key=lambda peer: (weight(scope, peer.name), peer.name)))
+
+
+class Tree:
+    """The tree as one member sees it: `parents` above it, level by level, and `children` below it."""
+
+    def __init__(self, me: Peer, others: Mapping[str, Peer], voters: frozenset[str]) -> None:
+        living = [me, *(peer for peer in others.values() if peer.alive)]
+        self.me = me
+        self.zone_relays = _zone_relays(living)
+        self.region_relays = _region_relays(self.zone_relays)
+        self._voters = _reachable_voters(voters, me, others)
+        self.is_voter = me.name in voters
+        self.is_zone_relay = me in self.zone_relays[me.zone]
+        self.is_region_relay = me in self.region_relays[me.region]
+        self.parents: tuple[tuple[Peer, ...], ...] = self._parents()
+        self.children: tuple[Peer, ...] = self._children(living)
+
+    @property
+    def own_zone_relays(self) -> tuple[Peer, ...]:
+        """The relays of this member's zone, without itself."""
+        return self._without_me(self.zone_relays[self.me.zone])
+
+    def _parents(self) -> tuple[tuple[Peer, ...], ...]:
+        levels = [self._voters]
+        if not self.is_voter and not self.is_region_relay:
+            levels.insert(0, self._without_me(self.region_relays[self.me.region]))
+            if not self.is_zone_relay:
+                levels.insert(0, self.own_zone_relays)
+        return tuple(level for level in levels if level)
+
+    def _children(self, living: Iterable[Peer]) -> tuple[Peer, ...]:
+        found: dict[str, Peer] = {}
+        if self.is_voter:
+            for relays in self.region_relays.values():
+                found.update((peer.name, peer) for peer in relays)
+        if self.is_region_relay:
+            for zone, relays in self.zone_relays.items():
+                if region_of(zone) == self.me.region:
+                    found.update((peer.name, peer) for peer in relays)
+        if self.is_zone_relay:
+            found.update((peer.name, peer) for peer in living if peer.zone == self.me.zone)
+        return self._without_me(found.values())
+
+    def _without_me(self, peers: Iterable[Peer]) -> tuple[Peer, ...]:
+        return tuple(peer for peer in peers if peer.name != self.me.name)
+
+
+def _zone_relays(living: Iterable[Peer]) -> dict[str, tuple[Peer, ...]]:
+    by_zone: dict[str, list[Peer]] = {}
+    for peer in living:
+        by_zone.setdefault(peer.zone, []).append(peer)
+    return {zone: heaviest(f"zone {zone}", peers) for zone, peers in by_zone.items()}
+
+
+def _region_relays(zone_relays: Mapping[str, tuple[Peer, ...]]) -> dict[str, tuple[Peer, ...]]:
+    by_region: dict[str, list[Peer]] = {}
+    for zone, relays in zone_relays.items():
+        by_region.setdefault(region_of(zone), []).extend(relays)
+    return {region: heaviest(f"region {region}", peers) for region, peers in by_region.items()}
+
+
+def _reachable_voters(voters: frozenset[str], me: Peer, others: Mapping[str, Peer]) -> tuple[Peer, ...]:
+    """The living voters; all known ones where none lives, as the view may be late to see that they are back."""
+    known = [others[name] for name in sorted(voters) if name in others and name != me.name]
+    living = tuple(peer for peer in known if peer.alive)
+    return living or tuple(known)
