--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -29,7 +29,8 @@
        "thistleshore.rig", "thistleshore.releases", "thistleshore.distribution",
        "thistleshore.config.fleets", "matplotlib", "rich", "numpy",
        "sqlite3",
-       "prometheus_client", "thistleshore.config.operator", "thistleshore.beanstalkd.downstream")  # fmt: skip
+       "prometheus_client", "zstandard", "thistleshore.config.operator",
+       "thistleshore.beanstalkd.downstream")  # fmt: skip
 
 
 def run(*args: str, given: str | None = None) -> Result:
--- a/thistleshore/cli/admin.py
+++ b/thistleshore/cli/admin.py
@@ -99,17 +99,26 @@
         raise SystemExit(1)
 
 
-def ask(file: str | None, named: str | None, call: codec.Call, within: float = ANSWER_WITHIN) -> str:
-    """The whole answer to one call; ends with status 2 where there is none within so many seconds."""
+def ask(file: str | None, named: str | None, call: codec.Call) -> str:
+    """The whole answer to one call; ends with status 2 where there is none."""
+    return ask_at(address_of(file, named), call, ANSWER_WITHIN)
+
+
+def address_of(file: str | None, named: str | None) -> config.Address:
+    """Where the dispatcher of an operator's file is asked, or the address that was named; ends with status 2."""
     try:
         if named is not None:
-            where: tuple[str, int] | None = config.address(named, "--address")
-        else:
-            where = config.operator_file(file, 0.0).admin if file is not None else None
+            return config.address(named, "--address")
+        where = config.operator_file(file, 0.0).admin if file is not None else None
     except config.ConfigError as problem:
         refuse("\n".join(problem.problems), 2)
     if where is None:
         refuse("--address, or --config with an [admin] in it, is wanted", 2)
+    return where
+
+
+def ask_at(where: config.Address, call: codec.Call, within: float) -> str:
+    """The whole answer to one call there; ends with status 2 where there is none within so many seconds."""
     line = codec.written(call)
     try:
         codec.LineReader().feed(line)
--- a/thistleshore/cli/configuration.py
+++ b/thistleshore/cli/configuration.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import hashlib
 import os
 import time
 from pathlib import Path
@@ -12,22 +11,40 @@
 import click
 
 from thistleshore.admin import codec
-from thistleshore.cli.admin import ask, told
+from thistleshore.cli.admin import address_of, ask_at, told
 from thistleshore.cli.fleet import CONFIG, DONE, LATE, NO_MAJORITY, REFUSED
+from thistleshore.config import Address
 from thistleshore.cli.shared import JSON, echo_json, refuse
-from thistleshore.distribution.model import BODY_MOST, DIGEST_BYTES
+from thistleshore.distribution.model import BODY_MOST, digest_of
 
 POLL = 0.3  # s between two questions of --wait
 ANSWER_WITHIN = 12.0  # s for a push: its check, its deposit and the rounds of the register
 NO_ANSWER = 2  # exit status, as that of the other commands
+SOURCE = "configuration"  # what a member calls the body that it was brought
 PIECE = 3000  # characters of a body that one call carries
 STATUSES = {"done": DONE, "refused": REFUSED, "no-majority": NO_MAJORITY}
 
-AGAINST = click.option("--against", type=click.IntRange(min=0), default=None, metavar="VERSION",
-                       help="Refuse unless this is still the newest version.")  # fmt: skip
+SOURCES = {
+    "fleet": "what the fleet agrees on",
+    "disk": "the version on its disk, which no majority has confirmed since it started",
+    "file": "its own file alone",
+}
+
+AGAINST = click.option(
+    "--against",
+    type=click.IntRange(min=0),
+    default=None,
+    metavar="VERSION",
+    help="Refuse unless this is still the newest version; 0: none was pushed yet.",
+)
 REASON = click.option("--for", "reason", default="", help="Why; it is kept in the history.")
-WAIT = click.option("--wait", type=click.FloatRange(min=0.0), default=None, metavar="SECONDS",
-                    help="Wait so long until every member has it in force.")  # fmt: skip
+WAIT = click.option(
+    "--wait",
+    type=click.FloatRange(min=0.0),
+    default=None,
+    metavar="SECONDS",
+    help="Wait so long until every member has it in force.",
+)
 
 
 @click.group()
@@ -51,10 +68,12 @@
     data = body.read_bytes()
     if len(data) > BODY_MOST:
         refuse(f"{body}: {len(data)} bytes, and at most {BODY_MOST} are allowed", REFUSED)
-    upload = _upload(file, data)
-    digest = hashlib.blake2b(data, digest_size=DIGEST_BYTES).hexdigest()
-    found = _call(file, "config-push", upload, digest, _against(against), *reason.split())
-    _finish(found, wait, file, as_json)
+    member = address_of(file, None)
+    upload = _upload(member, data)
+    found = _call(member, "config-push", upload, digest_of(data), _against(against), *reason.split())
+    if "problems" in found:
+        found["problems"] = [_with_path(problem, body) for problem in found["problems"]]
+    _finish(found, wait, member, as_json)
 
 
 @command.command()
@@ -66,8 +85,9 @@
 @JSON
 def rollback(version: int, against: int | None, reason: str, wait: float | None, file: str, as_json: bool) -> None:
     """Have the fleet agree on the content of an earlier VERSION, under a new number."""
-    found = _call(file, "config-rollback", str(version), _against(against), *reason.split())
-    _finish(found, wait, file, as_json)
+    member = address_of(file, None)
+    found = _call(member, "config-rollback", str(version), _against(against), *reason.split())
+    _finish(found, wait, member, as_json)
 
 
 @command.command()
@@ -75,13 +95,14 @@
 @JSON
 def status(file: str, as_json: bool) -> None:
     """The newest version, which one is in force at the member that is asked, and how far each zone is."""
-    found = _call(file, "config-status")
+    found = _call(address_of(file, None), "config-status")
     if as_json:
         echo_json(found)
         return
     word = "agreed now" if found["agreed"] else "as last known: no majority says so now"
-    click.echo(f"version {found['number']}, {word}; in force here: {found['in_force_here']}, "
-               f"from {found['serving_from']}; {'in force everywhere' if found['everywhere'] else 'not everywhere'}")  # fmt: skip
+    click.echo(f"version {found['number']}, {word}; in force here: {found['in_force_here']}")
+    click.echo(f"this member serves from {SOURCES[found['serving_from']]}")
+    click.echo("in force everywhere" if found["everywhere"] else "not known to be in force everywhere")
     for zone in found["zones"]:
         click.echo(f"  {zone['zone'] or '-'}: {zone['applied']} of {zone['members']}")
     for line in laggards(found):
@@ -93,7 +114,7 @@
 @JSON
 def history(file: str, as_json: bool) -> None:
     """The versions that were agreed, the oldest first: who, when, why, and what each restored."""
-    found = _call(file, "config-history")
+    found = _call(address_of(file, None), "config-history")
     if as_json:
         echo_json(found)
         return
@@ -101,7 +122,7 @@
         click.echo(_written(entry))
 
 
-def _upload(file: str, data: bytes) -> str:
+def _upload(member: Address, data: bytes) -> str:
     """Bring a body to the member in pieces; the name of the upload."""
     import zstandard
 
@@ -109,22 +130,28 @@
     text = base64.urlsafe_b64encode(zstandard.ZstdCompressor(level=9).compress(data)).decode()
     pieces = [text[start : start + PIECE] for start in range(0, len(text), PIECE)]
     for index, piece in enumerate(pieces):
-        found = _call(file, "config-piece", upload, str(index), str(len(pieces)), piece)
+        found = _call(member, "config-piece", upload, str(index), str(len(pieces)), piece)
         if found["status"] != "done":
             refuse(f"refused: {found['told']}", REFUSED)
     return upload
 
 
+def _with_path(problem: str, body: Path) -> str:
+    """A problem of the pushed file with its path."""
+    source, _, text = problem.partition(": ")
+    return f"{body}: {text}" if source == SOURCE else problem
+
+
 def _against(version: int | None) -> str:
     return "-" if version is None else str(version)
 
 
-def _call(file: str, *words: str) -> Any:
+def _call(member: Address, *words: str) -> Any:
     """The answer to one call; ends with status 1 where it is no, and with 2 where there is none."""
-    return told(ask(file, None, codec.Call("FLEET", words[0], " ".join(words[1:])), ANSWER_WITHIN))
+    return told(ask_at(member, codec.Call("FLEET", words[0], " ".join(words[1:])), ANSWER_WITHIN))
 
 
-def _finish(found: Any, wait: float | None, file: str, as_json: bool) -> NoReturn:
+def _finish(found: Any, wait: float | None, member: Address, as_json: bool) -> NoReturn:
     """Tell what came of a change, after waiting for it where that is asked for, and end."""
     if found["status"] != "done":
         _fail(found, as_json)
@@ -132,7 +159,7 @@
     if wait is None:
         _say(found, as_json, f"version {number} is agreed")
         raise SystemExit(DONE)
-    spread = _wait(number, wait, file)
+    spread = _wait(number, wait, member)
     found = {**found, "spread": spread}
     if spread["everywhere"]:
         _say(found, as_json, f"version {number} is in force everywhere")
@@ -142,12 +169,12 @@
     raise SystemExit(LATE)
 
 
-def _wait(number: int, seconds: float, file: str) -> Any:
+def _wait(number: int, seconds: float, member: Address) -> Any:
     """What the member says of the version, once it is in force everywhere or the time is over."""
     until = time.monotonic() + seconds
     try:
         while True:
-            spread = _call(file, "config-status", str(number))
+            spread = _call(member, "config-status", str(number))
             if spread["everywhere"] or time.monotonic() + POLL > until:
                 return spread
             time.sleep(POLL)
@@ -188,6 +215,8 @@
 
 
 def _written(entry: Any) -> str:
+    """A version of the history on a line."""
     when = time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(entry["when"]))
-    restored = f" restores {entry['restored']}" if entry.get("restored") else ""
-    return f"{entry['number']} {when} {entry['digest'][:12]} {entry['size']} bytes{restored} {entry['reason']} (by {entry['by']})"
+    restored = f"restores {entry['restored']}, " if entry["restored"] else ""
+    content = f"{entry['digest'][:12]}, {entry['size']} bytes"
+    return f"{entry['number']} {when} {content}: {restored}{entry['reason'] or 'no reason given'} (by {entry['by']})"
--- a/thistleshore/distribution/applying.py
+++ b/thistleshore/distribution/applying.py
@@ -37,6 +37,10 @@
         return str(self)[:REASON_MOST]
 
 
+class NotDurable(NotApplied):
+    """The disk took nothing."""
+
+
 class Held(NamedTuple):
     """A version with its body."""
 
@@ -165,7 +169,7 @@
         try:
             self.store.write(stamp, body)
         except StoreError as problem:
-            raise NotApplied(str(problem)) from None
+            raise NotDurable(str(problem)) from None
 
     def _put_in_force(self, checked: Checked) -> None:
         assert self.force is not None
--- a/thistleshore/distribution/carrier.py
+++ b/thistleshore/distribution/carrier.py
@@ -11,7 +11,7 @@
 import trio
 
 from thistleshore.distribution import agreement
-from thistleshore.distribution.applying import Applier, NotApplied
+from thistleshore.distribution.applying import Applier, NotApplied, NotDurable
 from thistleshore.distribution.machine import Distributor
 from thistleshore.distribution.model import Action, Address, Apply, Peer, Send, Spread, Stamp, Terms, digest_of
 from thistleshore.fleet.model import Record, State
@@ -27,6 +27,7 @@
 WAITING_MOST = 512  # datagrams that wait for the machine; beyond that they are dropped and counted
 REST = 0.002  # s, the least between two calls of the machine's time
 BODY_RETRY = 0.5  # s before another voter is asked for a body that none has given
+DISK_RETRY = 10.0  # s before a version that the disk did not take is tried again
 VIEW_REST = 0.05  # s between two looks at a view that changes
 SPREAD_LOOK = 0.05  # s between two looks at the reports that have come
 
@@ -87,7 +88,9 @@
         self._applies, self._to_apply = trio.open_memory_channel[Apply](inf)
         self._agreed, self._to_learn = trio.open_memory_channel[Stamp](inf)
         self._newest_agreed: Stamp | None = None
+        self._unfinished: Apply | None = None  # what is being applied, or was when this process stepped aside
         self._last_refused: Apply | None = None
+        self._disk_failed = False  # what was refused may be taken once the disk has room
         self._aside = Aside()
         releases.on_agreed = self.on_value
         applier.on_reread = self.on_file
@@ -151,6 +154,8 @@
 
     async def _take_part(self) -> None:
         await self._follow_disk()
+        if self._unfinished is not None:
+            self._applies.send_nowait(self._unfinished)
         self._events.send_nowait(ViewChanged())
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._own)
@@ -217,9 +222,8 @@
             self.fleet.unsubscribe(changes)
 
     async def _learn(self) -> None:
-        """Tell the machine of each agreed version, with its body where this instance votes."""
+        """A voter tells the machine of each agreed version, with its body; all others hear of it from their relays."""
         async for stamp in self._to_learn:
-            self._events.send_nowait(Agreed(stamp, None))
             if self.releases.voter is None:
                 continue
             body = await self._body_of(stamp)
@@ -238,24 +242,34 @@
     # -- applying
 
     async def _apply_in_turn(self) -> None:
-        async for action in self._to_apply:
-            if action.stamp.number > self.machine.applied.number:
+        """Apply what waits, one version at a time; a version that met a full disk again after a while."""
+        while True:
+            action = None
+            with trio.move_on_after(DISK_RETRY):
+                action = await self._to_apply.receive()
+            if action is None and self._disk_failed:
+                action = self._last_refused
+            if action is not None:
                 await self._apply(action)
 
     async def _apply(self, action: Apply) -> None:
         """Put a version in force, and tell the machine what came of it."""
         stamp = action.stamp
+        if stamp.number <= self.machine.applied.number:
+            return
+        self._unfinished = action
         try:
             await self.applier.apply(stamp, action.body)
         except NotApplied as problem:
-            self._last_refused = action
+            self._last_refused, self._disk_failed = action, isinstance(problem, NotDurable)
             log.error("configuration: version %d is not in force here: %s", stamp.number, problem)
             self._events.send_nowait(Refused(stamp, problem.reason))
-            return
-        self._last_refused = None
-        self.serving_from = "fleet"
-        log.info("configuration: version %d is in force", stamp.number)
-        self._events.send_nowait(Applied(stamp))
+        else:
+            self._last_refused, self._disk_failed = None, False
+            self.serving_from = "fleet"
+            log.info("configuration: version %d is in force", stamp.number)
+            self._events.send_nowait(Applied(stamp))
+        self._unfinished = None
 
 
 def peer_of(record: Record) -> Peer:
--- a/thistleshore/rig/rig.py
+++ b/thistleshore/rig/rig.py
@@ -79,6 +79,20 @@
 attempts = 3
 path = "/ticket-issue"
 """
+CONFIGURATION = """\
+
+[fleet.configuration]
+dir = "{folder}"
+sync = {sync}
+fresh = {fresh}
+
+[contracts]
+others = 0.5
+
+[[member]]
+name = "house"
+share = 0.4
+"""
 KEEP = """\
 [keep]
 dir = "{folder}"
@@ -174,6 +188,9 @@
 
     def _write(self, name: str, number: int, hosts: str, register: str) -> None:
         world = self.world
+        if world.configuration:
+            register += CONFIGURATION.format(folder=self.out / f"configuration-{name}", sync=5 * world.period,
+                                             fresh=12.5 * world.period)  # fmt: skip
         file = self.out / f"{name}.toml"
         first = world.names[: world.seeds]
         file.write_text(FILE.format(
