--- /dev/null
+++ b/tests/test_configuration_carrier.py
@@ -0,0 +1,436 @@
+"""Applying versions, uploads, and the carrier's tasks, each without another process."""
+
+from __future__ import annotations
+
+import base64
+import tomllib
+from collections.abc import Sequence
+from dataclasses import replace
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+import trio
+import zstandard
+
+from tests.support import play
+from thistleshore import config
+from thistleshore.admin import codec
+from thistleshore.config.platform import FleetPlan
+from thistleshore.core.model import HostLine
+from thistleshore.distribution.applying import Applier, Held, NotApplied, NotDurable
+from thistleshore.distribution.carrier import Distribution
+from thistleshore.distribution.machine import Distributor
+from thistleshore.distribution.model import BODY_MOST, FORMAT, REASON_MOST, Apply, Peer, Stamp, Terms, digest_of
+from thistleshore.distribution.store import VERSION_FILE, VersionStore
+from thistleshore.distribution.uploads import EXPIRES, PIECES_MOST, UPLOADS_MOST, UploadError, Uploads, decompressed
+from thistleshore.fleet.carrier import Carrier
+from thistleshore.fleet.model import Record, Service, State, Terms as FleetTerms
+from thistleshore.metrics import Configuration
+
+REGISTER = 7
+OWN = """\
+name = "own"
+
+[http]
+listen = "127.0.0.1:7001"
+
+[[service]]
+name = "ticketing"
+
+[[host]]
+name = "own-host"
+service = "ticketing"
+address = "127.0.0.1:7002"
+
+[[contract]]
+team = "rig"
+service = "ticketing"
+class = "seat-search"
+effect = "safe"
+deadline = 3.0
+rate = 10.0
+path = "/seat-search"
+
+[[member]]
+name = "house"
+share = 0.4
+"""
+RULE = """\
+[[match]]
+name = "{name}"
+when = 'request.path == "/new"'
+contract = '"seat-search"'
+"""
+HOSTS = """\
+[[host]]
+name = "agreed-host"
+service = "ticketing"
+address = "127.0.0.1:7003"
+"""
+
+
+def plan_of(text: str = OWN) -> config.Plan:
+    return config.operator_plan(tomllib.loads(text), 0.0)
+
+
+def version(number: int, body: str, form: int = FORMAT) -> tuple[Stamp, bytes]:
+    data = body.encode()
+    return Stamp(REGISTER, number, digest_of(data), len(data), form), data
+
+
+def rule(name: str) -> str:
+    return RULE.format(name=name)
+
+
+class Process:
+    """What a running process has in force."""
+
+    def __init__(self, folder: Path, own: str = OWN) -> None:
+        self.store = VersionStore(folder, "fleet")
+        self.applier = Applier(self.store, plan_of(own))
+        self.plan = self.applier.start()
+        self.applier.force = self.force
+        self.hosts: list[str] | None = None
+
+    def force(self, found: config.Plan, hosts: Sequence[HostLine] | None) -> None:
+        self.plan = found
+        if hosts is not None:
+            self.hosts = [line.entry.worker.decode() for line in hosts]
+
+    @property
+    def rules(self) -> list[str]:
+        assert self.plan.live is not None
+        return [rule.name for rule in self.plan.live.table.rules.rules]
+
+    def apply(self, number: int, body: str, form: int = FORMAT) -> None:
+        play(self.applier.apply, *version(number, body, form))
+
+
+def test_a_version_is_durable_before_it_is_in_force_and_only_then_reported(tmp_path: Path) -> None:
+    process = Process(tmp_path)
+    seen = []
+    process.applier.force = lambda plan, hosts: seen.append(process.store.read())
+    process.apply(3, rule("new"))
+    assert seen == [version(3, rule("new"))] and process.applier.in_force == Held(*version(3, rule("new")))
+
+
+@pytest.mark.parametrize(
+    ("body", "form", "problem"),
+    [
+        (rule("new").replace("request.path", "request.pfad"), FORMAT, "configuration: match[0].when"),
+        ("[[match]", FORMAT, "configuration: "),
+        ('[admin]\nlisten = "127.0.0.1:1"', FORMAT, "admin: not a table that is distributed"),
+        (rule("new"), FORMAT + 1, "format"),
+    ],
+)
+def test_what_does_not_fit_leaves_the_version_before_in_force(
+    tmp_path: Path, body: str, form: int, problem: str
+) -> None:
+    process = Process(tmp_path)
+    process.apply(1, rule("former"))
+    with pytest.raises(NotApplied) as refused:
+        process.apply(2, body, form)
+    assert problem in refused.value.reason and len(refused.value.reason) <= REASON_MOST
+    assert process.rules == ["former"] and process.store.read() == version(1, rule("former"))
+
+
+def test_a_disk_that_takes_nothing_leaves_the_version_before_in_force(tmp_path: Path) -> None:
+    process = Process(tmp_path / "folder")
+    (tmp_path / "folder").write_text("no folder")
+    with pytest.raises(NotDurable, match="the disk takes nothing"):
+        process.apply(1, rule("new"))
+    assert process.rules == [] and process.applier.in_force is None
+
+
+def test_hosts_are_told_whole_and_those_of_the_file_come_back(tmp_path: Path) -> None:
+    process = Process(tmp_path)
+    process.apply(1, rule("new"))
+    assert process.hosts is None
+    process.apply(2, HOSTS)
+    assert process.hosts == ["agreed-host"]
+    process.apply(3, rule("new"))
+    assert process.hosts == ["own-host"]
+
+
+def test_hosts_are_refused_where_they_come_from_discovery(tmp_path: Path) -> None:
+    process = Process(tmp_path, OWN + '\n[discovery]\naddress = "127.0.0.1:7004"\n')
+    with pytest.raises(NotApplied, match=r"host: this instance has its hosts from \[discovery\]"):
+        process.apply(1, HOSTS)
+    process.apply(2, rule("new"))
+
+
+def test_an_instance_starts_on_its_disk_and_on_its_own_file_where_that_is_no_good(tmp_path: Path) -> None:
+    process = Process(tmp_path)
+    assert process.applier.in_force is None and process.rules == []
+    process.apply(5, rule("new") + HOSTS)
+    again = Process(tmp_path)
+    assert again.rules == ["new"] and again.applier.in_force == Held(*version(5, rule("new") + HOSTS))
+    assert [line.entry.worker for line in again.plan.known] == [b"agreed-host"] and again.applier.hosts_told
+    assert again.plan.told == plan_of().told  # what is compared with later readings of the file
+    # Its own file does not go with it any more; another fleet's; torn.
+    for own, fleet, spoil in (
+        (OWN.replace("seat-search", "seat-finder"), "fleet", False),
+        (OWN, "other", False),
+        (OWN, "fleet", True),
+    ):
+        if spoil:
+            file = tmp_path / VERSION_FILE
+            file.write_bytes(file.read_bytes()[:-1])
+        applier = Applier(VersionStore(tmp_path, fleet), plan_of(own))
+        assert applier.start().told == plan_of(own).told and applier.in_force is None
+        assert applier.problems_at_start == 1
+
+
+def test_a_file_read_again_has_the_version_in_force_laid_over_it(tmp_path: Path) -> None:
+    process = Process(tmp_path)
+    process.apply(1, rule("agreed"))
+    calls: list[None] = []
+    process.applier.on_reread = lambda: calls.append(None)
+    read = plan_of(OWN + rule("file"))
+    found = play(process.applier.reread, read)
+    assert found is not None and found.live is not None
+    assert [rule.name for rule in found.live.table.rules.rules] == ["agreed"] and found.told == read.told
+    # One that does not go with the version is not taken, and the former one counts on.
+    assert play(process.applier.reread, plan_of(OWN.replace("seat-search", "seat-finder"))) is None
+    process.apply(2, HOSTS)
+    assert process.rules == ["file"] and len(calls) == 1
+
+
+# -- uploads
+
+
+def packed(body: bytes) -> str:
+    return base64.urlsafe_b64encode(zstandard.ZstdCompressor().compress(body)).decode()
+
+
+def test_an_upload_is_put_together_from_its_pieces_in_any_order() -> None:
+    uploads, text = Uploads(), packed(b"some text")
+    half = len(text) // 2
+    uploads.add("u", "1", "2", text[half:], 0.0)
+    with pytest.raises(UploadError, match="1 of 2 pieces"):
+        uploads.take("u", 0.0)
+    uploads.add("u", "0", "2", text[:half], 0.0)
+    uploads.add("u", "0", "2", text[:half], 1.0)
+    assert uploads.take("u", 2.0) == b"some text"
+    with pytest.raises(UploadError, match="no upload"):
+        uploads.take("u", 2.0)
+
+
+def test_uploads_are_bounded_and_expire() -> None:
+    uploads = Uploads()
+    for name, index, count, data in (
+        ("u", "2", "2", ""),
+        ("u", "0", "0", ""),
+        ("u", "0", str(PIECES_MOST + 1), ""),
+        ("u", "x", "2", ""),
+        ("u", "0", "2", "a" * 3001),
+        ("../u", "0", "2", ""),
+    ):
+        with pytest.raises(UploadError):
+            uploads.add(name, index, count, data, 0.0)
+    for number in range(UPLOADS_MOST):
+        uploads.add(f"u{number}", "0", "2", "a", 0.0)
+    with pytest.raises(UploadError, match="are under way"):
+        uploads.add("more", "0", "1", "a", 0.0)
+    with pytest.raises(UploadError, match="has 2 pieces"):
+        uploads.add("u0", "0", "3", "a", 0.0)
+    uploads.add("more", "0", "1", "a", EXPIRES + 1.0)
+    with pytest.raises(UploadError, match="no upload"):
+        uploads.take("u0", EXPIRES + 1.0)
+
+
+@pytest.mark.parametrize(
+    "text", ["", "a", "é", packed(b"x")[:-6], packed(bytes(BODY_MOST + 1)), packed(bytes(1 << 27))]
+)
+def test_a_spoilt_or_too_large_upload_is_refused(text: str) -> None:
+    with pytest.raises(UploadError):
+        decompressed(text)
+
+
+def test_the_largest_piece_fits_a_line_of_the_admin_interface() -> None:
+    call = codec.Call("FLEET", "config-piece", f"{'u' * 32} 99999 99999 {'a' * 3000}")
+    assert codec.LineReader().feed(codec.written(call)) == call
+    assert codec.read_call(b"FLEET config-push u d - " + b"why " * 57).host == "config-push"
+
+
+# -- the carrier
+
+
+class FakeFleet:
+    """As much of the fleet's carrier as the distribution uses."""
+
+    def __init__(self) -> None:
+        me = Record("me", "127.0.0.1", 1, "a", 1, 0, int(State.ALIVE), int(Service.READY), 2, "1")
+        self.machine = SimpleNamespace(me=me, members={})
+        self.plan = SimpleNamespace(name="fleet")
+        self.changes, self._receive = trio.open_memory_channel[object](16)
+
+    def subscribe(self) -> Any:
+        return self._receive.clone()
+
+    def unsubscribe(self, changes: Any) -> None:
+        changes.close()
+
+    async def send(self, address: Any, data: bytes) -> None:
+        pass
+
+
+def distribution_of(process: Process) -> Distribution:
+    releases: Any = SimpleNamespace(
+        plan=SimpleNamespace(voters={}), register=REGISTER, on_agreed=None, voter=None, known=None
+    )
+    fleet: Any = FakeFleet()
+    return Distribution(Terms(), fleet, releases, process.applier)
+
+
+async def put_in_force(tmp_path: Path) -> None:
+    process = Process(tmp_path)
+    distribution = distribution_of(process)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(distribution.run)
+        distribution.on_pushed(*version(1, rule("one")))
+        await trio.sleep(1.0)
+        assert distribution.machine.applied.number == 1 and process.rules == ["one"]
+        assert distribution.serving_from == "fleet"
+        distribution.on_pushed(*version(2, rule("two").replace("request.path", "x")))
+        await trio.sleep(1.0)
+        assert distribution.machine.applied.number == 1 and process.rules == ["one"]
+        found = await distribution.spread(2, 0.3)
+        (row,) = found.zones[0].behind
+        assert row.applied == 1 and row.refused == 2 and "match[0].when" in row.reason
+        # A version whose body was refused here is passed over for a newer one.
+        distribution.on_pushed(*version(3, rule("three")))
+        await trio.sleep(1.0)
+        assert distribution.machine.applied.number == 3 and (await distribution.spread(3, 0.3)).everywhere
+        nursery.cancel_scope.cancel()
+
+
+def test_versions_are_put_in_force_or_reported_with_why_not(tmp_path: Path) -> None:
+    play(put_in_force, tmp_path)
+
+
+async def leave_midway(tmp_path: Path) -> None:
+    process = Process(tmp_path)
+    distribution = distribution_of(process)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(distribution.run)
+        checked = process.applier._check  # noqa: SLF001 - where a test steps in between two steps
+
+        def check_and_leave(body: bytes, file: config.Plan | None = None) -> Any:
+            trio.from_thread.run_sync(distribution.step_aside, True)
+            return checked(body, file)
+
+        process.applier._check = check_and_leave  # type: ignore[method-assign]  # noqa: SLF001
+        distribution.on_pushed(*version(1, rule("one")))
+        await trio.sleep(1.0)
+        assert process.store.read() is None and process.rules == []
+        # The next process wrote a version and has gone: this one goes on from there, before it reports anything.
+        process.applier._check = checked  # type: ignore[method-assign]  # noqa: SLF001
+        process.store.write(*version(2, rule("two")))
+        distribution.step_aside(False)
+        await trio.sleep(1.0)
+        assert distribution.machine.applied.number == 2 and process.rules == ["two"]
+        distribution.on_pushed(*version(3, rule("three")))
+        await trio.sleep(1.0)
+        assert distribution.machine.applied.number == 3 and process.rules == ["three"]
+        nursery.cancel_scope.cancel()
+
+
+def test_a_process_that_steps_aside_writes_no_more_and_comes_back_on_what_is_on_the_disk(tmp_path: Path) -> None:
+    play(leave_midway, tmp_path)
+
+
+async def full_disk(tmp_path: Path) -> None:
+    folder = tmp_path / "folder"
+    process = Process(folder)
+    folder.write_text("no folder")
+    distribution = distribution_of(process)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(distribution.run)
+        distribution.on_pushed(*version(1, rule("one")))
+        await trio.sleep(1.0)
+        assert distribution.machine.applied.number == 0
+        folder.unlink()
+        await trio.sleep(20.0)
+        assert distribution.machine.applied.number == 1 and process.rules == ["one"]
+        nursery.cancel_scope.cancel()
+
+
+def test_a_version_that_the_disk_did_not_take_is_tried_again(tmp_path: Path) -> None:
+    play(full_disk, tmp_path)
+
+
+async def reread(tmp_path: Path) -> None:
+    process = Process(tmp_path)
+    distribution = distribution_of(process)
+    body = '[[member]]\nname = "house"\nshare = 0.4\n' + rule("one").replace("seat-search", "seat-finder")
+    async with trio.open_nursery() as nursery:
+        await nursery.start(distribution.run)
+        distribution.on_pushed(*version(1, body))
+        await trio.sleep(1.0)
+        assert distribution.machine.applied.number == 0
+        own = replace(plan_of(OWN.replace("seat-search", "seat-finder")), seed=process.plan.seed)
+        assert await process.applier.reread(own) is not None
+        await trio.sleep(1.0)
+        assert distribution.machine.applied.number == 1 and process.rules == ["one"]
+        nursery.cancel_scope.cancel()
+
+
+def test_a_version_that_was_refused_is_tried_again_with_a_file_read_again(tmp_path: Path) -> None:
+    play(reread, tmp_path)
+
+
+async def datagrams(networks: tuple[str, ...]) -> tuple[list[bytes], dict[str, int]]:
+    """What the distribution is handed by a carrier that hears those networks, and the carrier's counts."""
+    plan = FleetPlan("fleet", ("127.0.0.1", 0), ("10.0.0.1", 1), (), "a", networks, FleetTerms())
+    carrier = Carrier(plan, "me", lambda: Service.READY, "")
+    heard: list[bytes] = []
+    receiver: Any = SimpleNamespace(on_datagram=lambda data, sender: heard.append(data))
+    carrier.distribution = receiver
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(carrier.run)
+        await trio.sleep(0.5)
+        assert carrier.socket is not None
+        with trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM) as sender:
+            for data in (b"tC one", b"tF two", b"tC" + bytes(FleetTerms().datagram)):
+                await sender.sendto(data, carrier.socket.getsockname())
+            await trio.sleep(0.5)
+        nursery.cancel_scope.cancel()
+    return heard, dict(carrier.machine.counts)
+
+
+def test_the_fleet_s_socket_hands_on_what_comes_from_its_networks_and_is_no_longer_than_it_may_be() -> None:
+    heard, counts = play(datagrams, ("127.0.0.0/8",))
+    assert heard == [b"tC one"] and counts["garbage"] == 2
+    heard, counts = play(datagrams, ("10.0.0.0/8",))
+    assert heard == [] and counts["network"] == 2
+
+
+def test_metrics_tell_the_versions_and_what_the_machine_counts() -> None:
+    held = version(4, rule("one"))
+    me = Peer("me", ("127.0.0.1", 1), "a", 1, True)
+    machine = Distributor("fleet", me, frozenset(), Terms(), 0.0, held=held)
+    machine.counts["offers"] += 3
+    samples = {
+        (sample.name, *sample.labels.values()): sample.value
+        for metric in Configuration(lambda: machine).collect()
+        for sample in metric.samples
+    }
+    assert samples["thistleshore_configuration_in_force",] == 4
+    assert samples["thistleshore_configuration_known",] == 4
+    assert samples["thistleshore_configuration_events_total", "offers"] == 3
+    assert list(Configuration(lambda: None).collect()) == []
+
+
+def test_an_apply_that_is_not_newer_changes_nothing(tmp_path: Path) -> None:
+    process = Process(tmp_path)
+    process.apply(2, rule("two"))
+
+    async def again() -> None:
+        distribution = distribution_of(process)
+        await distribution._apply(Apply(*version(1, rule("one"))))  # noqa: SLF001
+
+    play(again)
+    assert process.rules == ["two"] and process.store.read() == version(2, rule("two"))
