--- /dev/null
+++ b/tests/test_distribution.py
@@ -0,0 +1,580 @@
+"""The distribution of configuration: datagrams, bodies, the tree, one machine, and many of them in virtual time."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+import pytest
+import zstandard
+from hypothesis import given, strategies as st
+
+from benchmarks.distribution_history import Agreed, Counted, History, InForce, Reported, faults
+from benchmarks.distribution_net import FLEET, REGISTER, World, zones_of
+from tests.support import GARBAGE, steady
+from thistleshore.distribution import wire
+from thistleshore.distribution.bodies import Bodies, Mismatch, decode, encode
+from thistleshore.distribution.machine import Distributor
+from thistleshore.distribution.model import (
+    BODY_MOST,
+    NO_VERSION,
+    RELAYS,
+    Action,
+    Apply,
+    Peer,
+    Send,
+    Stamp,
+    Terms,
+    digest_of,
+    region_of,
+)
+from thistleshore.distribution.tree import Tree
+
+TERMS = Terms()
+SPREAD_MOST = 18.0  # s from agreed to in force everywhere, whatever single fault there is
+VOTERS = frozenset({"a"})
+ME = Peer("b", ("127.0.0.1", 2), "r/z", 1, True)
+OTHER = Peer("a", ("127.0.0.1", 1), "r/z", 1, True)
+
+
+def body_of(number: int, lines: int = 60) -> bytes:
+    """A body that differs in one line from its neighbours."""
+    return b"".join(b"[member.m%04d]\nrate = %d\n" % (n, n if n != 7 else number) for n in range(lines))
+
+
+def stamp_of(number: int, body: bytes, register: int = REGISTER, **more: Any) -> Stamp:
+    return Stamp(register, number, more.pop("digest", digest_of(body)), more.pop("size", len(body)), **more)
+
+
+def machine(held: tuple[Stamp, bytes] | None = None, kind: type[Distributor] = Distributor) -> Distributor:
+    """A member beside one voter."""
+    made = kind(FLEET, ME, VOTERS, TERMS, 0.0, held=held)
+    made.on_view([OTHER], 0.0)
+    return made
+
+
+def tell(to: Distributor, message: wire.Message, now: float = 0.0) -> list[wire.Message | Action]:
+    """Have the other member say something; the answers, read."""
+    found = to.on_datagram(wire.write(FLEET, OTHER.name, OTHER.life, message), OTHER.address, now)
+    return [wire.read(action.data, FLEET, 1200).message if isinstance(action, Send) else action for action in found]
+
+
+# -- datagrams and bodies --------------------------------------------------------------------------
+
+
+def test_a_datagram_is_read_as_it_was_written_and_nothing_else_is() -> None:
+    stamp = stamp_of(3, b"x")
+    data = wire.write(FLEET, "a", 4, wire.Report(1, REGISTER, 2, 3, "why", stamp))
+    assert wire.read(data, FLEET, 1200) == wire.Envelope(FLEET, "a", 4, wire.Report(1, REGISTER, 2, 3, "why", stamp))
+
+    def kind_of(changed: bytes, fleet: str = FLEET) -> str:
+        with pytest.raises(wire.Spoilt) as raised:
+            wire.read(changed, fleet, 1200)
+        return str(raised.value)
+
+    assert kind_of(data, "another") == "fleet"
+    assert kind_of(data[:2] + b"\x09" + data[3:]) == "version"
+    assert kind_of(b"tF" + data[2:]) == "garbage"
+    assert kind_of(data[:-1]) == "garbage"
+    assert kind_of(data[:5]) == kind_of(data * 20) == "size"
+    bad_stamps = (stamp_of(0, b"x"), stamp_of(1, b"x", digest="short"), Stamp(0, 1, digest_of(b""), 0))
+    for bad in bad_stamps:
+        assert kind_of(wire.write(FLEET, "a", 1, wire.Offer(bad))) == "garbage"
+
+
+@steady
+@given(st.integers(0, 300), st.integers(0, 300), st.binary(max_size=2000))
+def test_a_body_comes_back_from_its_difference(first: int, second: int, tail: bytes) -> None:
+    base, body = body_of(1, first), body_of(2, second) + tail
+    stamp = stamp_of(2, body)
+    assert decode(encode(body, base), base, stamp) == body
+    assert decode(encode(body, None), None, stamp) == body
+
+
+def test_a_changed_line_is_a_small_datagram_of_a_great_body() -> None:
+    base, body = body_of(1, 9000), body_of(2, 9000)
+    assert 200_000 < len(body) <= BODY_MOST and len(encode(body, base)) < 200
+
+
+def test_a_body_that_does_not_fit_its_version_is_refused_before_it_is_unpacked() -> None:
+    body = body_of(1)
+    stamp = stamp_of(1, body)
+    bomb = zstandard.ZstdCompressor().compress(bytes(1 << 28))
+    unsized = zstandard.ZstdCompressor(write_content_size=False).compress(body)
+    for data in (bomb, unsized, encode(body, None)[:-1], encode(body_of(2), None), b"", b"\x28\xb5\x2f\xfd"):
+        with pytest.raises(Mismatch):
+            decode(data, None, stamp)
+    with pytest.raises(Mismatch):
+        decode(encode(body, b"base" * 50), b"other" * 50, msgspec.structs.replace(stamp, digest=digest_of(b"")))
+
+
+def test_the_body_in_force_is_kept_beside_the_newest() -> None:
+    bodies = Bodies(2)
+    for number in range(1, 6):
+        bodies.add(stamp_of(number, body_of(number)), body_of(number), in_force=1)
+    assert [number for number in range(1, 6) if bodies.get(number)] == [1, 4, 5]
+
+
+# -- the tree --------------------------------------------------------------------------------------
+
+members = st.lists(st.tuples(st.sampled_from(["", "a", *zones_of(2, 3)]), st.booleans()), min_size=1, max_size=24)
+
+
+@steady
+@given(members, st.integers(0, 3))
+def test_every_member_reaches_a_voter_by_its_parents_and_is_a_child_of_one(
+    drawn: list[tuple[str, bool]], voting: int
+) -> None:
+    peers = {f"n{n}": Peer(f"n{n}", ("h", n + 1), zone, 1, alive) for n, (zone, alive) in enumerate(drawn)}
+    voters = frozenset(f"n{n}" for n in range(voting))
+    living = {name: peer for name, peer in peers.items() if peer.alive}
+    trees = {name: Tree(me, {n: p for n, p in peers.items() if n != name}, voters) for name, me in living.items()}
+    for name, tree in trees.items():
+        assert tree.zone_relays == next(iter(trees.values())).zone_relays
+        own = tree.zone_relays[living[name].zone]
+        assert len(own) == min(RELAYS, sum(peer.zone == living[name].zone for peer in living.values()))
+        assert all(region_of(relay.zone) == living[name].region for relay in tree.region_relays[living[name].region])
+        above = {peer.name for level in tree.parents for peer in level}
+        assert name not in above and (name in voters or voters.intersection(peers) <= above)
+        rank = _rank(name, tree, voters)
+        for parent in (peer for level in tree.parents for peer in level if peer.alive and rank < 3):
+            assert _rank(parent.name, trees[parent.name], voters) > rank
+        if rank < 3 and voters & set(living):
+            assert any(name in {child.name for child in other.children} for other in trees.values())
+
+
+def _rank(name: str, tree: Tree, voters: frozenset[str]) -> int:
+    return 3 if name in voters else 2 if tree.is_region_relay else 1 if tree.is_zone_relay else 0
+
+
+def test_a_death_moves_only_the_place_of_the_dead() -> None:
+    peers = {f"n{n}": Peer(f"n{n}", ("h", n + 1), "r/z", 1, True) for n in range(30)}
+    me = peers.pop("n0")
+    first, second = Tree(me, peers, VOTERS).zone_relays["r/z"]
+    peers[first.name] = first._replace(alive=False)
+    assert Tree(me, peers, VOTERS).zone_relays["r/z"][0] == second
+
+
+# -- one machine -----------------------------------------------------------------------------------
+
+
+def test_a_version_is_fetched_applied_and_only_then_reported() -> None:
+    one = machine()
+    body = body_of(1)
+    stamp = stamp_of(1, body)
+    acknowledged, fetch = tell(one, wire.Offer(stamp))
+    assert acknowledged == wire.Acknowledge(1) and isinstance(fetch, wire.Fetch)
+    data = encode(body, None)
+    found = tell(one, wire.Part(fetch.transfer, 0, len(data), 1, 0, data))
+    assert Apply(stamp, body) in found and one.applied == NO_VERSION and one.known == stamp
+    assert all(not isinstance(message, wire.Report) for message in found)
+    reports = one.on_applied(stamp, 0.1)
+    assert one.applied == stamp and len(reports) == 1 and one.body(1) == body
+
+
+def test_only_one_version_is_applied_at_a_time_and_the_newest_is_the_next() -> None:
+    one = machine()
+    stamps = [stamp_of(number, body_of(number)) for number in range(4)]
+    assert one.on_agreed(stamps[1], body_of(1), 0.0)[-1] == Apply(stamps[1], body_of(1))
+    for number in (2, 3):
+        assert not [a for a in one.on_agreed(stamps[number], body_of(number), 0.0) if isinstance(a, Apply)]
+    assert one.on_applied(stamps[1], 0.1)[-1] == Apply(stamps[3], body_of(3))
+    one.on_refused(stamps[3], "no such host " * 40, 0.2)
+    assert one.applied == stamps[1]
+    row = one.spread(3, 0.2).zones[0].behind[0]
+    assert (row.name, row.applied, row.refused) == ("b", 1, 3) and row.reason.startswith("no such host")
+
+
+def test_nothing_older_and_nothing_of_another_register_or_content_counts() -> None:
+    held = stamp_of(5, body_of(5)), body_of(5)
+    one = machine(held)
+    for stamp, kind in (
+        (stamp_of(4, body_of(4)), ""),
+        (stamp_of(9, body_of(9), register=8), "other_register"),
+        (stamp_of(5, body_of(6)), "conflict"),
+        (stamp_of(6, b"", size=BODY_MOST + 1), "too_large"),
+    ):
+        found = tell(one, wire.Offer(stamp))
+        assert found[0] == wire.Acknowledge(stamp.number)
+        assert not [message for message in found if isinstance(message, wire.Fetch | Apply)]
+        assert not kind or one.counts[kind] == 1
+        assert one.known == one.applied == held[0]
+    found = one.on_agreed(stamp_of(6, b"", size=BODY_MOST + 1), None, 0.0)
+    assert one.spread(6, 0.0).zones[0].behind[0].reason.startswith("a body of")
+
+
+@pytest.mark.parametrize("kind", ["altered", "too many", "another encoding", "lacking", "silent"])
+def test_another_source_is_asked_after_one_that_is_of_no_use(kind: str) -> None:
+    one = Distributor(FLEET, ME, frozenset({"a", "c"}), TERMS, 0.0)
+    third = Peer("c", ("127.0.0.1", 3), "s/z", 1, True)
+    one.on_view([OTHER, third], 0.0)
+    body = body_of(1, 2000)
+    stamp, data = stamp_of(1, body), encode(body, None)
+    _, fetch = tell(one, wire.Offer(stamp))
+    assert isinstance(fetch, wire.Fetch)
+    now = 0.0
+    if kind == "silent":
+        found: list[Action] = []
+        for _ in range(2):
+            now = one.due
+            found = one.on_time(now)
+    else:
+        wrong = {
+            "altered": wire.Part(fetch.transfer, 0, len(data), 1, 0, data[:100] + b"?" + data[101:]),
+            "too many": wire.Part(fetch.transfer, 0, 1 << 30, 4000, 0, data[:100]),
+            "another encoding": wire.Part(fetch.transfer, 9, len(data), 1, 0, data),
+            "lacking": wire.Lacking(fetch.transfer),
+        }[kind]
+        datagram = wire.write(FLEET, "a", 1, wrong)
+        one.terms = one.terms._replace(datagram=60_000)
+        found = one.on_datagram(datagram, OTHER.address, now)
+    sends = [action for action in found if isinstance(action, Send)]
+    assert [send.address for send in sends] == [third.address]
+    again = wire.read(sends[0].data, FLEET, 1200).message
+    assert isinstance(again, wire.Fetch) and again.transfer != fetch.transfer
+    assert one.counts["mismatch"] == (kind in ("altered", "too many", "another encoding"))
+    late = tell(one, wire.Part(fetch.transfer, 0, len(data), 1, 0, data[:900]), now)
+    assert late == [] and one.counts["stray_part"] == 1 and one.applied == NO_VERSION
+
+
+def test_a_relay_with_many_transfers_says_when_to_come_back() -> None:
+    body = random.Random(1).randbytes(50_000)
+    one = Distributor(FLEET, ME, VOTERS, TERMS._replace(transfers=1), 0.0, held=(stamp_of(1, body), body))
+    one.on_view([OTHER, OTHER._replace(name="c", address=("127.0.0.1", 3))], 0.0)
+    fetch = wire.Fetch(9, 1, digest_of(body), 0, "", (0, 1, 2))
+    assert len(tell(one, fetch)) == 3
+    busy = wire.write(FLEET, "c", 1, fetch)
+    (answer,) = one.on_datagram(busy, ("127.0.0.1", 3), 0.1)
+    assert isinstance(answer, Send)
+    message = wire.read(answer.data, FLEET, 1200).message
+    assert isinstance(message, wire.Busy) and message.transfer == 9 and message.after > 0
+    assert len(one.on_datagram(busy, ("127.0.0.1", 3), 5.0)) == 3, "the first has asked for nothing since"
+    stranger = wire.write(FLEET, "nobody", 1, fetch)
+    assert one.on_datagram(stranger, ("127.0.0.1", 9), 5.0) == [] and one.counts["stranger"] == 1
+
+
+@steady
+@given(st.lists(GARBAGE, max_size=8), st.integers(0, 500), st.integers(1, 255))
+def test_garbage_and_a_changed_bit_are_counted_and_change_nothing(flood: list[bytes], place: int, flip: int) -> None:
+    held = stamp_of(5, body_of(5)), body_of(5)
+    one = machine(held)
+    offer = bytearray(wire.write(FLEET, "a", 1, wire.Offer(stamp_of(6, body_of(6)))))
+    offer[place % len(offer)] ^= flip
+    due, before = one.due, len(one.counts)
+    for data in [*flood, bytes(offer), *(b"tC\x01" + data for data in flood)]:
+        assert one.on_datagram(data, ("127.0.0.1", 7), 0.0) == []
+    spoilt = sum(one.counts[kind] for kind in ("garbage", "size", "version", "fleet"))
+    assert spoilt == one.counts["heard"] == 2 * len(flood) + 1 and before <= len(one.counts)
+    assert (one.known, one.applied, one.due) == (held[0], held[0], due)
+
+
+def test_only_own_fresh_reports_of_the_life_in_the_view_count() -> None:
+    one = machine((stamp_of(5, body_of(5)), body_of(5)))
+
+    def other_at(now: float) -> str:
+        zone = one.spread(5, now).zones[0]
+        assert zone.members == 2
+        return "unknown" if zone.unknown else "behind" if zone.behind else "applied"
+
+    def report(applied: int, register: int = REGISTER) -> wire.Report:
+        return wire.Report(1, register, applied, 0, "", NO_VERSION)
+
+    assert other_at(0.0) == "unknown"
+    tell(one, report(4))
+    assert other_at(0.1) == "behind"
+    tell(one, report(5), 1.0)
+    tell(one, report(4), 1.1)
+    assert other_at(1.1) == "applied", "a report that was overtaken"
+    assert other_at(1.0 + TERMS.fresh + 0.1) == "unknown", "stale"
+    one.on_view([OTHER._replace(alive=False)], 1.2)
+    assert other_at(1.2) == "unknown", "dead by the view"
+    one.on_view([OTHER._replace(life=2)], 1.3)
+    assert other_at(1.3) == "unknown", "another life"
+    one.on_view([OTHER], 1.3)
+    assert other_at(1.3) == "applied"
+    tell(one, report(99, register=3), 1.4)
+    assert other_at(1.4) == "behind", "of another register"
+
+
+# -- many machines ---------------------------------------------------------------------------------
+
+
+def world(size: int, seed: int = 1, **more: Any) -> World:
+    regions, each = (1, 1) if size < 9 else (3, 1) if size < 45 else (5, 3)
+    return World(size, zones_of(regions, each), seed, **more)
+
+
+def pushed(fleet: World, number: int, most: float = SPREAD_MOST) -> float:
+    """Push a version; the time until it is in force everywhere."""
+    assert fleet.push(body_of(number)) == number
+    took = fleet.run_until(lambda: fleet.in_force(number), most)
+    assert took is not None, f"not in force at {[n.name for n in fleet.living() if n.in_force.number < number]}"
+    return took
+
+
+def sound(fleet: World) -> World:
+    assert faults(fleet.history) == []
+    return fleet
+
+
+@pytest.mark.parametrize(
+    ("size", "loss", "most"),
+    [
+        (3, 0.0, 1.0),
+        (9, 0.0, 1.0),
+        (45, 0.0, 1.0),
+        (200, 0.0, 1.0),
+        (3, 0.1, 6.0),
+        (9, 0.1, 6.0),
+        (45, 0.1, 6.0),
+        (200, 0.1, 6.0),
+    ],
+)
+def test_versions_reach_all(size: int, loss: float, most: float) -> None:
+    fleet = world(size, loss=loss, repeat=loss / 2, reorder=loss)
+    fleet.run(5.0)
+    for number in range(1, 3):
+        assert pushed(fleet, number) < most
+    sound(fleet)
+
+
+def test_versions_in_quick_succession_end_at_the_newest() -> None:
+    fleet = world(45, seed=4, loss=0.1, repeat=0.1, reorder=0.2)
+    for number in range(1, 41):
+        fleet.at(2.0 + 0.1 * number, lambda number=number: fleet.push(body_of(number)))
+    fleet.run(7.0)
+    assert fleet.run_until(lambda: fleet.in_force(40), 8.0) is not None
+    sound(fleet)
+
+
+def test_a_great_body_with_nothing_in_common_comes_by_parts() -> None:
+    fleet = world(45, seed=2, loss=0.02, terms=TERMS._replace(transfers=3))
+    fleet.run(4.0)
+    body = random.Random(3).randbytes(BODY_MOST)
+    assert fleet.push(body) == 1
+    assert fleet.run_until(lambda: fleet.in_force(1), SPREAD_MOST) is not None
+    assert sum(node.machine.counts["busy"] for node in fleet.living() if node.machine) > 0
+    sound(fleet)
+
+
+def relays_of(fleet: World) -> list[str]:
+    """All relays and voters, by the view of one that lives."""
+    found = set(fleet.voters)
+    for node in fleet.living():
+        assert node.machine is not None
+        tree = node.machine._tree
+        if tree.is_zone_relay:
+            found.add(node.name)
+    return sorted(found)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_relays_and_a_voter_die_between_any_two_steps(seed: int) -> None:
+    fleet = world(45, seed=seed, loss=0.02)
+    chance = random.Random(seed)
+    fleet.run(4.0)
+    relays = relays_of(fleet)
+    doomed = {chance.choice(sorted(fleet.voters)), *chance.sample(sorted(set(relays) - fleet.voters), 4)}
+    for name in doomed:
+        fleet.at(fleet.now + chance.uniform(0.0, 0.4), lambda name=name: fleet.kill(name))
+    fleet.run(fleet.now)
+    pushed(fleet, 1)
+    for name in doomed:
+        fleet.restart(name)
+    pushed(fleet, 2)
+    fleet.run(fleet.now + 10.0)
+    assert fleet.in_force(2)
+    sound(fleet)
+
+
+def test_a_region_that_returns_is_no_herd_and_catches_up() -> None:
+    fleet = world(90, seed=5)
+    fleet.run(5.0)
+    away = {node.name for node in fleet.living() if node.region == "r4"}
+    fleet.cut(lambda a, b: (a in away) != (b in away))
+    fleet.clear_counts()
+    for number in range(1, 4):
+        fleet.push(body_of(number))
+        fleet.run(fleet.now + 15.0)
+    assert {node.in_force.number for node in fleet.living() if node.name in away} == {0}
+    fleet.heal()
+    assert fleet.run_until(lambda: fleet.in_force(3), SPREAD_MOST) is not None
+    fleet.run(fleet.now + 5.0)
+    assert max(node.busiest for node in fleet.nodes.values()) < 60
+    sound(fleet)
+
+
+def test_what_was_durable_is_in_force_after_a_restart() -> None:
+    fleet = world(9, seed=6)
+    fleet.run(4.0)
+    fleet.push(body_of(1))
+    hit = 0
+    while hit < 5 and fleet.now < 10.0:
+        fleet.run(fleet.now + 0.002)
+        for node in fleet.living():
+            if node.disk is not None and node.in_force.number < node.disk[0].number:
+                fleet.kill(node.name)
+                fleet.restart(node.name)
+                assert node.in_force.number == 1
+                hit += 1
+    assert hit == 5
+    pushed(fleet, 2)
+    sound(fleet)
+
+
+def test_a_version_of_a_newer_format_is_passed_on_and_named() -> None:
+    fleet = world(9, seed=7)
+    fleet.run(4.0)
+    pushed(fleet, 1)
+    assert fleet.push(body_of(2), format=2) == 2
+    fleet.run(fleet.now + 6.0)
+    assert {node.in_force.number for node in fleet.living()} == {1}
+    assert all(node.machine and node.machine.known.number == 2 for node in fleet.living())
+    fleet.ask_spread("n4")
+    fleet.run(fleet.now + 0.5)
+    rows = [row for zone in fleet.spread("n4", 2).zones for row in zone.behind]
+    assert len(rows) == 9 and {row.reason for row in rows} == {"format 2 is newer than 1"}
+    pushed(fleet, 3)
+    sound(fleet)
+
+
+def test_who_refuses_is_named_and_takes_the_next() -> None:
+    fleet = world(45, seed=8)
+    fleet.run(4.0)
+    fleet.nodes["n31"].refuses = lambda stamp: "host.x: no such contract" if stamp.number == 1 else ""
+    fleet.push(body_of(1))
+    fleet.run(fleet.now + 2.0)
+    fleet.ask_spread("n0")
+    fleet.run(fleet.now + 0.5)
+    spread = fleet.spread("n0", 1)
+    assert [(row.name, row.applied, row.refused, row.reason) for zone in spread.zones for row in zone.behind] == [
+        ("n31", 0, 1, "host.x: no such contract")
+    ]
+    assert not any(zone.unknown for zone in spread.zones) and not spread.everywhere
+    pushed(fleet, 2)
+    sound(fleet)
+
+
+def test_all_is_counted_within_seconds_and_a_dead_member_never() -> None:
+    fleet = world(45, seed=9, loss=0.05)
+    fleet.run(12.0)
+
+    def counted(number: int) -> bool:
+        fleet.ask_spread("n7")
+        fleet.run(fleet.now + 0.3)
+        return fleet.spread("n7", number).everywhere
+
+    pushed(fleet, 1)
+    assert fleet.run_until(lambda: counted(1), 6.0) is not None
+    fleet.kill("n20")
+    fleet.run(fleet.now + 9.0)
+    pushed(fleet, 2)
+    fleet.run(fleet.now + 4.0)
+    assert not counted(2)
+    assert [name for zone in fleet.spread("n7", 2).zones for name in zone.unknown] == ["n20"]
+    fleet.restart("n20")
+    assert fleet.run_until(lambda: counted(2), SPREAD_MOST) is not None
+    sound(fleet)
+
+
+def test_an_ordinary_member_sends_and_hears_little_however_many_there_are() -> None:
+    rates = {}
+    for size in (45, 180):
+        fleet = world(size, seed=10, recorded=False)
+        fleet.run(5.0)
+        pushed(fleet, 1)
+        fleet.run(fleet.now + 5.0)
+        ordinary = next(node for name, node in fleet.nodes.items() if name not in relays_of(fleet))
+        fleet.clear_counts()
+        fleet.run(fleet.now + 60.0)
+        rates[size] = (ordinary.sent_bytes + ordinary.heard_bytes) / 60.0
+    assert max(rates.values()) < 200.0 and max(rates.values()) < 1.3 * min(rates.values())
+
+
+def test_the_same_seed_is_the_same_run() -> None:
+    def played() -> list[Any]:
+        fleet = world(9, seed=11, loss=0.1, repeat=0.1, reorder=0.1)
+        fleet.run(3.0)
+        pushed(fleet, 1)
+        return [fleet.history.events, *((node.sent, node.sent_bytes) for node in fleet.nodes.values())]
+
+    assert played() == played()
+
+
+# -- the checker, and the flawed forms that it has to find -------------------------------------------
+
+
+def test_the_checker_names_what_does_not_hold() -> None:
+    history = History()
+    for event in (
+        Agreed(0.0, 1, "x"),
+        Agreed(0.0, 2, "y"),
+        InForce(1.0, "a", 1, "x", False),
+        Reported(1.0, "a", 1),
+        InForce(1.0, "b", 1, "y", False),
+        Reported(1.1, "c", 1),
+        InForce(2.0, "a", 0, "", True),
+        Counted(3.0, 1, ("a",)),
+    ):
+        history.add(event)
+    kinds = [fault.partition(":")[0] for fault in faults(history)]
+    assert kinds == ["content", "reported", "back", "durable", "counted"]
+
+
+class BelievesOld(Distributor):
+    """An old relay is believed: what differs is taken for newer."""
+
+    @staticmethod
+    def _newer(stamp: Stamp, than: Stamp) -> bool:
+        return stamp.number not in (0, than.number)
+
+
+class ReportsEarly(Distributor):
+    """A version is reported when it is handed over, before it is durable."""
+
+    def _apply_newest(self, now: float) -> None:
+        super()._apply_newest(now)
+        if self._applying is not None and self._newer(self._applying, self.applied):
+            self.applied = self._applying
+            self._report(now, everywhere=True)
+
+
+def stale_disk(fleet: World) -> None:
+    """An instance that was away for two versions comes back, on what its disk had."""
+    for number in range(1, 4):
+        if number == 2:
+            fleet.kill("n5")
+        fleet.push(body_of(number))
+        fleet.run(fleet.now + 3.0)
+    fleet.restart("n5")
+    fleet.run(fleet.now + 10.0)
+
+
+def killed_while_writing(fleet: World) -> None:
+    """Instances are killed at any moment after a push."""
+    for number in range(1, 7):
+        fleet.push(body_of(number))
+        name = f"n{number + 2}"
+        fleet.at(fleet.now + 0.08 + 0.02 * number, lambda name=name: fleet.kill(name))
+        fleet.at(fleet.now + 1.0, lambda name=name: fleet.restart(name))
+        fleet.run(fleet.now + 4.0)
+
+
+@pytest.mark.parametrize(
+    ("flawed", "story", "invariant"),
+    [
+        (BelievesOld, stale_disk, "back"),
+        (ReportsEarly, killed_while_writing, "durable"),
+    ],
+)
+def test_the_flawed_forms_are_found_and_the_right_one_passes(
+    flawed: type[Distributor], story: Callable[[World], None], invariant: str
+) -> None:
+    for kind in (flawed, Distributor):
+        fleet = world(9, seed=12, kind=kind)
+        fleet.run(4.0)
+        story(fleet)
+        found = {fault.partition(":")[0] for fault in faults(fleet.history)}
+        assert (invariant in found) if kind is flawed else not found
