--- a/thistleshore/distribution/machine.py
+++ b/thistleshore/distribution/machine.py
@@ -87,8 +87,7 @@
         self._report_at = now + terms.sync * self._random.random()
         self._unasked: list[Peer] = []  # parents that the report goes to, where those before do not answer
         self._answer_due = inf
-        self._noted_register = 0  # the last other register that was noted
-        self._noted_large = 0  # the last version that was noted as too large
+        self._noted: dict[str, Stamp] = {}  # the last version of each kind that cannot be put in force here
         self._out: list[Action] = []
         if held is not None:
             self._bodies.add(*held, in_force=held[0].number)
@@ -278,10 +277,9 @@
             return
         if self._newer(stamp, self.known):
             self.known, self._sources = stamp, [source]
-        elif stamp.number == self.known.number and source not in self._sources:
-            self._sources = [source, *self._sources[: SOURCES_MOST - 1]]
-        else:
-            return
+        elif stamp.number == self.known.number:
+            others = [other for other in self._sources if other != source]
+            self._sources = [source, *others[: SOURCES_MOST - 1]]
         if self._newer(self.known, self._bodies.newest):
             self._fetch_known(now)
 
@@ -289,26 +287,24 @@
         """Whether a version may be one of this instance's register, by all that is known here."""
         register = self.known.register
         if register and stamp.register != register:
-            self._note_other_register(stamp)
+            self._count_unacceptable("other_register", stamp)
             return False
         if stamp.size > BODY_MOST:
-            self.counts["too_large"] += 1
-            if stamp.number != self._noted_large:
-                self._noted_large = stamp.number
-                self._note("too_large", stamp)
+            self._count_unacceptable("too_large", stamp)
             return False
         kept = self._bodies.get(stamp.number)
         same = self.known if stamp.number == self.known.number else kept[0] if kept is not None else stamp
         if same != stamp:
-            self.counts["conflict"] += 1
+            self._count_unacceptable("conflict", stamp)
             return False
         return True
 
-    def _note_other_register(self, stamp: Stamp) -> None:
-        self.counts["other_register"] += 1
-        if stamp.register != self._noted_register:
-            self._noted_register = stamp.register
-            self._note("other_register", stamp)
+    def _count_unacceptable(self, kind: str, stamp: Stamp) -> None:
+        """Count a version that cannot be put in force here; it is noted once, as it may be told of for hours."""
+        self.counts[kind] += 1
+        if self._noted.get(kind) != stamp:
+            self._noted[kind] = stamp
+            self._note(kind, stamp)
 
     def _hold(self, stamp: Stamp, body: bytes, now: float) -> None:
         """The body of a version is here, and fits: pass it on and put it in force."""
@@ -446,6 +442,8 @@
             self._on_mismatch(fetching, now)
             return
         self.counts["fetched"] += 1
+        how = f"as a difference to {encoding.base}" if encoding.base else "whole"
+        self._note("fetched", fetching.stamp, f"{len(encoding.data)} bytes, {how}")
         self._fetching = None
         if self._newer(fetching.stamp, self._bodies.newest):
             self._hold(fetching.stamp, body, now)
