--- a/thistleshore/distribution/machine.py
+++ b/thistleshore/distribution/machine.py
@@ -280,6 +280,8 @@
         elif stamp.number == self.known.number:
             others = [other for other in self._sources if other != source]
             self._sources = [source, *others[: SOURCES_MOST - 1]]
+        else:
+            return
         if self._newer(self.known, self._bodies.newest):
             self._fetch_known(now)
 
