--- a/benchmarks/check_register.py
+++ b/benchmarks/check_register.py
@@ -145,6 +145,11 @@
                     yield f"{voter} loses its disk", lambda s, v=voter: s.crash(v, True)
 
     def then(self, act: Any) -> Story:
+        made = self.twin()
+        act(made)
+        return made
+
+    def twin(self) -> Story:
         made = copy.copy(self)
         made.acceptors = {n: None if a is None else Acceptor(a.held) for n, a in self.acceptors.items()}
         made.synced, made.waiting, made.done = dict(self.synced), list(self.waiting), list(self.done)
@@ -153,7 +158,6 @@
             twin = copy.copy(this)
             twin._promises, twin._accepted, twin.unable = dict(this._promises), set(this._accepted), dict(this.unable)
             made.rounds.append(twin)
-        act(made)
         return made
 
     def shape(self) -> Any:
@@ -167,9 +171,9 @@
         return held, rounds, waiting, tuple(self.floors), self.crashes, self.lost, synced
 
 
-def explore(flaw: str, most: int) -> dict[str, Any]:
+def explore(flaw: str, most: int, kind: type[Story] = Story) -> dict[str, Any]:
     """Breadth first, as far as the number of states allows."""
-    first = Story(flaw)
+    first = kind(flaw)
     seen, queue, transitions, depth = {first.shape()}, deque([(first, 0)]), 0, 0
     while queue and len(seen) < most:
         story, far = queue.popleft()
@@ -187,11 +191,11 @@
     return {"states": len(seen), "transitions": transitions, "depth": depth, "whole": not queue, "broken": ""}
 
 
-def walk(flaw: str, walks: int, seed: int, length: int = 60) -> dict[str, Any]:
+def walk(flaw: str, walks: int, seed: int, length: int = 60, kind: type[Story] = Story) -> dict[str, Any]:
     """Random stories to their end."""
     at, finished = random.Random(seed), 0
     for number in range(walks):
-        story, path = Story(flaw), list[str]()
+        story, path = kind(flaw), list[str]()
         for _ in range(length):
             found = [(told, act) for told, act in story.steps() if "lost" not in told or at.random() < 0.15]
             found = [(told, act) for told, act in found if "crashes" not in told and "disk" not in told
