--- a/thistleshore/distribution/uploads.py
+++ b/thistleshore/distribution/uploads.py
@@ -83,10 +83,13 @@
     """The body of a whole upload's text."""
     try:
         data = base64.b64decode(text, altchars=b"-_", validate=True)
+        size = zstandard.get_frame_parameters(data).content_size
         with zstandard.ZstdDecompressor(max_window_size=WINDOW_MOST).stream_reader(io.BytesIO(data)) as reader:
             body = reader.read(BODY_MOST + 1)
     except (binascii.Error, ValueError, zstandard.ZstdError) as problem:
         raise UploadError(f"the upload is spoilt: {problem}") from None
     if len(body) > BODY_MOST:
         raise UploadError(f"a body has at most {BODY_MOST} bytes")
+    if len(body) != size:
+        raise UploadError("the upload is spoilt: it is cut off")
     return body
