--- a/thistleshore/distribution/carrier.py
+++ b/thistleshore/distribution/carrier.py
@@ -156,6 +156,8 @@
         await self._follow_disk()
         if self._unfinished is not None:
             self._applies.send_nowait(self._unfinished)
+        if self._newest_agreed is not None:
+            self._agreed.send_nowait(self._newest_agreed)
         self._events.send_nowait(ViewChanged())
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._own)
@@ -166,7 +168,7 @@
     async def _follow_disk(self) -> None:
         """Put in force what the next process of a hot restart has left on the disk, before anything is reported."""
         held = await self.applier.held()
-        if held is not None and held.stamp.number > self.machine.applied.number:
+        if held is not None:
             await self._apply(Apply(held.stamp, held.body))
 
     async def _own(self) -> None:
@@ -254,9 +256,9 @@
 
     async def _apply(self, action: Apply) -> None:
         """Put a version in force, and tell the machine what came of it."""
-        stamp = action.stamp
-        if stamp.number <= self.machine.applied.number:
-            return
+        stamp, in_force = action.stamp, self.applier.in_force
+        if in_force is not None and stamp.number <= in_force.stamp.number:
+            return  # numbers never go down
         self._unfinished = action
         try:
             await self.applier.apply(stamp, action.body)
--- a/thistleshore/rig/rig.py
+++ b/thistleshore/rig/rig.py
@@ -143,6 +143,7 @@
         bays = [Bay(WINDOW), Bay(WINDOW)]
         for n, name in enumerate(world.worker_names):
             worker = Worker(name, bays[n % 2], world.workers.seconds, world.workers.slots, self.truth, self.links)
+            worker.reports = world.configuration  # shares of a pool mean something where its size is known
             await self.nursery.start(worker.run)
             self.workers[name] = worker
         ports = free_ports(3 * count + world.voters)
--- a/thistleshore/rig/workers.py
+++ b/thistleshore/rig/workers.py
@@ -29,6 +29,7 @@
     def __init__(self, name: str, bay: Bay, seconds: float, slots: int, truth: Truth, links: Links) -> None:
         self.name, self.bay, self.seconds, self.truth, self.links = name, bay, seconds, truth, links
         self.mode, self.times, self.cold_until = "serve", 1.0, -inf
+        self.reports = False  # whether answers tell how many slots are free
         self.slots = trio.Semaphore(slots)
         self.port = 0
         self._scope: trio.CancelScope | None = None
@@ -88,7 +89,8 @@
         job, key = headers[b"x-txn"].decode(), headers.get(b"cookie", b"").decode()
         end = await self._do(job, key.removeprefix("k="), caller)
         text = json.dumps({"id": job, **end}).encode() + b"\n"
-        await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(text), text))
+        report = b"X-Pressure: TEXT x0=%d\r\n" % self.slots.value if self.reports else b""
+        await stream.send_all(b"HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s" % (report, len(text), text))
         return True
 
     async def _do(self, job: str, key: str, caller: str) -> dict[str, str]:
