A change that is tried again after another came on top of it is agreed once

Cause: Releases.change repeats a round whose outcome it did not learn. Change: the entry of a change is found by its digest, instance and time, also below the newest; everywhere needs a majority of the view.

--- a/tests/test_configuration_agreement.py
+++ b/tests/test_configuration_agreement.py
@@ -69,6 +69,24 @@
     assert push(value, ONE, 0) is value and push(value, ONE) is value
 
 
+def test_a_change_that_is_tried_again_after_another_s_came_on_top_of_it_is_agreed_once() -> None:
+    """The proposer did not learn that its first try was completed, by another's round."""
+
+    def change(value: Value) -> Value | Refusal:
+        return agreement.push(value, 0, digest_of(ONE), len(ONE), "p0", "quota", 5.0)
+
+    def back(value: Value) -> Value | Refusal:
+        return agreement.rollback(value, 1, 2, "p0", "", 7.0)
+
+    value = taken(agreement.push(taken(change(VALUE)), 1, digest_of(TWO), len(TWO), "p1", "", 6.0))
+    assert change(value) is value
+    made = agreement.entry_of(value, digest_of(ONE), "p0", 5.0)
+    assert made is not None and made.number == 1
+    value = taken(agreement.push(taken(back(value)), 3, digest_of(THREE), len(THREE), "p1", "", 8.0))
+    assert back(value) is value
+    assert agreement.entry_of(value, digest_of(ONE), "p0", 9.0) is None
+
+
 def test_a_push_against_a_version_that_has_moved_on_is_refused_with_what_came_between() -> None:
     value = taken(push(taken(push(VALUE, ONE, 0, "p1", "hosts")), TWO, 1, "p2", "quota"))
     refused = turned_down(push(value, THREE, 0, "p3"))
--- a/thistleshore/distribution/agreement.py
+++ b/thistleshore/distribution/agreement.py
@@ -29,8 +29,11 @@
 ) -> Value | Refusal:
     """A new version with that body, made against the version `against` (None: against whichever is in force).
 
-    A body that is in force already leaves the value as it is, so a push whose answer was lost may be repeated.
+    A body that is in force already leaves the value as it is, so a push whose answer was lost may be repeated.  So does
+    a change that was agreed in an earlier round already, whatever was agreed after it, see `entry_of`.
     """
+    if entry_of(value, digest, by, when) is not None:
+        return value
     current = value.configuration.current
     if current is not None and current.digest == digest:
         return value
@@ -50,6 +53,8 @@
         kept = ", ".join(str(entry.number) for entry in configuration.history) or "none"
         told = f"no version {number} is kept; there are: {kept}"
         return Refusal(UNKNOWN, configuration.number, (), told)
+    if entry_of(value, entry.digest, by, when) is not None:
+        return value
     if number == configuration.number:
         return Refusal(IN_FORCE, configuration.number, (), f"version {number} is in force")
     current = configuration.current
@@ -60,6 +65,16 @@
     return _with_entry(value, entry.digest, entry.size, by, reason, when, restored=number)
 
 
+def entry_of(value: Value, digest: str, by: str, when: float) -> ConfigurationEntry | None:
+    """The entry that a change of this instance has made; None where it is not agreed.
+
+    A proposer whose round ended without its outcome tries again, and another's round may have completed the first
+    try, and put a version of its own on top of it, in between.  `by` and `when` tell one change from another.
+    """
+    history = reversed(value.configuration.history)
+    return next((entry for entry in history if (entry.digest, entry.by, entry.when) == (digest, by, when)), None)
+
+
 def stamp(value: Value, register: int) -> Stamp:
     """The version in force by the value of that register; NO_VERSION where none was pushed yet."""
     current = value.configuration.current
--- a/thistleshore/distribution/calls.py
+++ b/thistleshore/distribution/calls.py
@@ -118,7 +118,7 @@
         def change(value: Value) -> Value | Refusal:
             return agreement.push(value, against, digest, len(body), me, reason, now)
 
-        return await self._agree(body, change, against)
+        return await self._agree(body, change, against, now)
 
     async def _roll_back(self, number: int, against: int | None, reason: str) -> Answer:
         """A new version with the body of an earlier one."""
@@ -134,9 +134,9 @@
         def change(value: Value) -> Value | Refusal:
             return agreement.rollback(value, number, against, me, reason, now)
 
-        return await self._agree(body, change, against)
+        return await self._agree(body, change, against, now)
 
-    async def _agree(self, body: bytes, change: ValueChange, against: int | None) -> Answer:
+    async def _agree(self, body: bytes, change: ValueChange, against: int | None, when: float) -> Answer:
         """Check the body with this member's own file, have a majority keep it, and change the register."""
         await self.applier.check(body)
         await self.releases.deposit(body)
@@ -146,6 +146,9 @@
             return Refused(found.told, entries=self._since(against))
         point("configuration-agreed")
         stamp = agreement.stamp(found, self.releases.register)
+        made = agreement.entry_of(found, digest_of(body), self.releases.name, when)
+        if made is not None and made.number != stamp.number:
+            return Done(made.number, made.digest)  # it is agreed, and another version came on top of it already
         self.distribution.on_pushed(stamp, body)
         return Done(stamp.number, stamp.digest)
 
@@ -169,7 +172,8 @@
             machine.applied.number,
             distribution.serving_from,
             number,
-            spread.everywhere,
+            # One that has joined a minority knows nobody else, and must not take itself for all.
+            spread.everywhere and distribution.fleet.machine.majority,
             spread.zones,
             dict(sorted(machine.counts.items())),
         )
