Imports go one way: plans, addresses and host names of tubes where both sides may import them

Need: five ways back up. config imported beanstalkd's carriers; fleet and releases imported config, which imports them; fleet named releases; contracts named the core's events, which names contracts; the command line imported __main__. gate imported an expressions module within a function.

--- a/benchmarks/grow.py
+++ b/benchmarks/grow.py
@@ -8,7 +8,8 @@
 from collections.abc import Callable, Sequence
 
 from thistleshore.expressions import Request, address_set
-from thistleshore.expressions.networks import AddressSet, address
+from thistleshore.addresses import ip_number
+from thistleshore.expressions.networks import AddressSet
 
 TEXTS = ("", "a", "b", "acme", "/a/b", "/seat-search", "x-org", "10.0.0.9", "::1", "42", "-7", "007", "Zürich",
          "é\u4e2d", "a,b,,c", "99999999999999999999", "A-Z", "\n", "q", "%2F", "\U0001f68c")  # fmt: skip
@@ -218,5 +219,5 @@
             front=self.of(("http", "beanstalkd")), method=self.of(("POST", "GET", "")), host=self.of(TEXTS),
             path=self.of(TEXTS) * (1 + self.pick(3) * 100), headers=pairs[0], query=pairs[1],
             size=(0, 1, 212, 65536)[self.pick(4)], tube=self.of(TEXTS)[:200], priority=(0, 7, 2**32 - 1)[self.pick(3)],
-            address=address(self.of(("10.0.0.9", "192.0.2.1", "2001:db8::1", "::1"))) or 0,
+            address=ip_number(self.of(("10.0.0.9", "192.0.2.1", "2001:db8::1", "::1"))) or 0,
         )  # fmt: skip
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -63,9 +63,9 @@
         await serve(*args, **kwargs)
         os._exit(3)
 
-    from thistleshore import __main__
+    from thistleshore import process
 
-    __main__.serve = served
+    process.serve = served
 
 
 def _served(change: Any) -> None:
--- a/tests/test_expressions.py
+++ b/tests/test_expressions.py
@@ -19,7 +19,7 @@
 from thistleshore.expressions.compiler import PrefixIndex
 from thistleshore.expressions.evaluate import evaluate
 from thistleshore.expressions.model import Node
-from thistleshore.expressions.networks import address, written
+from thistleshore.addresses import ip_number, ip_text
 from thistleshore.expressions.patterns import PatternError, pattern
 from thistleshore.expressions.record import first_headers, from_json, normal_host, normal_path, read_query, split_target
 from thistleshore.expressions.syntax import parse
@@ -37,7 +37,7 @@
     212,
     "",
     7,
-    address("10.0.0.9") or 0,
+    ip_number("10.0.0.9") or 0,
 )
 
 
@@ -441,9 +441,9 @@
 @given(st.lists(st.tuples(st.integers(0, 2**32 - 1), st.integers(0, 32)), max_size=8), st.integers(0, 2**32 - 1))
 def test_an_address_set_holds_what_its_networks_hold(parts: list[tuple[int, int]], number: int) -> None:
     networks = [(base >> (32 - size) << (32 - size) if size else 0, size) for base, size in parts]
-    texts = [f"{written(0xFFFF << 32 | base)}/{size}" for base, size in networks]
+    texts = [f"{ip_text(0xFFFF << 32 | base)}/{size}" for base, size in networks]
     mapped = 0xFFFF << 32 | number
-    assert address(written(mapped)) == mapped
+    assert ip_number(ip_text(mapped)) == mapped
     expected = any(number >> (32 - size) == base >> (32 - size) for base, size in networks)
     assert address_set("s", texts).has(mapped) == expected
 
@@ -494,7 +494,7 @@
     assert (request.path, request.headers, request.address, request.host) == (
         "/y",
         {"x-org": "acme"},
-        address("10.0.0.9"),
+        ip_number("10.0.0.9"),
         "h",
     )
 
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -18,12 +18,12 @@
 from tests.support import ROOT, refused, steady
 from thistleshore import config
 from thistleshore.cli import commands
-from thistleshore.config.platform import KeepPlan
 from thistleshore.releases import keeping, places, waves
 from thistleshore.releases.driver import Driver, Figures, Seen
 from thistleshore.releases.faults import POINTS
 from thistleshore.releases.keeper import BACK_OFF, Child, End, Keeper, Kept, Order, Plan, Say, Start
 from thistleshore.releases.model import Limits, Refusal, Standing, Value, Version
+from thistleshore.releases.plan import KeepPlan
 from thistleshore.rig import checks
 from thistleshore.rig.processes import PROGRAM, Kept as KeptProcess
 from thistleshore.rig.rig import STARTED, Rig, open_rig
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -17,11 +17,11 @@
 from benchmarks import check_register
 from tests.support import ROOT, play, refused, steady
 from thistleshore import config
-from thistleshore.config.platform import ReleasesPlan
 from thistleshore.releases import places
 from thistleshore.releases.carrier import Install, Releases, Voter
 from thistleshore.releases.gate import Gate, Tally, Terms as GateTerms, Verdict
 from thistleshore.releases.model import Limits, Refusal, Standing, Value
+from thistleshore.releases.plan import ReleasesPlan
 from thistleshore.releases.register import Accept, Acceptor, Held, Prepare, Promise, Round, Unable
 from thistleshore.releases.store import FILE, Store, Unusable
 from thistleshore.rig import checks
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -16,10 +16,10 @@
 from tests.support import ROOT, free_port, play, program, talk
 from thistleshore import config
 from thistleshore.core import model
+from thistleshore.addresses import ip_number
 from thistleshore.dispatcher import serve
 from thistleshore.expressions import Request
 from thistleshore.expressions.functions import hash64
-from thistleshore.expressions.networks import address
 from thistleshore.expressions.literal import quoted
 from thistleshore.platform.downstream import Downstream
 from thistleshore.routing import RouteTable
@@ -435,5 +435,5 @@
     route = plan.live.table.route
     found = route(Request(host="tickets.umurongo.example.org", headers={"x-booking": "1234", "x-org": "huye-coaches"}))
     assert found is not None and found[:4] == (2, 5.0, "huye-coaches", 1234)
-    counter = route(Request(path="/seat-search/1", address=address("10.31.7.7") or 0))
+    counter = route(Request(path="/seat-search/1", address=ip_number("10.31.7.7") or 0))
     assert counter is not None and (counter.member, counter.rule) == ("ingenzi-coaches", "counters of ingenzi")
--- a/thistleshore/beanstalkd/codec.py
+++ b/thistleshore/beanstalkd/codec.py
@@ -31,11 +31,32 @@
 
 # What follows each word: n a number, t a tube's name.  The body of `put` is announced by its last number.
 SHAPES = {
-    "put": "nnnn", "use": "t", "reserve": "", "reserve-with-timeout": "n", "reserve-job": "n", "delete": "n",
-    "release": "nnn", "bury": "nn", "touch": "n", "watch": "t", "ignore": "t", "peek": "n", "peek-ready": "",
-    "peek-delayed": "", "peek-buried": "", "kick": "n", "kick-job": "n", "stats-job": "n", "stats-tube": "t",
-    "stats": "", "list-tubes": "", "list-tube-used": "", "list-tubes-watched": "", "pause-tube": "tn", "quit": "",
-}  # fmt: skip
+    "put": "nnnn",
+    "use": "t",
+    "reserve": "",
+    "reserve-with-timeout": "n",
+    "reserve-job": "n",
+    "delete": "n",
+    "release": "nnn",
+    "bury": "nn",
+    "touch": "n",
+    "watch": "t",
+    "ignore": "t",
+    "peek": "n",
+    "peek-ready": "",
+    "peek-delayed": "",
+    "peek-buried": "",
+    "kick": "n",
+    "kick-job": "n",
+    "stats-job": "n",
+    "stats-tube": "t",
+    "stats": "",
+    "list-tubes": "",
+    "list-tube-used": "",
+    "list-tubes-watched": "",
+    "pause-tube": "tn",
+    "quit": "",
+}
 
 BAD_FORMAT, UNKNOWN_COMMAND = Fault(b"BAD_FORMAT"), Fault(b"UNKNOWN_COMMAND")
 JOB_TOO_BIG, EXPECTED_CRLF = Fault(b"JOB_TOO_BIG"), Fault(b"EXPECTED_CRLF")
--- a/thistleshore/beanstalkd/downstream.py
+++ b/thistleshore/beanstalkd/downstream.py
@@ -16,8 +16,9 @@
 from oxbowarch.interface import Status
 from thistleshore.beanstalkd import codec
 from thistleshore.beanstalkd.codec import Command, Decoder, Fault, line, with_body
+from thistleshore.beanstalkd.model import HOST_PREFIX, REPLY_PREFIX
 from thistleshore.beanstalkd.routed import TubeRouter
-from thistleshore.beanstalkd.upstream import HOST_PREFIX, Hosts, Reservation, Slot, TubeJob
+from thistleshore.beanstalkd.upstream import Hosts, Reservation, Slot, TubeJob
 from thistleshore.core.model import Event, FinalAnswer, LocalReply, Served, Stream, StreamOpened
 from thistleshore.core.model import StreamWithdrawn
 from thistleshore.gate import BROKEN, READ_WITHIN, Gate, peer_address
@@ -27,7 +28,6 @@
 
 BODY_MOST = 64 * 1024
 RECEIVE = 64 * 1024
-REPLY_PREFIX = "reply."
 REPLY_KEPT = 60.0  # s that a final answer waits for its client
 REPLY_LEFT = 1.0  # s that it waits at most once the dispatcher has drained
 REPLIES_MOST = 512  # kept at a time; more would endanger the memory
@@ -60,8 +60,14 @@
 class Tubes:
     """The beanstalkd front of one dispatcher."""
 
-    def __init__(self, router: TubeRouter, hosts: Hosts, inbox: trio.MemorySendChannel[Event],
-                 streams_most: int, connections_most: int) -> None:  # fmt: skip
+    def __init__(
+        self,
+        router: TubeRouter,
+        hosts: Hosts,
+        inbox: trio.MemorySendChannel[Event],
+        streams_most: int,
+        connections_most: int,
+    ) -> None:
         self.router, self.hosts, self.inbox, self.streams_most = router, hosts, inbox, streams_most
         self.gate = Gate(connections_most)
         self.numbers = count(1)
@@ -78,8 +84,9 @@
     def ready(self) -> bool:
         return self.gate.ready
 
-    async def run(self, address: tuple[str, int],
-                  task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:  # fmt: skip
+    async def run(
+        self, address: tuple[str, int], task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
         """Serve until drained: what was taken is finished, and its answers are offered a while longer."""
         async with trio.open_nursery() as self._keepers:
             async with trio.open_nursery() as nursery:
@@ -106,8 +113,16 @@
     async def take(self, tube: str, ttr: int, body: bytes, routed: Routed) -> int:
         """A complete put is a stream."""
         job = TubeJob(next(self.numbers), tube, body, float(max(1, ttr)))
-        stream = Stream(str(job.id), routed.contract, trio.current_time() + routed.deadline, job, routed.contract,
-                        routed.key, member=routed.member, size=len(body))  # fmt: skip
+        stream = Stream(
+            str(job.id),
+            routed.contract,
+            trio.current_time() + routed.deadline,
+            job,
+            routed.contract,
+            routed.key,
+            member=routed.member,
+            size=len(body),
+        )
         self.open[job.id] = stream, job
         self._keepers.start_soon(self._keep, stream, job)
         await self.inbox.send(StreamOpened(stream))
@@ -419,11 +434,27 @@
         taken = held is not None or reply is not None and reply.holder is not None
         left = max(0, int(held.lapse.deadline - trio.current_time())) if held is not None else 0
         tube, ttr = (job.tube, int(job.ttr)) if job is not None else (reply.tube if reply else "", int(REPLY_KEPT))
-        return with_body(codec.yaml_map({
-            "id": number, "tube": tube, "state": "reserved" if taken else "ready", "pri": 0, "age": 0, "delay": 0,
-            "ttr": ttr, "time-left": left, "file": 0, "reserves": int(taken), "timeouts": 0, "releases": 0,
-            "buries": 0, "kicks": 0,
-        }), b"OK")  # fmt: skip
+        return with_body(
+            codec.yaml_map(
+                {
+                    "id": number,
+                    "tube": tube,
+                    "state": "reserved" if taken else "ready",
+                    "pri": 0,
+                    "age": 0,
+                    "delay": 0,
+                    "ttr": ttr,
+                    "time-left": left,
+                    "file": 0,
+                    "reserves": int(taken),
+                    "timeouts": 0,
+                    "releases": 0,
+                    "buries": 0,
+                    "kicks": 0,
+                }
+            ),
+            b"OK",
+        )
 
     def _stats_tube(self, tube: str) -> dict[str, object]:
         tubes = self.tubes
@@ -431,20 +462,30 @@
         replies = [r for r in tubes.replies.values() if r.tube == tube]
         held = sum(tubes.reserved(n) is not None for n in jobs) + sum(r.holder is not None for r in replies)
         return {
-            "name": tube, "current-jobs-urgent": 0, "current-jobs-ready": len(jobs) + len(replies) - held,
-            "current-jobs-reserved": held, "current-jobs-delayed": 0, "current-jobs-buried": 0,
+            "name": tube,
+            "current-jobs-urgent": 0,
+            "current-jobs-ready": len(jobs) + len(replies) - held,
+            "current-jobs-reserved": held,
+            "current-jobs-delayed": 0,
+            "current-jobs-buried": 0,
             "current-using": sum(c.used == tube for c in tubes.connections),
             "current-watching": sum(tube in c.watched for c in tubes.connections),
             "current-waiting": sum(tube in wait.connection.watched for wait in tubes.waiting),
-            "pause": 0, "pause-time-left": 0,
-        }  # fmt: skip
+            "pause": 0,
+            "pause-time-left": 0,
+        }
 
     def _stats(self) -> dict[str, object]:
         tubes = self.tubes
         held = sum(len(connection.reservations) for connection in tubes.connections)
         return {
-            "current-jobs-ready": len(tubes.open) + len(tubes.replies) - held, "current-jobs-reserved": held,
-            "current-jobs-delayed": 0, "current-jobs-buried": 0, "current-tubes": len(self._tubes()),
-            "current-connections": len(tubes.connections), "current-waiting": len(tubes.waiting),
-            "max-job-size": BODY_MOST, "draining": str(tubes.draining).lower(),
-        }  # fmt: skip
+            "current-jobs-ready": len(tubes.open) + len(tubes.replies) - held,
+            "current-jobs-reserved": held,
+            "current-jobs-delayed": 0,
+            "current-jobs-buried": 0,
+            "current-tubes": len(self._tubes()),
+            "current-connections": len(tubes.connections),
+            "current-waiting": len(tubes.waiting),
+            "max-job-size": BODY_MOST,
+            "draining": str(tubes.draining).lower(),
+        }
--- a/thistleshore/beanstalkd/upstream.py
+++ b/thistleshore/beanstalkd/upstream.py
@@ -9,27 +9,19 @@
 from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from typing import NamedTuple, Protocol
+from typing import Protocol
 
 import trio
 
 from oxbowarch.interface import Entry, ListKind, Report, State, Status
 from thistleshore.beanstalkd.codec import with_body
+from thistleshore.beanstalkd.model import HostSeat
 from thistleshore.core.model import Event, HostLine, HostReported, HostsTold, UpstreamHost, UpstreamOutcome
 from thistleshore.core.model import UpstreamRequest, UpstreamStarted
 from thistleshore.gate import BROKEN
 
 log = logging.getLogger("thistleshore")
 
-HOST_PREFIX = "worker."
-
-
-class HostSeat(NamedTuple):
-    """A host that the operator's file names: its service, and its bay."""
-
-    kind: int
-    bay: int
-
 
 @dataclass(frozen=True, slots=True)
 class TubeJob:
--- a/thistleshore/cli/serve.py
+++ b/thistleshore/cli/serve.py
@@ -17,6 +17,6 @@
 
     Ends with status 0 after a drain, and with 2 where the file cannot be used.
     """
-    from thistleshore.__main__ import run
+    from thistleshore.process import run
 
     sys.exit(run({**os.environ, "PROXY_OPERATOR": file}))
--- a/thistleshore/cli/shared.py
+++ b/thistleshore/cli/shared.py
@@ -12,7 +12,7 @@
 
 from thistleshore import config
 from thistleshore.expressions import Request, RequestError
-from thistleshore.expressions.networks import written
+from thistleshore.addresses import ip_text
 from thistleshore.expressions.record import from_json
 from thistleshore.expressions.types import Ip, List, Map, Type
 from thistleshore.routing import RouteTable
@@ -50,7 +50,7 @@
 def plain(value: Any, found: Type) -> Any:
     """A value as JSON has it: addresses as text, and doubles that JSON lacks as text."""
     if isinstance(found, Ip):
-        return written(value)
+        return ip_text(value)
     if isinstance(found, List):
         return [plain(entry, found.entry) for entry in value]
     if isinstance(found, Map):
--- a/thistleshore/config/__init__.py
+++ b/thistleshore/config/__init__.py
@@ -11,19 +11,18 @@
 from typing import Any
 
 from thistleshore.config.errors import ConfigError
-from thistleshore.config.platform import (
-    SOCKETS_SPARE,
-    Address,
-    Plan,
-    ReleasesPlan,
-    address,
-    platform_file,
-    platform_plan,
-)
-
-__all__ = ["SOCKETS_SPARE", "Address", "ConfigError", "Plan", "ReleasesPlan", "address", "load", "operator_file",
-           "operator_plan", "platform_plan"]  # fmt: skip
-
+from thistleshore.config.platform import SOCKETS_SPARE, Plan, address, platform_file, platform_plan
+
+__all__ = [
+    "SOCKETS_SPARE",
+    "ConfigError",
+    "Plan",
+    "address",
+    "load",
+    "operator_file",
+    "operator_plan",
+    "platform_plan",
+]
 
 
 def load(environ: Mapping[str, str], epoch: float, before: Plan | None = None) -> Plan:
--- a/thistleshore/config/fleets.py
+++ b/thistleshore/config/fleets.py
@@ -4,7 +4,8 @@
 
 from collections.abc import Mapping
 
-from thistleshore.config.platform import Address, Plan
+from thistleshore.addresses import Address
+from thistleshore.config.platform import Plan
 
 
 def clashes(plans: Mapping[str, Plan]) -> list[str]:
--- a/thistleshore/config/operator.py
+++ b/thistleshore/config/operator.py
@@ -16,14 +16,14 @@
 import msgspec
 
 from oxbowarch.interface import Effect, Entry, Group, State
+from thistleshore.addresses import Address, ip_number
 from thistleshore.beanstalkd.codec import NAME
-from thistleshore.beanstalkd.downstream import REPLY_PREFIX
+from thistleshore.beanstalkd.model import HOST_PREFIX, REPLY_PREFIX, HostSeat
 from thistleshore.beanstalkd.routed import TubeRouter
-from thistleshore.beanstalkd.upstream import HOST_PREFIX, HostSeat
 from thistleshore.config.errors import ConfigError
 from thistleshore.config.platform import (
-    IDLE_SHARE, SOCKETS, SOCKETS_SPARE, Address, BeanstalkdPlan, ExchangePlan, FleetPlan, HttpPlan, KeepPlan, Plan,
-    ReleasesPlan, address, number, path_of, sockets_of,
+    IDLE_SHARE, SOCKETS, SOCKETS_SPARE, BeanstalkdPlan, ExchangePlan, HttpPlan, Plan, address, number, path_of,
+    sockets_of,
 )  # fmt: skip
 from thistleshore.contracts import Agreements, ContractTerms, MemberTerms, Retries
 from thistleshore.contracts.contract_set import Budget, Contract, ContractSet
@@ -31,10 +31,12 @@
 from thistleshore.contracts.model import OTHERS
 from thistleshore.core.model import HostLine
 from thistleshore.fleet.model import NAME_MOST, Terms as FleetTerms
+from thistleshore.fleet.plan import FleetPlan
 from thistleshore.logs import FORMATS
 from thistleshore.expressions import Limits, NetworkError, Rule, Source, address_set, request_environment
-from thistleshore.expressions.networks import AddressSet, address as network_address
+from thistleshore.expressions.networks import AddressSet
 from thistleshore.releases.model import Limits as OutLimits
+from thistleshore.releases.plan import KeepPlan, ReleasesPlan
 from thistleshore.platform.messages import ListNames, Routes
 from thistleshore.platform.routed import HttpRouter
 from thistleshore.routing import Live, RouteTable, TableError, Terms
@@ -411,7 +413,7 @@
                 part.fault("datagram", "at most 8192 bytes: larger ones come in pieces, all of which must arrive")
             try:
                 found = address_set("fleet.from", networks)
-                host = network_address(advertise[0])
+                host = ip_number(advertise[0])
                 if host is None:
                     part.fault("advertise", "an address is wanted, no name: others send there as it stands")
                 elif networks and not found.has(host):
--- a/thistleshore/config/platform.py
+++ b/thistleshore/config/platform.py
@@ -14,21 +14,21 @@
 
 from oxbowarch import wire
 from oxbowarch.interface import Settings
+from thistleshore.addresses import Address
 from thistleshore.config import in_place
 from thistleshore.config.errors import ConfigError
 from thistleshore.core.model import HostLine
 from thistleshore.platform.messages import ListNames, Malformed, Routes, read_address, read_hosts
 
 if TYPE_CHECKING:  # the platform imports none of it
+    from thistleshore.beanstalkd.model import HostSeat
     from thistleshore.beanstalkd.routed import TubeRouter
-    from thistleshore.beanstalkd.upstream import HostSeat
     from thistleshore.contracts import Agreements
     from thistleshore.contracts.exchange import Terms as ExchangeTerms
-    from thistleshore.fleet.model import Terms as FleetTerms
-    from thistleshore.releases.model import Limits
+    from thistleshore.fleet.plan import FleetPlan
+    from thistleshore.releases.plan import KeepPlan, ReleasesPlan
     from thistleshore.routing import Live
 
-Address = tuple[str, int]
 SOCKETS = 1024  # where the platform names no limit
 SOCKETS_SPARE = 64  # for the listener, discovery, the log and the interpreter's own files
 SOCKETS_LEAST = 24  # for connections, however few the system grants
@@ -65,44 +65,6 @@
     terms: ExchangeTerms
 
 
-@dataclass(frozen=True, slots=True)
-class FleetPlan:
-    """The fleet of that name, where this member hears and is reached, whom it calls first, and whom it hears."""
-
-    name: str
-    listen: Address
-    advertise: Address
-    seeds: tuple[Address, ...]
-    zone: str
-    networks: tuple[str, ...]
-    terms: FleetTerms
-
-
-@dataclass(frozen=True, slots=True)
-class ReleasesPlan:
-    """Who votes on who may be out, where; `listen` and `folder` where this instance is one of them."""
-
-    voters: Mapping[str, Address]
-    limits: Limits
-    listen: Address | None = None
-    folder: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class KeepPlan:
-    """How `thistleshore keep` keeps this dispatcher.  Times in seconds."""
-
-    folder: str  # what it does, written before it does it
-    command: tuple[str, ...] = ()  # in front of `serve --config FILE`; this program where there is none
-    allow: tuple[tuple[str, ...], ...] = ()  # commands of versions that it starts: a pattern for each word
-    files: tuple[str, ...] = ()  # patterns of the files that those may have
-    ready: float = 15.0  # for a process to answer PING
-    trial: float = 10.0  # that a newcomer serves while the one before could still take its place
-    end: float = 15.0  # for a drain, before SIGKILL
-    crashes: int = 5  # within `span`: then it is not started again
-    span: float = 60.0
-
-
 @dataclass(frozen=True, slots=True)
 class PeersPlan:
     """Where datagrams of the other dispatchers of the tier come in, from where, and the address of all of them."""
--- a/thistleshore/contracts/carrier.py
+++ b/thistleshore/contracts/carrier.py
@@ -1,21 +1,23 @@
-"""The datagrams between instances, on one UDP socket: sent by the clock, handed to the broker as they come."""
+"""The datagrams between instances, on one UDP socket: sent by the clock, handed on as they come."""
 
 from __future__ import annotations
 
 import logging
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 
 import trio
 
 from thistleshore.contracts.exchange import BYTES_MOST
-from thistleshore.core.model import Event, PeerHeard
 
 log = logging.getLogger("thistleshore")
 
 
 class Link:
-    """One instance's socket.  `beat(now)` gives what to send, by number of the peer."""
+    """One instance's socket.
+
+    `beat(now)` gives what to send, by number of the peer; `deliver(data)` takes what comes.
+    """
 
     def __init__(
         self,
@@ -23,13 +25,13 @@
         peers: Sequence[tuple[str, int]],
         every: float,
         beat: Callable[[float], list[tuple[int, bytes]]],
+        deliver: Callable[[bytes], Awaitable[None]],
     ) -> None:
-        self.listen, self.peers, self.every, self.beat = listen, tuple(peers), every, beat
+        self.listen, self.peers, self.every = listen, tuple(peers), every
+        self.beat, self.deliver = beat, deliver
         self.counts: Counter[str] = Counter()
 
-    async def run(
-        self, inbox: trio.MemorySendChannel[Event], task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
-    ) -> None:
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Send and receive until cancelled; a datagram that is cancelled was not sent."""
         family = trio.socket.AF_INET6 if ":" in self.listen[0] else trio.socket.AF_INET
         with trio.socket.socket(family, trio.socket.SOCK_DGRAM) as socket:
@@ -38,7 +40,7 @@
             task_status.started()
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._send, socket)
-                nursery.start_soon(self._receive, socket, inbox)
+                nursery.start_soon(self._receive, socket)
 
     async def _send(self, socket: trio.socket.SocketType) -> None:
         while True:
@@ -50,7 +52,7 @@
                     self.counts["unsent"] += 1
             await trio.sleep(self.every)
 
-    async def _receive(self, socket: trio.socket.SocketType, inbox: trio.MemorySendChannel[Event]) -> None:
+    async def _receive(self, socket: trio.socket.SocketType) -> None:
         while True:
             try:
                 # One byte more than is allowed, so that what is longer is seen to be.
@@ -64,4 +66,4 @@
                 self.counts["stranger_address"] += 1
                 continue
             self.counts["received"] += 1
-            await inbox.send(PeerHeard(data))
+            await self.deliver(data)
--- a/thistleshore/dispatcher.py
+++ b/thistleshore/dispatcher.py
@@ -11,10 +11,10 @@
 from thistleshore.core.broker import Broker
 from thistleshore.core.model import HostsTold
 from thistleshore.follower import Follower
+from thistleshore.limits import longest_deadline, upstream_limits
 from thistleshore.platform.upstream import Upstreams
 from thistleshore.wiring import http
 from thistleshore.wiring.components import Components, InitialState
-from thistleshore.wiring.limits import longest_deadline, upstream_limits
 
 log = logging.getLogger("thistleshore")
 
--- a/thistleshore/expressions/check.py
+++ b/thistleshore/expressions/check.py
@@ -11,6 +11,7 @@
 from difflib import get_close_matches
 from typing import Any
 
+from thistleshore.addresses import ip_number
 from thistleshore.expressions import functions, networks, patterns, types
 from thistleshore.expressions.diagnostics import ExpressionError, Source, Span
 from thistleshore.expressions.functions import OPERATIONS
@@ -534,7 +535,7 @@
         (over,) = self._args(tree, parts, facts, (Str, Ip))
         if isinstance(over.type, Ip):
             return over
-        if not (over.op == "const" and networks.address(over.value) is not None or ("ip", over.id) in facts):
+        if not (over.op == "const" and ip_number(over.value) is not None or ("ip", over.id) in facts):
             text = _text(parts[0])
             raise ExpressionError(
                 "the text may be no address", tree.span, f"guard it: `isIP({text}) && .. ip({text}) ..`"
--- a/thistleshore/expressions/functions.py
+++ b/thistleshore/expressions/functions.py
@@ -12,7 +12,7 @@
 
 import xxhash
 
-from thistleshore.expressions import networks
+from thistleshore.addresses import ip_number, ip_text
 from thistleshore.expressions.networks import AddressSet
 from thistleshore.expressions.patterns import Pattern
 from thistleshore.expressions.types import scan
@@ -145,11 +145,11 @@
     "to_int": Operation(int, _read),
     "to_double": Operation(float, _one),
     "to_string": Operation(text_of, _one),
-    "ip_to_string": Operation(networks.written, lambda _: 2),
+    "ip_to_string": Operation(ip_text, lambda _: 2),
     "hash": Operation(hash64, _read),
     "bucket": Operation(bucket, _read),
-    "to_ip": Operation(networks.address, lambda n: 2 + scan(n)),
-    "is_ip": Operation(lambda text: networks.address(text) is not None, lambda n: 2 + scan(n)),
+    "to_ip": Operation(ip_number, lambda n: 2 + scan(n)),
+    "is_ip": Operation(lambda text: ip_number(text) is not None, lambda n: 2 + scan(n)),
 }
 
 
--- a/thistleshore/expressions/networks.py
+++ b/thistleshore/expressions/networks.py
@@ -1,19 +1,18 @@
-"""Addresses as integers, and sets of networks: netaddr reads and merges them, a search by halves answers.
+"""Sets of networks: netaddr reads and merges them, a search by halves answers.
 
-An address is an integer of 128 bits; IPv4 lies in ::ffff:0:0/96, so that a client that comes by an IPv6 socket is
-the same client.
+An address is an integer as `thistleshore.addresses` has it.
 """
 
 from __future__ import annotations
 
-import socket
 from bisect import bisect_right
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 from netaddr import AddrFormatError, IPNetwork, IPSet
 
-MAPPED = 0xFFFF << 32
+from thistleshore.addresses import MAPPED, ip_number
+
 ADDRESS_MOST = 45  # characters of an address as text
 
 
@@ -21,23 +20,6 @@
     """A text that is no network."""
 
 
-def address(text: str) -> int | None:
-    """An address as an integer; None where the text is none.  A zone (`fe80::1%eth0`) is no part of it."""
-    try:
-        if ":" in text:
-            return int.from_bytes(socket.inet_pton(socket.AF_INET6, text.partition("%")[0]), "big")
-        return MAPPED | int.from_bytes(socket.inet_pton(socket.AF_INET, text), "big")
-    except (OSError, ValueError):  # ValueError: a NUL within
-        return None
-
-
-def written(number: int) -> str:
-    """An address as text, IPv4 in its own form."""
-    if number >> 32 == 0xFFFF:
-        return socket.inet_ntop(socket.AF_INET, (number & 0xFFFFFFFF).to_bytes(4, "big"))
-    return socket.inet_ntop(socket.AF_INET6, number.to_bytes(16, "big"))
-
-
 @dataclass(frozen=True, slots=True)
 class AddressSet:
     """Disjoint ranges, in order; `starts[n]..ends[n]` are in it.  A look-up halves them: 17 steps for 100,000."""
@@ -61,7 +43,7 @@
     found = []
     for text in networks:
         try:
-            if address(text.partition("/")[0]) is None or text != text.strip():
+            if ip_number(text.partition("/")[0]) is None or text != text.strip():
                 raise AddrFormatError  # netaddr takes more: `10/8`, integers, host bits that are set
             network = IPNetwork(text)
             if network.ip != network.network:
--- a/thistleshore/expressions/record.py
+++ b/thistleshore/expressions/record.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from thistleshore.expressions import networks
+from thistleshore.addresses import ip_number
 from thistleshore.expressions.model import BODY_MOST, HEAD_MOST, PRIORITY_MOST, TUBE_MOST
 
 UNKNOWN = 0  # the address `::`, where the transport names none
@@ -129,7 +129,7 @@
         raise RequestError(f"request: {problem}") from None
     if asked.front not in ("http", "beanstalkd"):
         raise RequestError(f"request.front: http or beanstalkd is wanted, not {asked.front!r}")
-    address = networks.address(asked.client) if asked.client else UNKNOWN
+    address = ip_number(asked.client) if asked.client else UNKNOWN
     if address is None:
         raise RequestError(f"request.client: {asked.client!r} is no address")
     headers: dict[str, str] = {}
--- a/thistleshore/fleet/carrier.py
+++ b/thistleshore/fleet/carrier.py
@@ -7,24 +7,21 @@
 import os
 import socket as sockets
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from math import inf
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import trio
 
 from thistleshore import __version__
-from thistleshore.config import Address
-from thistleshore.config.platform import FleetPlan
-from thistleshore.expressions.networks import address as number_of, address_set
+from thistleshore.addresses import Address, ip_number
+from thistleshore.expressions.networks import address_set
 from thistleshore.fleet import wire
 from thistleshore.fleet.machine import Fleet
 from thistleshore.fleet.model import Action, Changed, Record, Send, Service, State
+from thistleshore.fleet.plan import FleetPlan
 from thistleshore.listening import Aside
 
-if TYPE_CHECKING:
-    from thistleshore.releases.carrier import Releases
-
 log = logging.getLogger("thistleshore")
 
 LOOK = 0.1  # s between two looks at how this process serves
@@ -49,7 +46,7 @@
 
         def allowed(host: str) -> bool:
             if (found := self._allowed.get(host)) is None:
-                number = number_of(host)
+                number = ip_number(host)
                 found = number is not None and networks.has(number)
                 if len(self._allowed) < 4096:  # a flood of false senders must not fill the memory
                     self._allowed[host] = found
@@ -65,7 +62,8 @@
         now = trio.current_time()
         self.machine = Fleet(plan.name, me, plan.terms, plan.seeds, now, int.from_bytes(os.urandom(8), "big"), allowed,
                              number)  # fmt: skip
-        self.releases: Releases | None = None
+        # Answers the calls of what the fleet agrees on: a name and its arguments.
+        self.register_call: Callable[[str, tuple[str, ...]], Awaitable[Any]] | None = None
         self.subscribers: list[trio.MemorySendChannel[Changed]] = []
         self.socket: trio.socket.SocketType | None = (
             trio.socket.from_stdlib_socket(inherited) if inherited is not None else None
@@ -195,9 +193,9 @@
     async def on_call(self, name: str, argument: str) -> tuple[bool, Any]:
         """One call of the admin interface: whether it was done, and what there is to say."""
         if name not in ("members", "status", "events", "leave", "forget"):
-            if self.releases is None:
+            if self.register_call is None:
                 return False, "no [fleet.register] in the file"
-            return True, await self.releases.on_call(name, tuple(argument.split()))
+            return True, await self.register_call(name, tuple(argument.split()))
         if name == "members":
             return True, self.members()
         if name == "status":
--- a/thistleshore/fleet/model.py
+++ b/thistleshore/fleet/model.py
@@ -15,6 +15,8 @@
 
 import msgspec
 
+from thistleshore.addresses import Address
+
 NAME_MOST = 64  # characters of a name or a zone
 MEMBERS_MOST = 1024
 HEALTH_MOST = 8  # how far an instance may doubt itself: times grow up to nine-fold
@@ -23,8 +25,6 @@
 BUCKETS = 32  # of a view's digest, for finding what differs
 PROBES_LATE = 0.5  # of a period: whoever is late by more was stopped, and judges nobody by that time
 
-Address = tuple[str, int]
-
 
 class State(IntEnum):
     """How a member stands; of one incarnation the greater wins."""
--- a/thistleshore/follower.py
+++ b/thistleshore/follower.py
@@ -11,11 +11,11 @@
 from thistleshore.config import Plan
 from thistleshore.core.broker import Broker
 from thistleshore.core.model import SettingsTold
+from thistleshore.limits import longest_deadline, upstream_limits
 from thistleshore.platform.discovery import Discovery
 from thistleshore.platform.downstream import Downstream
 from thistleshore.platform.messages import Routes
 from thistleshore.platform.upstream import Upstreams
-from thistleshore.wiring.limits import longest_deadline, upstream_limits
 
 if TYPE_CHECKING:  # imported only where the plan has them
     from thistleshore.fleet.carrier import Carrier
--- a/thistleshore/gate.py
+++ b/thistleshore/gate.py
@@ -15,6 +15,8 @@
 
 import trio
 
+from thistleshore.addresses import ip_number
+
 log = logging.getLogger("thistleshore")
 
 ACCEPT_FOR = 0.55  # s after SIGTERM in which connections still come
@@ -33,13 +35,11 @@
 
 def peer_address(socket: trio.SocketStream) -> int:
     """Who a connection comes from, as rules see it; 0 where the transport names no address."""
-    from thistleshore.expressions.networks import address  # of an operator's installation: the platform has no rules
-
     try:
         name = socket.socket.getpeername()
     except OSError:  # it has gone already
         return 0
-    return (address(name[0]) or 0) if isinstance(name, tuple) else 0
+    return (ip_number(name[0]) or 0) if isinstance(name, tuple) else 0
 
 
 Handler = Callable[[trio.SocketStream], Awaitable[None]]
@@ -114,8 +114,13 @@
         socket.listen(BACKLOG)
         return trio.SocketListener(socket)
 
-    async def run(self, address: tuple[str, int], nursery: trio.Nursery, handler: Handler,
-                  task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:  # fmt: skip
+    async def run(
+        self,
+        address: tuple[str, int],
+        nursery: trio.Nursery,
+        handler: Handler,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
         """Accept until some time after `draining` is set; connections go on in the nursery."""
         self.listener = listener = await self._listen(address)
         async with listener:
@@ -219,8 +224,9 @@
                 if not scope.cancel_called:
                     return scope.cancel()
 
-    def waiting(self, socket: trio.SocketStream, arrived: float | None,
-                idle: bool = False) -> AbstractContextManager[trio.CancelScope]:  # fmt: skip
+    def waiting(
+        self, socket: trio.SocketStream, arrived: float | None, idle: bool = False
+    ) -> AbstractContextManager[trio.CancelScope]:
         """A wait that is called off to make room, and where it is idle, when idle connections are closed.
 
         `arrived` says since when a newcomer is here; None: the connection is kept.
--- a/thistleshore/platform/routed.py
+++ b/thistleshore/platform/routed.py
@@ -18,7 +18,7 @@
         self.live = live
 
     def route(self, request: h11.Request, size: int, address: int = UNKNOWN) -> Routed | None:
-        """`size` in bytes of the body; `address` as `networks.address` gives it."""
+        """`size` in bytes of the body; `address` as `addresses.ip_number` gives it."""
         table = self.live.table
         return table.route(fill(request.method, request.target, request.headers, size, address, table.fields))
 
--- a/thistleshore/releases/carrier.py
+++ b/thistleshore/releases/carrier.py
@@ -17,12 +17,12 @@
 import msgspec
 import trio
 
-from thistleshore.config import Address
-from thistleshore.config.platform import ReleasesPlan
+from thistleshore.addresses import Address
 from thistleshore.listening import TAKEN_PAUSE, Aside, patiently
 from thistleshore.releases import places, waves
 from thistleshore.releases.driver import Driver, Figures, Seen
 from thistleshore.releases.model import Limits, Refusal, Standing, Value
+from thistleshore.releases.plan import ReleasesPlan
 from thistleshore.releases.register import (
     NONE, Accept, Acceptor, Ballot, Change, Held, Outcome, Prepare, Promise, Accepted, Rejected, Reply, Round, Unable,
     merged,
--- a/thistleshore/releases/keeping.py
+++ b/thistleshore/releases/keeping.py
@@ -23,12 +23,12 @@
 import msgspec
 import trio
 
+from thistleshore.addresses import Address
 from thistleshore.admin.calling import call
-from thistleshore.config import Address
-from thistleshore.config.platform import KeepPlan
 from thistleshore.releases.faults import point
 from thistleshore.releases.keeper import Action, Child, End, Keeper, Kept, Order, Plan, Say, Start
 from thistleshore.releases.model import Version
+from thistleshore.releases.plan import KeepPlan
 
 log = logging.getLogger("thistleshore")
 
--- a/thistleshore/restart/handover_state.py
+++ b/thistleshore/restart/handover_state.py
@@ -26,6 +26,7 @@
 if TYPE_CHECKING:  # an operator's
     from thistleshore.admin.listener import Admin
     from thistleshore.fleet.carrier import Carrier
+    from thistleshore.releases.carrier import Releases
 
 log = logging.getLogger("thistleshore")
 
@@ -102,6 +103,7 @@
         self.plan, self.broker, self.downstream, self.upstreams = plan, broker, downstream, upstreams
         self.peers, self.watch = peers, watch
         self.fleet: Carrier | None = None
+        self.releases: Releases | None = None
         self.admin: Admin | None = None  # where both processes have one address for it
         self._opened: list[list[str]] = []  # names of streams opened here, for each process that has taken over
         self.links = HandoverLinks(plan.restart, self)
@@ -148,8 +150,8 @@
             self.peers.step_aside(aside)
         if self.fleet is not None:
             self.fleet.step_aside(aside)
-            if self.fleet.releases is not None:
-                self.fleet.releases.step_aside(aside)
+        if self.releases is not None:
+            self.releases.step_aside(aside)
         if self.admin is not None:
             self.admin.step_aside(aside)
         settings = self.plan.settings
--- a/thistleshore/wiring/components.py
+++ b/thistleshore/wiring/components.py
@@ -10,7 +10,8 @@
 import trio
 
 from oxbowarch.brain import Brain
-from thistleshore.config import Address, Plan
+from thistleshore.addresses import Address
+from thistleshore.config import Plan
 from thistleshore.core.broker import Broker
 from thistleshore.core.model import HostLine
 from thistleshore.follower import Follower
--- a/thistleshore/wiring/exchange.py
+++ b/thistleshore/wiring/exchange.py
@@ -8,6 +8,7 @@
 
 from thistleshore.contracts import Ledger
 from thistleshore.contracts.carrier import Link
+from thistleshore.core.model import PeerHeard
 from thistleshore.wiring.components import Components
 
 log = logging.getLogger("thistleshore")
@@ -20,9 +21,14 @@
     plan, broker = components.plan, components.broker
     assert broker.ledger is not None
     if plan.exchange is not None:
-        link = Link(plan.exchange.listen, plan.exchange.peers, plan.exchange.terms.every, broker.beat)
+        setup = plan.exchange
+
+        async def deliver(data: bytes) -> None:
+            await broker.inbox.send(PeerHeard(data))
+
+        link = Link(setup.listen, setup.peers, setup.terms.every, broker.beat, deliver)
         broker.link_counts = link.counts
-        await components.nursery.start(link.run, broker.inbox)
+        await components.nursery.start(link.run)
     components.nursery.start_soon(_log_shares, broker.ledger)
 
 
--- a/thistleshore/wiring/releases.py
+++ b/thistleshore/wiring/releases.py
@@ -56,7 +56,7 @@
     assert plan.releases is not None and fleet is not None
     machine, counter = fleet.machine, _count_answers(components, fleet.machine.me.name)
     control = HostControl(plan, broker, machine)
-    components.releases = fleet.releases = Releases(
+    releases = components.releases = Releases(
         plan=plan.releases,
         name=machine.me.name,
         life=machine.me.life,
@@ -69,7 +69,10 @@
         figures=counter.figures,
         view=lambda: (machine.settled, machine.majority),
     )
-    components.start_as_member(components.releases.run)
+    fleet.register_call = releases.on_call
+    if components.handover is not None:
+        components.handover.releases = releases
+    components.start_as_member(releases.run)
 
 
 def _count_answers(components: Components, name: str) -> Counter:
