--- a/thistleshore/core/broker.py
+++ b/thistleshore/core/broker.py
@@ -48,7 +48,7 @@
         self.carriers: dict[type, model.UpstreamFront] = {}  # by what a host's `dial` is
         self.notebook = Notebook()
         self.on_attempt: Callable[[model.UpstreamRequest, Status, float], None] | None = None  # as each has ended
-        self.tell: Callable[[bytes, tuple[int, ...] | None], None] | None = None  # to some dispatchers, or to all
+        self.send_notes: Callable[[bytes, tuple[int, ...] | None], None] | None = None  # to some dispatchers, or to all
         self.inbox, self._events = trio.open_memory_channel[model.Event](QUEUE)
         self._urgent: deque[model.Event] = deque()
         self.hosts: dict[bytes, model.UpstreamHost] = {}
@@ -85,7 +85,7 @@
                 event = await self._next()
                 now = trio.current_time()
                 try:
-                    self._carry_out(self._fire(now) if event is None else self._tell(event, now), now)
+                    self._carry_out(self._fire_timer(now) if event is None else self._handle(event, now), now)
                     if self.ledger is not None:
                         self._offer(self.ledger, now)
                 except Exception:
@@ -112,7 +112,7 @@
             return await self._events.receive()
         return None
 
-    def _fire(self, now: float) -> list[Action]:
+    def _fire_timer(self, now: float) -> list[Action]:
         _, token = heappop(self._timers)
         if token == LOOK:
             self._looking = False
@@ -135,7 +135,7 @@
                 for request in self._out.get(stream.id, ()):
                     request.scope.cancel()
 
-    def _tell(self, event: model.Event, now: float) -> list[Action]:
+    def _handle(self, event: model.Event, now: float) -> list[Action]:
         if isinstance(event, model.UpstreamEnded):
             return self._ended(event, now)
         if isinstance(event, model.Posted):
@@ -151,7 +151,7 @@
             notes = self.notebook.read(event.peer, event.data, now)
             return self.brain.on_told(event.peer, notes, now) if notes else []
         if isinstance(event, model.PeerHeard):
-            return self._heard(event.data, now)
+            return self._on_peer_datagram(event.data, now)
         if isinstance(event, model.HostReported):
             return self.brain.on_report(event.host, event.report, now)
         if isinstance(event, model.BanAsked):
@@ -159,7 +159,7 @@
         if isinstance(event, model.SettingsTold):
             self.name_classes(event.names)
             return self.brain.on_settings(event.settings, now)
-        return self._told(event, now)
+        return self._update_hosts(event, now)
 
     def _ban(self, event: model.BanAsked, now: float) -> list[Action]:
         """A host that the list has dropped can be called back; one that nobody has heard of cannot be taken out."""
@@ -260,7 +260,7 @@
             return 0.0
         return now - event.request.started if event.request.started else event.took
 
-    def beat(self, now: float) -> list[tuple[int, bytes]]:
+    def exchange_datagrams(self, now: float) -> list[tuple[int, bytes]]:
         """The datagrams to send to the other instances now, by their numbers."""
         if self.ledger is None or self.exchange is None:
             return []
@@ -274,7 +274,7 @@
         self.exchange.on_out(out)
         return self.exchange.due(now)
 
-    def _heard(self, data: bytes, now: float) -> list[Action]:
+    def _on_peer_datagram(self, data: bytes, now: float) -> list[Action]:
         """Leases, and what a peer has out at each host: news of it as good as its own."""
         actions: list[Action] = []
         if self.exchange is not None and self.exchange.on_datagram(data, now):
@@ -284,7 +284,7 @@
                     actions += self.brain.on_report(name, report, now)
         return actions
 
-    def _told(self, event: model.HostsTold, now: float) -> list[Action]:
+    def _update_hosts(self, event: model.HostsTold, now: float) -> list[Action]:
         named = {line.entry.worker for line in event.lines}
         self.version = event.version if event.version is not None else self.version
         if event.kind is not ListKind.CHANGES:
@@ -332,9 +332,9 @@
             elif isinstance(action, Cancel):
                 self._cancel(action)
             elif isinstance(action, Tell):
-                if self.tell is not None:
+                if self.send_notes is not None:
                     for data in self.notebook.write(action.notes):
-                        self.tell(data, action.to)
+                        self.send_notes(data, action.to)
             elif isinstance(action, Log):
                 log.info("module: %s", self._named(action.text))
             else:  # discovery watches by itself
--- a/thistleshore/wiring/exchange.py
+++ b/thistleshore/wiring/exchange.py
@@ -26,7 +26,7 @@
         async def deliver(data: bytes) -> None:
             await broker.inbox.send(PeerHeard(data))
 
-        link = Link(setup.listen, setup.peers, setup.terms.every, broker.beat, deliver)
+        link = Link(setup.listen, setup.peers, setup.terms.every, broker.exchange_datagrams, deliver)
         broker.link_counts = link.counts
         await components.nursery.start(link.run)
     components.nursery.start_soon(_log_shares, broker.ledger)
--- a/thistleshore/wiring/http.py
+++ b/thistleshore/wiring/http.py
@@ -23,7 +23,7 @@
         components.initial.inherited_socket("peers"),
         bool(plan.restart),
     )
-    broker.tell = components.peers.send
+    broker.send_notes = components.peers.send
     components.nursery.start_soon(components.peers.run, broker.inbox)
 
 
