--- a/thistleshore/wiring/distribution.py
+++ b/thistleshore/wiring/distribution.py
@@ -25,8 +25,11 @@
     applier.force = follower.adopt
     terms = plan.distribution.terms._replace(datagram=fleet.plan.terms.datagram)
     distribution = Distribution(terms, fleet, releases, applier)
-    components.distribution = fleet.distribution = distribution
-    fleet.configuration_calls = ConfigurationCalls(releases, distribution, applier)
+    components.distribution = distribution
+    fleet.on_distribution = distribution.on_datagram
+    fleet.configuration_call = ConfigurationCalls(releases, distribution, applier).on_call
+    if components.handover is not None:
+        components.handover.distribution = distribution
     if components.initial.inherited is not None and applier.hosts_told:
         # The hosts of the process before may be those of an earlier version.
         follower.tell_hosts(plan.known)
