--- a/benchmarks/check_configuration.py
+++ b/benchmarks/check_configuration.py
@@ -27,7 +27,7 @@
 
 
 from benchmarks.check_register import VOTERS, Story, explore, walk
-from thistleshore.distribution import agreement
+from thistleshore.configuration import agreement
 from thistleshore.distribution.model import digest_of
 from thistleshore.releases.carrier import Deposit
 from thistleshore.releases.model import Value
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -26,7 +26,7 @@
 SUPPLIED = str(ROOT / "deploy" / "expressions.toml")
 NEW = ("click", "lark", "re2", "netaddr", "xxhash", "msgspec", "thistleshore.cli", "thistleshore.expressions",
        "thistleshore.routing", "thistleshore.contracts", "thistleshore.metrics", "structlog", "thistleshore.fleet",
-       "thistleshore.rig", "thistleshore.releases", "thistleshore.distribution",
+       "thistleshore.rig", "thistleshore.releases", "thistleshore.distribution", "thistleshore.configuration",
        "thistleshore.config.fleets", "matplotlib", "rich", "numpy",
        "sqlite3",
        "prometheus_client", "zstandard", "thistleshore.config.operator",
--- a/tests/test_configuration_agreement.py
+++ b/tests/test_configuration_agreement.py
@@ -17,7 +17,7 @@
 from benchmarks.check_register import explore, walk
 from tests.support import play, steady
 from thistleshore.releases.plan import ReleasesPlan
-from thistleshore.distribution import agreement, store
+from thistleshore.configuration import agreement, store
 from thistleshore.distribution.model import BODY_MOST, NO_VERSION, Stamp, digest_of
 from thistleshore.releases import places
 from thistleshore.releases.carrier import Body, Deposit, Deposited, FetchBody, Install, NoMajority, Releases, Voter
--- a/tests/test_configuration_document.py
+++ b/tests/test_configuration_document.py
@@ -16,8 +16,8 @@
 from thistleshore import config
 from thistleshore.config.fleets import clashes
 from thistleshore.config.platform import MOVES
-from thistleshore.distribution import document, store
-from thistleshore.distribution.document import DocumentError, overlay, parse, plan_of
+from thistleshore.configuration import document, store
+from thistleshore.configuration.document import DocumentError, overlay, parse, plan_of
 from thistleshore.distribution.model import BODY_MOST, FORMAT, Stamp, Terms, digest_of
 
 EXAMPLE = ROOT / "deploy" / "releases.toml"
--- a/thistleshore/distribution/applying.py
+++ b/thistleshore/configuration/applying.py
@@ -14,9 +14,9 @@
 
 from thistleshore.config import Plan
 from thistleshore.core.model import HostLine
-from thistleshore.distribution import document
+from thistleshore.configuration import document
 from thistleshore.distribution.model import FORMAT, REASON_MOST, Stamp
-from thistleshore.distribution.store import StoreError, VersionStore
+from thistleshore.configuration.store import StoreError, VersionStore
 from thistleshore.releases.faults import point
 
 log = logging.getLogger("thistleshore")
--- a/thistleshore/distribution/calls.py
+++ b/thistleshore/configuration/calls.py
@@ -9,11 +9,11 @@
 import msgspec
 import trio
 
-from thistleshore.distribution import agreement
-from thistleshore.distribution.applying import Applier, NotApplied
-from thistleshore.distribution.carrier import Distribution
+from thistleshore.configuration import agreement
+from thistleshore.configuration.applying import Applier, NotApplied
+from thistleshore.configuration.carrier import Distribution
 from thistleshore.distribution.model import Zone, digest_of
-from thistleshore.distribution.uploads import UploadError, Uploads
+from thistleshore.configuration.uploads import UploadError, Uploads
 from thistleshore.releases.carrier import NoMajority, Releases
 from thistleshore.releases.faults import point
 from thistleshore.releases.model import Configuration, ConfigurationEntry, Refusal, Value
--- a/thistleshore/distribution/carrier.py
+++ b/thistleshore/configuration/carrier.py
@@ -10,8 +10,8 @@
 
 import trio
 
-from thistleshore.distribution import agreement
-from thistleshore.distribution.applying import Applier, NotApplied, NotDurable
+from thistleshore.configuration import agreement
+from thistleshore.configuration.applying import Applier, NotApplied, NotDurable
 from thistleshore.distribution.machine import Distributor
 from thistleshore.distribution.model import Action, Address, Apply, Peer, Send, Spread, Stamp, Terms, digest_of
 from thistleshore.fleet.model import Record, State
--- a/thistleshore/dispatcher.py
+++ b/thistleshore/dispatcher.py
@@ -18,7 +18,7 @@
 from thistleshore.wiring.components import Components, InitialState
 
 if TYPE_CHECKING:  # imported only where the plan has it
-    from thistleshore.distribution.applying import Applier
+    from thistleshore.configuration.applying import Applier
 
 log = logging.getLogger("thistleshore")
 
--- a/thistleshore/distribution/__init__.py
+++ b/thistleshore/distribution/__init__.py
@@ -1,1 +1,1 @@
-"""Configuration that the fleet agrees on once, and that each instance puts in force whole."""
+"""How versions of the agreed configuration spread: the protocol, with no socket, no disk and no clock."""
--- a/thistleshore/follower.py
+++ b/thistleshore/follower.py
@@ -19,7 +19,7 @@
 from thistleshore.platform.upstream import Upstreams
 
 if TYPE_CHECKING:  # imported only where the plan has them
-    from thistleshore.distribution.applying import Applier
+    from thistleshore.configuration.applying import Applier
     from thistleshore.fleet.carrier import Carrier
     from thistleshore.restart.handover_state import HandoverState
 
--- a/thistleshore/restart/handover_state.py
+++ b/thistleshore/restart/handover_state.py
@@ -25,7 +25,7 @@
 
 if TYPE_CHECKING:  # an operator's
     from thistleshore.admin.listener import Admin
-    from thistleshore.distribution.carrier import Distribution
+    from thistleshore.configuration.carrier import Distribution
     from thistleshore.fleet.carrier import Carrier
     from thistleshore.releases.carrier import Releases
 
--- a/thistleshore/wiring/components.py
+++ b/thistleshore/wiring/components.py
@@ -23,8 +23,8 @@
 
 if TYPE_CHECKING:  # imported only where the plan has them
     from thistleshore.admin.listener import Admin
-    from thistleshore.distribution.applying import Applier
-    from thistleshore.distribution.carrier import Distribution
+    from thistleshore.configuration.applying import Applier
+    from thistleshore.configuration.carrier import Distribution
     from thistleshore.fleet.carrier import Carrier
     from thistleshore.releases.carrier import Releases
     from thistleshore.restart.carrier import Inherited
--- a/thistleshore/wiring/distribution.py
+++ b/thistleshore/wiring/distribution.py
@@ -5,10 +5,10 @@
 from pathlib import Path
 
 from thistleshore.config import Plan
-from thistleshore.distribution.applying import Applier
-from thistleshore.distribution.calls import ConfigurationCalls
-from thistleshore.distribution.carrier import Distribution
-from thistleshore.distribution.store import VersionStore
+from thistleshore.configuration.applying import Applier
+from thistleshore.configuration.calls import ConfigurationCalls
+from thistleshore.configuration.carrier import Distribution
+from thistleshore.configuration.store import VersionStore
 from thistleshore.wiring.components import Components
 
 
--- a/thistleshore/wiring/releases.py
+++ b/thistleshore/wiring/releases.py
@@ -11,7 +11,7 @@
 from thistleshore.config import Plan
 from thistleshore.core.broker import Broker
 from thistleshore.core.model import BanAsked
-from thistleshore.distribution.store import BODY_FOLDER, FileBodyStore
+from thistleshore.configuration.store import BODY_FOLDER, FileBodyStore
 from thistleshore.fleet.machine import Fleet
 from thistleshore.releases.carrier import Releases
 from thistleshore.releases.figures import Counter
