--- a/tests/test_configuration_carrier.py
+++ b/tests/test_configuration_carrier.py
@@ -17,16 +17,16 @@
 from tests.support import play
 from thistleshore import config
 from thistleshore.admin import codec
-from thistleshore.config.platform import FleetPlan
 from thistleshore.core.model import HostLine
-from thistleshore.distribution.applying import Applier, Held, NotApplied, NotDurable
-from thistleshore.distribution.carrier import Distribution
+from thistleshore.configuration.applying import Applier, Held, NotApplied, NotDurable
+from thistleshore.configuration.carrier import Distribution
 from thistleshore.distribution.machine import Distributor
 from thistleshore.distribution.model import BODY_MOST, FORMAT, REASON_MOST, Apply, Peer, Stamp, Terms, digest_of
-from thistleshore.distribution.store import VERSION_FILE, VersionStore
-from thistleshore.distribution.uploads import EXPIRES, PIECES_MOST, UPLOADS_MOST, UploadError, Uploads, decompressed
+from thistleshore.configuration.store import VERSION_FILE, VersionStore
+from thistleshore.configuration.uploads import EXPIRES, PIECES_MOST, UPLOADS_MOST, UploadError, Uploads, decompressed
 from thistleshore.fleet.carrier import Carrier
 from thistleshore.fleet.model import Record, Service, State, Terms as FleetTerms
+from thistleshore.fleet.plan import FleetPlan
 from thistleshore.metrics import Configuration
 
 REGISTER = 7
@@ -387,8 +387,7 @@
     plan = FleetPlan("fleet", ("127.0.0.1", 0), ("10.0.0.1", 1), (), "a", networks, FleetTerms())
     carrier = Carrier(plan, "me", lambda: Service.READY, "")
     heard: list[bytes] = []
-    receiver: Any = SimpleNamespace(on_datagram=lambda data, sender: heard.append(data))
-    carrier.distribution = receiver
+    carrier.on_distribution = lambda data, sender: heard.append(data)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(carrier.run)
         await trio.sleep(0.5)
--- a/thistleshore/expressions/record.py
+++ b/thistleshore/expressions/record.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from thistleshore.expressions import networks
+from thistleshore.addresses import ip_number
 from thistleshore.expressions.model import BODY_MOST, HEAD_MOST, PRIORITY_MOST, TUBE_MOST
 
 UNKNOWN = 0  # the address `::`, where the transport names none
@@ -23,9 +23,19 @@
 
     __slots__ = ("address", "front", "headers", "host", "method", "path", "priority", "query", "size", "tube")
 
-    def __init__(self, front: str = "http", method: str = "", host: str = "", path: str = "",
-                 query: dict[str, str] | None = None, headers: dict[str, str] | None = None, size: int = 0,
-                 tube: str = "", priority: int = 0, address: int = UNKNOWN) -> None:  # fmt: skip
+    def __init__(
+        self,
+        front: str = "http",
+        method: str = "",
+        host: str = "",
+        path: str = "",
+        query: dict[str, str] | None = None,
+        headers: dict[str, str] | None = None,
+        size: int = 0,
+        tube: str = "",
+        priority: int = 0,
+        address: int = UNKNOWN,
+    ) -> None:
         self.front, self.method, self.host, self.path = front, method, host, path
         self.query, self.headers = query or {}, headers or {}
         self.size, self.tube, self.priority, self.address = size, tube, priority, address
@@ -129,7 +139,7 @@
         raise RequestError(f"request: {problem}") from None
     if asked.front not in ("http", "beanstalkd"):
         raise RequestError(f"request.front: http or beanstalkd is wanted, not {asked.front!r}")
-    address = networks.address(asked.client) if asked.client else UNKNOWN
+    address = ip_number(asked.client) if asked.client else UNKNOWN
     if address is None:
         raise RequestError(f"request.client: {asked.client!r} is no address")
     headers: dict[str, str] = {}
@@ -149,5 +159,15 @@
         raise RequestError("request: more than a head can hold")
     if len(asked.tube) > TUBE_MOST:
         raise RequestError(f"request.tube: {TUBE_MOST} bytes at most")
-    return Request(asked.front, asked.method, normal_host(asked.host), normal_path(asked.path), dict(asked.query),
-                   headers, asked.size, asked.tube, asked.priority, address)  # fmt: skip
+    return Request(
+        asked.front,
+        asked.method,
+        normal_host(asked.host),
+        normal_path(asked.path),
+        dict(asked.query),
+        headers,
+        asked.size,
+        asked.tube,
+        asked.priority,
+        address,
+    )
--- a/thistleshore/follower.py
+++ b/thistleshore/follower.py
@@ -12,14 +12,14 @@
 from thistleshore.config import Plan
 from thistleshore.core.broker import Broker
 from thistleshore.core.model import HostLine, HostsTold, SettingsTold
+from thistleshore.limits import longest_deadline, upstream_limits
 from thistleshore.platform.discovery import Discovery
 from thistleshore.platform.downstream import Downstream
 from thistleshore.platform.messages import Routes
 from thistleshore.platform.upstream import Upstreams
-from thistleshore.wiring.limits import longest_deadline, upstream_limits
 
 if TYPE_CHECKING:  # imported only where the plan has them
-    from thistleshore.distribution.applying import Applier
+    from thistleshore.configuration.applying import Applier
     from thistleshore.fleet.carrier import Carrier
     from thistleshore.restart.handover_state import HandoverState
 
--- a/thistleshore/wiring/components.py
+++ b/thistleshore/wiring/components.py
@@ -10,7 +10,8 @@
 import trio
 
 from oxbowarch.brain import Brain
-from thistleshore.config import Address, Plan
+from thistleshore.addresses import Address
+from thistleshore.config import Plan
 from thistleshore.core.broker import Broker
 from thistleshore.core.model import HostLine
 from thistleshore.follower import Follower
@@ -22,8 +23,8 @@
 
 if TYPE_CHECKING:  # imported only where the plan has them
     from thistleshore.admin.listener import Admin
-    from thistleshore.distribution.applying import Applier
-    from thistleshore.distribution.carrier import Distribution
+    from thistleshore.configuration.applying import Applier
+    from thistleshore.configuration.carrier import Distribution
     from thistleshore.fleet.carrier import Carrier
     from thistleshore.releases.carrier import Releases
     from thistleshore.restart.carrier import Inherited
--- a/thistleshore/wiring/distribution.py
+++ b/thistleshore/wiring/distribution.py
@@ -5,10 +5,10 @@
 from pathlib import Path
 
 from thistleshore.config import Plan
-from thistleshore.distribution.applying import Applier
-from thistleshore.distribution.calls import ConfigurationCalls
-from thistleshore.distribution.carrier import Distribution
-from thistleshore.distribution.store import VersionStore
+from thistleshore.configuration.applying import Applier
+from thistleshore.configuration.calls import ConfigurationCalls
+from thistleshore.configuration.carrier import Distribution
+from thistleshore.configuration.store import VersionStore
 from thistleshore.wiring.components import Components
 
 
@@ -25,8 +25,11 @@
     applier.force = follower.adopt
     terms = plan.distribution.terms._replace(datagram=fleet.plan.terms.datagram)
     distribution = Distribution(terms, fleet, releases, applier)
-    components.distribution = fleet.distribution = distribution
-    fleet.configuration_calls = ConfigurationCalls(releases, distribution, applier)
+    components.distribution = distribution
+    fleet.on_distribution = distribution.on_datagram
+    fleet.configuration_call = ConfigurationCalls(releases, distribution, applier).on_call
+    if components.handover is not None:
+        components.handover.distribution = distribution
     if components.initial.inherited is not None and applier.hosts_told:
         # The hosts of the process before may be those of an earlier version.
         follower.tell_hosts(plan.known)
