--- a/thistleshore/distribution/reports.py
+++ b/thistleshore/distribution/reports.py
@@ -31,7 +31,7 @@
 
 def token_of(name: str, life: int) -> int:
     """Stands for one life of a member."""
-    return xxhash.xxh3_64_intdigest(f"{name}\0{life}")
+    return xxhash.xxh3_64_intdigest(f"{name}\0{life}".encode())
 
 
 class Reports:
--- a/thistleshore/distribution/tree.py
+++ b/thistleshore/distribution/tree.py
@@ -20,7 +20,7 @@
 @lru_cache(maxsize=WEIGHTS_KEPT)
 def weight(scope: str, name: str) -> int:
     """The weight of a member in a zone or region."""
-    return xxhash.xxh3_64_intdigest(f"{scope}\0{name}")
+    return xxhash.xxh3_64_intdigest(f"{scope}\0{name}".encode())
 
 
 def heaviest(scope: str, peers: Iterable[Peer]) -> tuple[Peer, ...]:
