--- a/thistleshore/cli/admin.py
+++ b/thistleshore/cli/admin.py
@@ -9,6 +9,7 @@
 import click
 
 from thistleshore import config
+from thistleshore.addresses import Address
 from thistleshore.admin import codec
 from thistleshore.cli.shared import JSON, echo_json, refuse
 
@@ -104,7 +105,7 @@
     return ask_at(address_of(file, named), call, ANSWER_WITHIN)
 
 
-def address_of(file: str | None, named: str | None) -> config.Address:
+def address_of(file: str | None, named: str | None) -> Address:
     """Where the dispatcher of an operator's file is asked, or the address that was named; ends with status 2."""
     try:
         if named is not None:
@@ -117,7 +118,7 @@
     return where
 
 
-def ask_at(where: config.Address, call: codec.Call, within: float) -> str:
+def ask_at(where: Address, call: codec.Call, within: float) -> str:
     """The whole answer to one call there; ends with status 2 where there is none within so many seconds."""
     line = codec.written(call)
     try:
--- a/thistleshore/configuration/applying.py
+++ b/thistleshore/configuration/applying.py
@@ -33,8 +33,8 @@
 
     @property
     def reason(self) -> str:
-        """As it is reported to the fleet."""
-        return str(self)[:REASON_MOST]
+        """As it is reported to the fleet: the first line of each problem."""
+        return "; ".join(problem.partition("\n")[0] for problem in self.problems)[:REASON_MOST]
 
 
 class NotDurable(NotApplied):
--- a/thistleshore/wiring/metrics.py
+++ b/thistleshore/wiring/metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import trio
 from prometheus_client.registry import Collector
 
@@ -10,6 +12,9 @@
 from thistleshore.metrics import Configuration, Contracts, Page, Results, View
 from thistleshore.wiring.components import Components
 
+if TYPE_CHECKING:
+    from thistleshore.distribution.machine import Distributor
+
 
 async def start(components: Components) -> None:
     """Start the page with what there is to tell of."""
@@ -21,10 +26,17 @@
     if broker.ledger is not None:
         collectors.append(_contracts(broker, broker.ledger))
     if plan.distribution is not None:
-        collectors.append(Configuration(lambda: components.distribution and components.distribution.machine))
+        collectors.append(_configuration(components))
     await components.nursery.start(Page(*collectors).run, plan.metrics)
 
 
+def _configuration(components: Components) -> Configuration:
+    def machine() -> Distributor | None:
+        return components.distribution.machine if components.distribution is not None else None
+
+    return Configuration(machine)
+
+
 def _contracts(broker: Broker, ledger: Ledger) -> Contracts:
     def events() -> dict[str, int]:
         return {**broker.link_counts, **(broker.exchange.counts if broker.exchange is not None else {})}
