--- a/tests/test_configuration_document.py
+++ b/tests/test_configuration_document.py
@@ -52,7 +52,7 @@
     assert [host["name"] for host in own["host"]] == ["worker-1"]  # the file's own tables stay as they were
     plan = plan_of(own, parse(HOST + MATCH), 0.0)
     assert [line.entry.worker for line in plan.known] == [b"w"]
-    assert plan.live is not None and len(plan.live.table.rules.rules) == 1
+    assert plan.live is not None and plan.live.table.rules.rules[0].name == "all"  # that of the contract follows
     assert plan_of(own, parse(b""), 0.0).told == own
 
 
@@ -105,8 +105,9 @@
     assert misfits(HOST.replace(b"ticketing", b"other"), own)[0].startswith("pushed.toml: host[0].service: one of")
     broken = misfits(MATCH.replace(b'"true"', b'"nobody"'), own)
     assert broken[0].startswith("pushed.toml: ") and "match[0].when: nothing is called 'nobody'" in broken[0]
-    own["name"] = 5
-    assert misfits(HOST, own) == ("this instance's file: file.name: a text is wanted, not 5",)
+    own["balancers"] = 0
+    wanted = "a whole number of at least 1 is wanted, not 0"
+    assert misfits(HOST, own) == (f"this instance's file: file.balancers: {wanted}",)
 
 
 def test_a_document_that_takes_a_restart_at_an_instance_is_refused_there() -> None:
--- a/thistleshore/distribution/document.py
+++ b/thistleshore/distribution/document.py
@@ -91,7 +91,7 @@
 
 def _depth(tables: Mapping[str, Any]) -> int:
     """How many tables and lists are in one another; by a loop, as a hostile document is deeper than the stack."""
-    depth, level = 0, [tables]
+    depth, level = 0, list[Any]([tables])
     while level:
         depth += 1
         values = [value for found in level for value in (found.values() if isinstance(found, Mapping) else found)]
