--- a/tests/test_configuration_processes.py
+++ b/tests/test_configuration_processes.py
@@ -104,7 +104,7 @@
 
 
 async def everywhere(rig: Rig, at: str, number: int) -> Any:
-    return await when(rig, at, lambda found: found["everywhere"] and found["number"] == number)
+    return await when(rig, at, lambda found: found["everywhere"] and found["spread_of"] == number)
 
 
 async def ask(rig: Rig, at: str, path: str, name: str) -> int:
@@ -162,8 +162,8 @@
             ("[[", "configuration: "),
         ):
             found = await push(rig, "p2", body)
-            assert found["status"] == "refused" and problem in found["problems"][0], found
-            assert found["problems"][0].startswith("configuration: ")
+            assert found["status"] == "refused" and problem in "\n".join(found["problems"]), found
+            assert all(told.startswith("configuration: ") for told in found["problems"]), found
         assert (await status(rig, "p2"))["number"] == 1
 
         # SIGHUP reads the own file again: the version stays in force.
--- a/thistleshore/configuration/calls.py
+++ b/thistleshore/configuration/calls.py
@@ -164,8 +164,8 @@
         machine = distribution.machine
         return Status(
             self._agreed(),
-            distribution.newest.number,
-            distribution.newest.digest,
+            newest.number,  # as it was when the zones were counted for it
+            newest.digest,
             machine.applied.number,
             distribution.serving_from,
             number,
