--- a/benchmarks/fleet_beats.py
+++ b/benchmarks/fleet_beats.py
@@ -13,7 +13,8 @@
 
 import msgspec
 
-from thistleshore.fleet.model import Action, Address, Changed, Record, Send, Service, State, Terms
+from thistleshore.addresses import Address
+from thistleshore.fleet.model import Action, Changed, Record, Send, Service, State, Terms
 
 
 class _Other:
--- a/thistleshore/fleet/machine.py
+++ b/thistleshore/fleet/machine.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from thistleshore.addresses import Address
 from thistleshore.fleet import wire
 from thistleshore.fleet.model import (
     BUCKETS,
@@ -26,7 +27,6 @@
     SAID,
     TABLE,
     Action,
-    Address,
     Changed,
     Record,
     Seen,
