--- a/thistleshore/configuration/carrier.py
+++ b/thistleshore/configuration/carrier.py
@@ -145,6 +145,12 @@
                 return found
             await trio.sleep(SPREAD_LOOK)
 
+    def sees_all(self, spread: Spread) -> bool:
+        """Whether the members counted are all that anybody knows: one that has just joined, or that started in a cut,
+        knows some of them only."""
+        view = self.fleet.machine
+        return view.majority and sum(zone.members for zone in spread.zones) >= view.known_to_any
+
     # -- tasks
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
--- a/thistleshore/fleet/machine.py
+++ b/thistleshore/fleet/machine.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from thistleshore.addresses import Address
 from thistleshore.fleet import wire
 from thistleshore.fleet.model import (
     BUCKETS,
@@ -26,7 +27,6 @@
     SAID,
     TABLE,
     Action,
-    Address,
     Changed,
     Record,
     Seen,
@@ -184,8 +184,12 @@
 
         All: also by the word of those that live.  One that has just joined a minority knows none of the dead.
         """
-        known = max([self.known, *(member.known for member in self._alive())])
-        return self.heard_any and not self.quiet and not self.leaving and 2 * self.seen > known
+        return self.heard_any and not self.quiet and not self.leaving and 2 * self.seen > self.known_to_any
+
+    @property
+    def known_to_any(self) -> int:
+        """How many there are, by the word of whichever living member knows the most; dead ones too."""
+        return max([self.known, *(member.known for member in self._alive())])
 
     def bound(self) -> float:
         """s within which the view settles after the last fault, without loss."""
