--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -9,7 +9,7 @@
 import msgspec
 import pytest
 import zstandard
-from hypothesis import given, strategies as st
+from hypothesis import given, settings, strategies as st
 
 from benchmarks.distribution_history import Agreed, Counted, History, InForce, Reported, faults
 from benchmarks.distribution_net import FLEET, REGISTER, World, zones_of
@@ -253,6 +253,36 @@
     assert one.on_datagram(stranger, ("127.0.0.1", 9), 5.0) == [] and one.counts["stranger"] == 1
 
 
+def test_a_version_that_nobody_has_is_forgotten_and_the_true_one_taken() -> None:
+    one = machine()
+    false, body = stamp_of(1 << 40, b"", size=9, register=3), body_of(1)
+    assert one.known == NO_VERSION
+    tell(one, wire.Offer(false))
+    assert one.known == false
+    for now in (0.4, 0.8):
+        one.on_time(now)
+    assert one.known == NO_VERSION and one.counts["unfetched"] == 1
+    assert Apply(stamp_of(1, body), body) in one.on_agreed(stamp_of(1, body), body, 1.0)
+
+
+def test_all_fresh_reports_are_told_in_datagrams_that_fit() -> None:
+    peers = [Peer(f"member-{n:04}", ("127.0.0.1", n + 9), "r/z", n, True) for n in range(400)]
+    held = stamp_of(5, body_of(5)), body_of(5)
+    relay, asker = machine(held), Distributor(FLEET, OTHER, VOTERS, TERMS, 0.0, held=held)
+    relay.on_view([OTHER, *peers], 0.0)
+    asker.on_view([ME, *peers], 0.0)
+    for n, peer in enumerate(peers):
+        report = wire.Report(0, REGISTER, 5 - n % 2, 5 * (n % 5 == 0), "\u00e9" * 100 if n % 5 == 0 else "", NO_VERSION)
+        relay.on_datagram(wire.write(FLEET, peer.name, peer.life, report), peer.address, n / 1000)
+    told = relay.on_datagram(wire.write(FLEET, "a", 1, wire.Ask()), OTHER.address, 1.0)
+    for action in told:
+        assert isinstance(action, Send) and len(action.data) <= TERMS.datagram
+        asker.on_datagram(action.data, ME.address, 1.0)
+    (zone,) = asker.spread(5, 1.0).zones
+    assert (zone.members, zone.applied, len(zone.behind), zone.unknown) == (402, 202, 200, ())
+    assert sum(row.refused == 5 and len(row.reason) == 100 for row in zone.behind) == 40
+
+
 @steady
 @given(st.lists(GARBAGE, max_size=8), st.integers(0, 500), st.integers(1, 255))
 def test_garbage_and_a_changed_bit_are_counted_and_change_nothing(flood: list[bytes], place: int, flip: int) -> None:
@@ -501,6 +531,46 @@
     assert played() == played()
 
 
+def region_of_node(fleet: World, number: int) -> set[str]:
+    region = f"r{number % 3}"
+    return {node.name for node in fleet.nodes.values() if node.region == region}
+
+
+def fault(fleet: World, kind: str, number: int) -> None:
+    """One step of a random story; a majority of the voters stays."""
+    name = f"n{number % 12}"
+    if kind == "kill" and not any(not fleet.nodes[voter].alive for voter in fleet.voters - {name}):
+        fleet.kill(name)
+    elif kind == "restart":
+        fleet.restart(name)
+    elif kind == "cut":
+        away = region_of_node(fleet, number)
+        fleet.heal()
+        fleet.cut(lambda a, b: (a in away) != (b in away))
+    elif kind == "push":
+        fleet.push(body_of(number, 5 + 300 * (number % 3)))
+    fleet.run(fleet.now + number / 7)
+
+
+steps = st.tuples(st.sampled_from(["kill", "kill", "restart", "restart", "cut", "push", "push"]), st.integers(0, 60))
+
+
+@settings(steady, max_examples=60)
+@given(st.lists(steps, max_size=12), st.integers(0, 99))
+def test_whatever_happened_the_newest_is_in_force_once_it_is_over(story: list[tuple[str, int]], seed: int) -> None:
+    fleet = World(12, zones_of(3, 2), seed, loss=0.03, repeat=0.05, reorder=0.1)
+    fleet.run(2.0)
+    for kind, number in story:
+        fault(fleet, kind, number)
+    fleet.heal()
+    for node in fleet.nodes.values():
+        if not node.alive:
+            fleet.restart(node.name)
+    newest = fleet.push(body_of(999))
+    assert newest and fleet.run_until(lambda: fleet.in_force(newest), SPREAD_MOST) is not None
+    sound(fleet)
+
+
 # -- the checker, and the flawed forms that it has to find -------------------------------------------
 
 
--- a/thistleshore/distribution/machine.py
+++ b/thistleshore/distribution/machine.py
@@ -80,12 +80,13 @@
         self._serving = Serving(self._bodies, terms, self._room)
         self._applying: Stamp | None = None
         self._refused, self._reason = 0, ""
+        self._agreed: Stamp = self.applied  # the newest by the word of the register itself
         self._sources: list[Source] = []  # that told of `known`, the latest first
         self._fetching: Fetching | None = None
         self._fetch_again_at = inf  # after all sources were of no use
         self._report_number = 0
         self._report_at = now + terms.sync * self._random.random()
-        self._unasked: list[Peer] = []  # parents that the report goes to, where those before do not answer
+        self._unasked: Iterator[Peer] = iter(())  # parents for the report, where those before do not answer
         self._answer_due = inf
         self._noted: dict[str, Stamp] = {}  # the last version of each kind that cannot be put in force here
         self._out: list[Action] = []
@@ -115,6 +116,8 @@
             if stamp.size > BODY_MOST and stamp.number > self._refused:
                 self._refuse(stamp, f"a body of {stamp.size} bytes is longer than {BODY_MOST}", now)
             return self._done()
+        if self._newer(stamp, self._agreed):
+            self._agreed = stamp
         if self._newer(stamp, self.known):
             self.known, self._sources = stamp, []
         if not self._newer(stamp, self._bodies.newest):
@@ -232,7 +235,6 @@
 
     def _on_answer(self, answer: wire.Answer, source: Source, now: float) -> None:
         if answer.number == self._report_number and self._answer_due < inf:
-            self._unasked = []
             self._answer_due = inf
             self._report_at = now + self._sync_time()
         self._hear(answer.held, source, now)
@@ -355,23 +357,25 @@
     def _report(self, now: float, everywhere: bool) -> None:
         """Report to the first parent that answers; `everywhere`: to all relays of the zone as well."""
         self._report_number += 1
-        self._unasked = list(self._shuffled_parents())
-        first = self._unasked[:1]
-        self._report_to_next(now)
+        self._unasked = self._shuffled_parents()
+        first = self._report_to_next(now)
         if everywhere:
             for relay in self._tree.own_zone_relays:
-                if relay not in first:
+                if relay != first:
                     self._send_report(relay, number=0)
 
-    def _report_to_next(self, now: float) -> None:
-        if self._unasked:
+    def _report_to_next(self, now: float) -> Peer | None:
+        """Report to the next parent, and to whom that was."""
+        parent = next(self._unasked, None)
+        if parent is not None:
             self._answer_due = now + self.terms.answer
             self._report_at = inf
-            self._send_report(self._unasked.pop(0), self._report_number)
+            self._send_report(parent, self._report_number)
         else:
             self._answer_due = inf
             self._report_at = now + (self._sync_time() if self._tree.is_voter else self._wait_time())
             self.counts["unanswered"] += 1
+        return parent
 
     def _send_report(self, peer: Peer, number: int) -> None:
         own = self.applied
@@ -410,12 +414,19 @@
 
     def _request(self, fetching: Fetching, now: float) -> None:
         source = fetching.source
-        if source is None:
-            self._fetching = None
-            self._fetch_again_at = now + self._wait_time()
-            self.counts["unfetched"] += 1
+        if source is not None:
+            self._send(source.address, fetching.request(now))
             return
-        self._send(source.address, fetching.request(now))
+        self.counts["unfetched"] += 1
+        self._fetching = None
+        self._fetch_again_at = now + self._wait_time()
+        self._forget_unheld()
+
+    def _forget_unheld(self) -> None:
+        """Nobody has the version that was told of: whoever has it tells again, and a false word does not stay."""
+        self._sources = []
+        held = self._bodies.newest
+        self.known = self._agreed if self._newer(self._agreed, held) else held
 
     def _fetch_late(self, fetching: Fetching, now: float) -> None:
         if not fetching.on_silence():
