--- a/tests/test_configuration_processes.py
+++ b/tests/test_configuration_processes.py
@@ -19,6 +19,7 @@
 from thistleshore.releases.faults import CONFIGURATION_POINTS
 from thistleshore.rig import checks
 from thistleshore.rig.rig import STARTED, Rig, open_rig
+from thistleshore.rig.truth import of
 from thistleshore.rig.world import convert
 
 WORLD = {
@@ -300,6 +301,38 @@
         assert (await command(rig, "p1", "status")).status == 2
 
 
+async def hosts_of_the_body_and_a_member_that_dies_while_it_is_asked(tmp_path: Path) -> None:
+    """Hosts are put in force whole, and the file's come back; whoever waits is told of the version that is agreed."""
+    async with open_rig(convert(SMALL), 1, tmp_path) as rig:
+        await rig.begin()
+        await trio.sleep(0.5)
+        host = '[[host]]\nname = "w0"\nservice = "ticketing"\nbay = 1\naddress = "127.0.0.1:{port}"\n'
+        port = rig.workers["w0"].port
+        for number, body, wanted in ((1, host.format(port=port), {"w0"}), (2, TIGHT, {"w0", "w1", "w2"})):
+            assert (await push(rig, "p2", body))["number"] == number
+            await everywhere(rig, "p0", number)
+            since = rig.truth.now
+            for name in rig.processes:
+                assert await ask_at_once(rig, name, "/seat-search", 24) == {200}
+            sent = {row["worker"] for row in of(rig.truth.rows, "sent") if row["t"] > since}
+            assert sent == wanted, (number, sent)
+
+        body_file = tmp_path / "body.toml"
+        body_file.write_text(OTHER)
+        rig.cut(["p2"], ["p0", "p1"])
+        ended: list[Ended] = []
+
+        async def wait_for_all() -> None:
+            ended.append(await command(rig, "p1", "push", str(body_file), "--wait", "18"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(wait_for_all)
+            await when(rig, "p0", lambda found: found["number"] == 3)
+            await trio.sleep(1.0)
+            rig.kill("p1")
+        assert ended[0].status == 2 and "version 3 is agreed" in ended[0].err, ended
+
+
 async def a_hot_restart(tmp_path: Path) -> None:
     """The next process follows on; the former one writes no more, and comes back on what the next one has left."""
     async with open_rig(convert({**SMALL, "hot": True}), 1, tmp_path) as rig:
@@ -333,6 +366,7 @@
         cut_off_and_asked_by_the_command_line,
         two_pushes_at_the_same_instant,
         a_hot_restart,
+        hosts_of_the_body_and_a_member_that_dies_while_it_is_asked,
     )
 }
 
