--- a/tests/test_configuration_agreement.py
+++ b/tests/test_configuration_agreement.py
@@ -69,6 +69,22 @@
     assert push(value, ONE, 0) is value and push(value, ONE) is value
 
 
+def test_a_change_that_was_made_is_not_made_again_when_another_came_after_it() -> None:
+    """Its round met another, whose proposer brought it about: proposed again, it finds itself in the history."""
+    mine = digest_of(ONE)
+    value = taken(agreement.push(VALUE, None, mine, len(ONE), "p0", "mine", 5.0))
+    value = taken(agreement.push(value, None, digest_of(TWO), len(TWO), "p1", "theirs", 5.0))
+    for against in (None, 0):
+        assert agreement.push(value, against, mine, len(ONE), "p0", "mine", 5.0) is value
+    entry = agreement.made(value, mine, "p0", 5.0)
+    assert entry is not None and entry.number == 1 and agreement.made(value, mine, "p1", 5.0) is None
+    again = taken(agreement.push(value, None, mine, len(ONE), "p0", "mine", 6.0))  # another change, of the same body
+    assert again.configuration.number == 3
+    back = taken(agreement.rollback(again, 2, None, "p0", "back", 7.0))
+    after = taken(agreement.push(back, None, digest_of(THREE), len(THREE), "p1", "theirs", 8.0))
+    assert agreement.rollback(after, 2, 3, "p0", "back", 7.0) is after
+
+
 def test_a_push_against_a_version_that_has_moved_on_is_refused_with_what_came_between() -> None:
     value = taken(push(taken(push(VALUE, ONE, 0, "p1", "hosts")), TWO, 1, "p2", "quota"))
     refused = turned_down(push(value, THREE, 0, "p3"))
--- a/thistleshore/configuration/calls.py
+++ b/thistleshore/configuration/calls.py
@@ -143,7 +143,7 @@
         def change(value: Value) -> Value | Refusal:
             return agreement.push(value, against, digest, len(body), me, reason, now)
 
-        return await self._agree(body, change, against)
+        return await self._agree(body, change, against, now)
 
     async def _roll_back(self, number: int, against: int | None, reason: str) -> Answer:
         """A new version with the body of an earlier one."""
@@ -159,10 +159,13 @@
         def change(value: Value) -> Value | Refusal:
             return agreement.rollback(value, number, against, me, reason, now)
 
-        return await self._agree(body, change, against)
+        return await self._agree(body, change, against, now)
 
-    async def _agree(self, body: bytes, change: ValueChange, against: int | None) -> Answer:
-        """Check the body with this member's own file, have a majority keep it, and change the register."""
+    async def _agree(self, body: bytes, change: ValueChange, against: int | None, when: float) -> Answer:
+        """Check the body with this member's own file, have a majority keep it, and change the register.
+
+        `when` is the time that the change gives itself.
+        """
         await self.applier.check(body)
         await self.releases.deposit(body)
         point("configuration-deposited")
@@ -171,8 +174,10 @@
             return Refused(found.told, entries=self._since(against))
         point("configuration-agreed")
         stamp = agreement.stamp(found, self.releases.register)
-        self.distribution.on_pushed(stamp, body)
-        return Done(stamp.number, stamp.digest)
+        if stamp.digest == digest_of(body):
+            self.distribution.on_pushed(stamp, body)
+        entry = agreement.made(found, digest_of(body), self.releases.name, when)
+        return Done(stamp.number if entry is None else entry.number, digest_of(body))
 
     def _since(self, against: int | None) -> tuple[ConfigurationEntry, ...]:
         if against is None:
