--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -22,6 +22,7 @@
     NO_VERSION,
     RELAYS,
     Action,
+    Address,
     Apply,
     Peer,
     Send,
@@ -137,8 +138,9 @@
         assert len(own) == min(RELAYS, sum(peer.zone == living[name].zone for peer in living.values()))
         assert all(region_of(relay.zone) == living[name].region for relay in tree.region_relays[living[name].region])
         above = {peer.name for level in tree.parents for peer in level}
-        known = voters.intersection(peers)
-        assert name not in above and (name in voters or (known.intersection(living) or known) <= above)
+        known = voters.intersection(peers) - {name}
+        top = {peer.name for peer in tree.parents[-1]} if known else set()
+        assert name not in above and top == (known.intersection(living) or known)
         rank = _rank(name, tree, voters)
         for parent in (peer for level in tree.parents for peer in level if peer.alive and rank < 3):
             assert _rank(parent.name, trees[parent.name], voters) > rank
@@ -182,10 +184,14 @@
     for number in (2, 3):
         assert not [a for a in one.on_agreed(stamps[number], body_of(number), 0.0) if isinstance(a, Apply)]
     assert one.on_applied(stamps[1], 0.1)[-1] == Apply(stamps[3], body_of(3))
-    one.on_refused(stamps[3], "no such host " * 40, 0.2)
+    assert not [a for a in one.on_refused(stamps[3], "no such host " * 40, 0.2) if isinstance(a, Apply)]
     assert one.applied == stamps[1]
     row = one.spread(3, 0.2).zones[0].behind[0]
     assert (row.name, row.applied, row.refused) == ("b", 1, 3) and row.reason.startswith("no such host")
+    one.on_agreed(stamp_of(4, body_of(4)), body_of(4), 0.3)
+    one.on_applied(stamp_of(4, body_of(4)), 0.4)
+    row = one.spread(9, 0.4).zones[0].behind[0]
+    assert (row.applied, row.refused, row.reason) == (4, 0, "")
 
 
 def test_nothing_older_and_nothing_of_another_register_or_content_counts() -> None:
@@ -206,7 +212,7 @@
     assert one.spread(6, 0.0).zones[0].behind[0].reason.startswith("a body of")
 
 
-@pytest.mark.parametrize("kind", ["altered", "too many", "another encoding", "lacking", "silent"])
+@pytest.mark.parametrize("kind", ["altered", "too many", "too long", "another encoding", "lacking", "silent"])
 def test_another_source_is_asked_after_one_that_is_of_no_use(kind: str) -> None:
     one = Distributor(FLEET, ME, frozenset({"a", "c"}), TERMS, 0.0)
     third = Peer("c", ("127.0.0.1", 3), "s/z", 1, True)
@@ -221,6 +227,7 @@
         wrong = {
             "altered": wire.Part(fetch.transfer, 0, len(data), 1, 0, data[:100] + b"?" + data[101:]),
             "too many": wire.Part(fetch.transfer, 0, 1 << 30, 4000, 0, data[:100]),
+            "too long": wire.Part(fetch.transfer, 0, 99, 2, 0, data[:100]),
             "another encoding": wire.Part(fetch.transfer, 9, len(data), 1, 0, data),
             "lacking": wire.Lacking(fetch.transfer),
         }[kind]
@@ -232,11 +239,43 @@
     address, again = [(address, message) for address, message in sent if isinstance(message, wire.Fetch)][-1]
     assert address == third.address
     assert isinstance(again, wire.Fetch) and again.transfer != fetch.transfer
-    assert one.counts["mismatch"] == (kind in ("altered", "too many", "another encoding"))
+    assert one.counts["mismatch"] == (kind not in ("lacking", "silent"))
     late = tell(one, wire.Part(fetch.transfer, 0, len(data), 1, 0, data[:900]), 0.9)
     assert late == [] and one.counts["stray_part"] == 1 and one.applied == NO_VERSION
 
 
+def sent_in(one: Distributor, until: float, kind: type[wire.Message]) -> list[tuple[float, Address]]:
+    """When it sends such messages up to that time, where nobody answers, and to whom."""
+    found = []
+    while one.due <= until:
+        now = one.due
+        for action in one.on_time(now):
+            if isinstance(action, Send) and isinstance(wire.read(action.data, FLEET, 1200).message, kind):
+                found.append((now, action.address))
+    return found
+
+
+def test_an_offer_is_sent_again_until_it_is_acknowledged() -> None:
+    silent, answered = machine(), machine()
+    for one in (silent, answered):
+        one.on_agreed(stamp_of(1, body_of(1)), body_of(1), 0.0)
+    assert tell(answered, wire.Acknowledge(1)) == [] and sent_in(answered, 30.0, wire.Offer) == []
+    assert len(sent_in(silent, 30.0, wire.Offer)) == TERMS.retries
+
+
+def test_a_report_without_an_answer_goes_to_the_next_and_then_waits() -> None:
+    one = Distributor(FLEET, ME, frozenset({"a", "c"}), TERMS, 0.0, seed=1)
+    one.on_view([OTHER, Peer("c", ("127.0.0.1", 3), "s/z", 1, True)], 0.0)
+    reports = sent_in(one, 120.0, wire.Report)
+    rounds = list(zip(reports[::2], reports[1::2], strict=False))
+    assert all(
+        first[1] != second[1] and second[0] - first[0] == pytest.approx(TERMS.answer) for first, second in rounds
+    )
+    gaps = {round(later[0][0] - earlier[1][0], 2) for earlier, later in zip(rounds, rounds[1:], strict=False)}
+    assert 1.5 < min(gaps) < 3.0 < 5.0 < max(gaps) < TERMS.wait_most + 2 * TERMS.answer
+    assert one.on_datagram(wire.write(FLEET, "b", 1, wire.Ask()), ME.address, 120.0) == [] and one.counts["own"] == 1
+
+
 def test_a_relay_with_many_transfers_says_when_to_come_back() -> None:
     body = random.Random(1).randbytes(50_000)
     one = Distributor(FLEET, ME, VOTERS, TERMS._replace(transfers=1), 0.0, held=(stamp_of(1, body), body))
@@ -281,6 +320,8 @@
     (zone,) = asker.spread(5, 1.0).zones
     assert (zone.members, zone.applied, len(zone.behind), zone.unknown) == (402, 202, 200, ())
     assert sum(row.refused == 5 and len(row.reason) == 100 for row in zone.behind) == 40
+    (later,) = asker.spread(5, TERMS.fresh + 0.2).zones
+    assert 195 < len(later.unknown) < 205, "a report is as old as it was where it was heard"
 
 
 @steady
