--- a/thistleshore/configuration/agreement.py
+++ b/thistleshore/configuration/agreement.py
@@ -30,12 +30,10 @@
     """A new version with that body, made against the version `against` (None: against whichever is in force).
 
     A body that is in force already leaves the value as it is, so a push whose answer was lost may be repeated.  So does
-    a change that was agreed in an earlier round already, whatever was agreed after it, see `entry_of`.
+    a push that has been made, whatever came after it: see `made`.
     """
-    if entry_of(value, digest, by, when) is not None:
-        return value
     current = value.configuration.current
-    if current is not None and current.digest == digest:
+    if current is not None and current.digest == digest or made(value, digest, by, when) is not None:
         return value
     if (refused := _moved_on(value.configuration, against)) is not None:
         return refused
@@ -53,26 +51,24 @@
         kept = ", ".join(str(entry.number) for entry in configuration.history) or "none"
         told = f"no version {number} is kept; there are: {kept}"
         return Refusal(UNKNOWN, configuration.number, (), told)
-    if entry_of(value, entry.digest, by, when) is not None:
-        return value
     if number == configuration.number:
         return Refusal(IN_FORCE, configuration.number, (), f"version {number} is in force")
     current = configuration.current
-    if current is not None and current.digest == entry.digest:
+    if current is not None and current.digest == entry.digest or made(value, entry.digest, by, when) is not None:
         return value
     if (refused := _moved_on(configuration, against)) is not None:
         return refused
     return _with_entry(value, entry.digest, entry.size, by, reason, when, restored=number)
 
 
-def entry_of(value: Value, digest: str, by: str, when: float) -> ConfigurationEntry | None:
-    """The entry that a change of this instance has made; None where it is not agreed.
+def made(value: Value, digest: str, by: str, when: float) -> ConfigurationEntry | None:
+    """The version that this very change has made; None where it has made none yet.
 
-    A proposer whose round ended without its outcome tries again, and another's round may have completed the first
-    try, and put a version of its own on top of it, in between.  `by` and `when` tell one change from another.
+    A change is proposed again where its round met another, whose proposer may have brought it about meanwhile: made
+    twice, it would take back what others have pushed since.  An instance gives each of its changes a time of its own.
     """
-    history = reversed(value.configuration.history)
-    return next((entry for entry in history if (entry.digest, entry.by, entry.when) == (digest, by, when)), None)
+    entries = reversed(value.configuration.history)
+    return next((e for e in entries if (e.digest, e.by, e.when) == (digest, by, when)), None)
 
 
 def stamp(value: Value, register: int) -> Stamp:
--- a/thistleshore/configuration/calls.py
+++ b/thistleshore/configuration/calls.py
@@ -162,7 +162,10 @@
         return await self._agree(body, change, against, now)
 
     async def _agree(self, body: bytes, change: ValueChange, against: int | None, when: float) -> Answer:
-        """Check the body with this member's own file, have a majority keep it, and change the register."""
+        """Check the body with this member's own file, have a majority keep it, and change the register.
+
+        `when` is the time that the change gives itself.
+        """
         await self.applier.check(body)
         await self.releases.deposit(body)
         point("configuration-deposited")
@@ -171,11 +174,10 @@
             return Refused(found.told, entries=self._since(against))
         point("configuration-agreed")
         stamp = agreement.stamp(found, self.releases.register)
-        made = agreement.entry_of(found, digest_of(body), self.releases.name, when)
-        if made is not None and made.number != stamp.number:
-            return Done(made.number, made.digest)  # it is agreed, and another version came on top of it already
-        self.distribution.on_pushed(stamp, body)
-        return Done(stamp.number, stamp.digest)
+        if stamp.digest == digest_of(body):
+            self.distribution.on_pushed(stamp, body)
+        entry = agreement.made(found, digest_of(body), self.releases.name, when)
+        return Done(stamp.number if entry is None else entry.number, digest_of(body))
 
     def _since(self, against: int | None) -> tuple[ConfigurationEntry, ...]:
         if against is None:
