--- /dev/null
+++ b/benchmarks/distribution_real.py
@@ -0,0 +1,576 @@
+"""Configuration agreed by a register and put in force at whole processes, under drawn faults and against the clock.
+
+    python -m benchmarks.distribution_real --runs 60 [--first 0] [--beside 3] [--keep FOLDER]   # drawn runs
+    python -m benchmarks.distribution_real --latency quiet loss zone steps burst [--changes 30] # at 9 processes
+    python -m benchmarks.distribution_real --cost                                               # at 9 processes
+    ... --save benchmarks/results/distribution.json       # puts the result under its key "processes"
+
+A drawn run has 5 to 9 processes in 3 or 4 zones, 3 or 5 voters and load.  For 12 s operators push and roll back at
+drawn instances, now and then two at the same instant, while processes are killed, also at the fault points of the
+program, stopped, cut off and slowed.  Then all faults end, and every process has to come to the last agreed version
+within the bound that is stated; after that one more push has to be in force everywhere within 18 s.
+
+Latencies are from the moment at which the pusher is told that a version is agreed until the last process says that it
+has it in force.  Times in seconds, by the rig's clock.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import random
+import shutil
+import statistics
+import sys
+import tempfile
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import trio
+
+from benchmarks.fleet_real import beside
+from benchmarks.fleet_virtual import spread
+from thistleshore.fleet.model import Terms as FleetTerms
+from thistleshore.rig import checks
+from thistleshore.rig.configuration import ANY, ArmedPoints, Operators, PushAnswer, faulty_body
+from thistleshore.rig.rig import STARTED, Rig, open_rig
+from thistleshore.rig.world import Fault, World, convert, read
+
+MODULE = "benchmarks.distribution_real"
+WORLD_FILE = Path(__file__).parent.parent / "thistleshore" / "rig" / "worlds" / "configuration.toml"
+EVERYWHERE_WITHIN = 18.0  # s from agreed to in force everywhere, which is asked
+SECONDS = 12.0  # of faults and changes in a drawn run
+LAYOUTS = (
+    ("east/a", "east/b", "west/a"),
+    ("east/a", "east/b", "west/a", "west/b"),
+    ("east/a", "west/a", "south/a"),
+)
+JUDGED = ("answers", "one_content", "forward", "kept", "refusals", "honest")
+FAULT_KINDS = ("kill", "kill", "zone", "stop", "cut", "cut", "loss", "delay", "repeat", "reorder")
+SIZES = (300, 300, 3_000, 12_000, 60_000)  # bytes of bodies
+AMOUNTS = {"loss": (0.05, 0.4), "delay": (0.01, 0.1), "repeat": (0.1, 0.5), "reorder": (0.1, 0.5)}
+NINE = {
+    "name": "nine",
+    "processes": 9,
+    "zones": ["east/a", "east/b", "west/a"],
+    "voters": 5,
+    "configuration": True,
+    "period": FleetTerms().period,
+}
+CHANGE_SIZE = 4_000  # bytes of a body where latency and cost are measured
+COST_SECONDS = 60.0
+CHANGES_A_DAY = 2_900
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+PAGE = os.sysconf("SC_PAGE_SIZE")
+
+
+# -- drawn runs
+
+
+class Drawn:
+    """One drawn run: its rig, its operators and what came of their changes."""
+
+    def __init__(self, rig: Rig, seed: int, seconds: float) -> None:
+        self.rig, self.random, self.seconds = rig, random.Random(f"distribution {seed}"), seconds
+        self.operators, self.points = Operators(rig, seed), ArmedPoints(rig)
+        self.names = list(rig.processes)
+        self.told: Counter[str] = Counter()
+
+    async def play(self) -> None:
+        """Changes and faults; all faults are over at the end."""
+        async with trio.open_nursery() as nursery:
+            for _ in range(self.random.randint(2, 4)):
+                nursery.start_soon(self._fault, self._begins(), self.random.random())
+            for name in self._armed:
+                nursery.start_soon(self._die_at_point, name, self._begins())
+            nursery.start_soon(self._changes)
+
+    def _begins(self) -> float:
+        """When a fault begins: once there may be a version, and with time left for it."""
+        return self.random.uniform(0.1 * self.seconds, 0.6 * self.seconds)
+
+    def arm(self) -> None:
+        """Draw who may die at which fault point, before any process starts."""
+        points = self.points.names()
+        self._armed = self.random.sample(self.names, self.random.randint(1, 3)) if points else []
+        for name in self._armed:
+            self.points.prepare(name, self.random.choice(points))
+
+    async def _fault(self, at: float, seed: float) -> None:
+        chance = random.Random(seed)
+        await trio.sleep(at)
+        fault = self._drawn_fault(chance, self.seconds - at)
+        self.told[f"fault: {fault.kind}"] += 1
+        await self.rig.fault(fault)
+
+    def _drawn_fault(self, chance: random.Random, most: float) -> Fault:
+        kind = chance.choice(FAULT_KINDS)
+        lasts = chance.uniform(0.5, most)
+        some = chance.sample(self.names, chance.randint(1, len(self.names) // 2))
+        if kind == "zone":
+            kind, some = "kill", self._zone(chance)
+        if kind in ("kill", "stop"):
+            return Fault(kind, 0.0, some, lasts)  # type: ignore[arg-type]
+        others = [name for name in self.names if name not in some]
+        amount = round(chance.uniform(*AMOUNTS.get(kind, (1.0, 1.0))), 3)
+        return Fault(kind, 0.0, some, lasts, others, chance.random() < 0.6, amount)  # type: ignore[arg-type]
+
+    def _zone(self, chance: random.Random) -> list[str]:
+        """All processes of one zone."""
+        zones = self.rig.world.zones
+        drawn = chance.randrange(len(zones))
+        return [name for n, name in enumerate(self.names) if n % len(zones) == drawn]
+
+    async def _die_at_point(self, name: str, at: float) -> None:
+        """Have it die at its fault point.  As only a pusher comes by some of them, it pushes."""
+        await trio.sleep(at)
+        async with trio.open_nursery() as nursery:
+
+            def pushes() -> None:
+                nursery.start_soon(self._push, name, random.Random(f"{name} {at}"))
+
+            died = await self.points.die(name, 3.0, self.random.uniform(0.2, 4.0), pushes)
+        self.told["fault: died at a point" if died else "fault: never at its point"] += 1
+
+    async def _changes(self) -> None:
+        until = trio.current_time() + self.seconds
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < until:
+                for name in self.random.sample(self.names, 2 if self.random.random() < 0.2 else 1):
+                    nursery.start_soon(self._change, name, random.Random(self.random.random()))
+                await trio.sleep(self.random.uniform(0.5, 1.5))
+
+    async def _change(self, name: str, chance: random.Random) -> None:
+        what = chance.random()
+        if what < 0.15 and self.operators.done:
+            number = chance.choice(list(self.operators.done))
+            answer = await self.operators.rollback(name, number, self._against(name, chance), "drawn")
+            self._count("rollback", answer)
+        elif what < 0.25:
+            body = faulty_body(chance, f"faulty {chance.random()}")
+            answer = await self.operators.push(name, body, ANY, "faulty", faulty=True)
+            self._count("faulty", answer)
+        else:
+            await self._push(name, chance)
+
+    async def _push(self, name: str, chance: random.Random) -> None:
+        body = self.operators.body(chance.choice(SIZES))
+        self._count("push", await self.operators.push(name, body, self._against(name, chance), "drawn"))
+
+    def _against(self, name: str, chance: random.Random) -> str:
+        """The newest version that this process has told of; now and then none, or the one before."""
+        known = self.operators.latest.get(name)
+        if known is None or chance.random() < 0.2:
+            return ANY
+        return str(max(0, known.number - (chance.random() < 0.1)))
+
+    def _count(self, what: str, answer: PushAnswer | None) -> None:
+        self.told[f"{what}: {'no answer' if answer is None else answer.status}"] += 1
+
+    async def converge(self, bound: float) -> float | None:
+        """Wait until all have the last agreed version in force; the s it took, or None where it is not in time."""
+        begun = trio.current_time()
+        with trio.move_on_after(bound):
+            while not self._together():
+                await trio.sleep(0.05)
+            return trio.current_time() - begun
+        return None
+
+    def _together(self) -> bool:
+        """Whether all that any has told of since the faults ended is in force at all."""
+        last = self.operators.last
+        return last > 0 and all(
+            name in self.operators.latest and self.operators.latest[name].in_force_here == last for name in self.names
+        )
+
+    async def last_push(self) -> tuple[PushAnswer | None, float | None]:
+        """One push once all is well: what came of it, and how long it took to be in force everywhere."""
+        name = self.random.choice(self.names)
+        body = self.operators.body(CHANGE_SIZE)
+        answer = await self.operators.push(name, body, str(self.operators.last), "the last")
+        if answer is None or not answer.done:
+            return answer, None
+        return answer, await self.operators.reached(answer.number, self.names, EVERYWHERE_WITHIN)
+
+
+def drawn_world(seed: int) -> World:
+    """The size and the zones of a drawn run."""
+    chance = random.Random(f"distribution world {seed}")
+    count = chance.randint(5, 9)
+    return msgspec.structs.replace(
+        read(WORLD_FILE), processes=count, zones=chance.choice(LAYOUTS), voters=chance.choice((3, 5)), draw=None
+    )
+
+
+def converges_within(rig: Rig) -> float:
+    """s from the end of all faults: processes start, the view settles, and then the time that is asked."""
+    return STARTED + rig.terms.healed(rig.world.processes) + EVERYWHERE_WITHIN
+
+
+async def drawn(seed: int, folder: Path) -> dict[str, Any]:
+    """The drawn run of a seed, judged."""
+    return await play_drawn(drawn_world(seed), seed, folder)
+
+
+async def play_drawn(world: World, seed: int, folder: Path, seconds: float = SECONDS) -> dict[str, Any]:
+    """Changes and faults of a seed for so long, the way back from them, and what the checks say."""
+    async with open_rig(world, seed, folder, start=False) as rig:
+        run = Drawn(rig, seed, seconds)
+        run.arm()
+        rig.start()
+        await rig.settle(STARTED + rig.terms.healed(rig.world.processes), "first start")
+        await rig.begin()
+        rig.load(300.0)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run.operators.watch)
+            await run.play()
+            rig.heal()
+            rig.start()
+            took = await run.converge(converges_within(rig))
+            answer, everywhere = await run.last_push()
+            nursery.cancel_scope.cancel()
+        for name in rig.running():  # the last word of each, for the checks
+            await run.operators.status(name)
+            await run.operators.history(name)
+        rig.truth.add("alive", names=rig.running())
+        await rig.end_load()
+        await rig.term(*rig.running())
+    rig.truth.write(folder / "record.jsonl")
+    findings = [finding._asdict() for finding in checks.judge(rig.truth.rows, JUDGED)]
+    return {
+        "seed": seed,
+        "processes": rig.world.processes,
+        "voters": rig.world.voters,
+        "zones": len(rig.world.zones),
+        "versions": len(run.operators.done),
+        "told": dict(run.told),
+        "converged": rounded(took),
+        "bound": round(converges_within(rig), 2),
+        "last": None if answer is None else answer.status,
+        "everywhere": rounded(everywhere),
+        "served": checks.served(rig.truth.rows),
+        "findings": findings,
+    }
+
+
+def rounded(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 3)
+
+
+def sound(row: dict[str, Any]) -> bool:
+    """Whether a drawn run has kept every check and came to its end in time."""
+    return not row["findings"] and row["converged"] is not None and row["everywhere"] is not None
+
+
+def drawn_result(rows: list[dict[str, Any] | None], first: int) -> dict[str, Any]:
+    """All drawn runs together; those that are not sound in full."""
+    played = [row for row in rows if row is not None]
+    return {
+        "runs": len(rows),
+        "sound": sum(map(sound, played)),
+        "not played": [seed for seed, row in enumerate(rows, first) if row is None],
+        "not sound": [row for row in played if not sound(row)],
+        "versions": sum(row["versions"] for row in played),
+        "acts": dict(sorted(total(row["told"] for row in played).items())),
+        "served": dict(total(row["served"] for row in played)),
+        "converged": spread([row["converged"] for row in played]),
+        "bound": max((row["bound"] for row in played), default=0.0),
+        "everywhere": spread([row["everywhere"] for row in played]),
+    }
+
+
+def total(counts: Any) -> Counter[str]:
+    """The sums of several counts."""
+    found: Counter[str] = Counter()
+    for count in counts:
+        found.update(count)
+    return found
+
+
+# -- from agreed to in force everywhere
+
+
+class Latency:
+    """Changes one after another at nine processes, and how long each takes to be in force."""
+
+    def __init__(self, rig: Rig, seed: int) -> None:
+        self.rig, self.random = rig, random.Random(f"latency {seed}")
+        self.operators, self.points = Operators(rig, seed), ArmedPoints(rig)
+        self.names = list(rig.processes)
+        self.agreeing: list[float | None] = []  # s from the push to the answer that it is agreed
+        self.spreading: list[float | None] = []  # s from that answer until the last has it in force
+        self.more: dict[str, list[float | None]] = {}
+
+    async def change(self, by: str, among: list[str]) -> PushAnswer | None:
+        """One push and its way to those processes; None where it was not agreed."""
+        answer = await self.push(by)
+        if answer is None:
+            self.spreading.append(None)
+            return None
+        self.spreading.append(await self.operators.reached(answer.number, among, 3 * EVERYWHERE_WITHIN))
+        return answer
+
+    async def push(self, by: str) -> PushAnswer | None:
+        """Have one change agreed; None where it was not."""
+        begun = trio.current_time()
+        answer = await self.operators.push(by, self.operators.body(CHANGE_SIZE), ANY, "latency")
+        done = answer is not None and answer.done
+        self.agreeing.append(trio.current_time() - begun if done else None)
+        return answer if done else None
+
+    async def pause(self) -> None:
+        """At no fixed phase of the reports."""
+        await trio.sleep(self.random.uniform(0.5, 3.0))
+
+    def result(self) -> dict[str, Any]:
+        over = sum(took is None or took > EVERYWHERE_WITHIN for took in self.spreading)
+        return {
+            "changes": len(self.spreading),
+            "agreeing": spread(self.agreeing),
+            "spreading": spread(self.spreading),
+            f"over {EVERYWHERE_WITHIN:g} s or not agreed": over,
+            **{what: spread(took) for what, took in self.more.items()},
+        }
+
+
+async def quiet(run: Latency, changes: int) -> None:
+    """No faults."""
+    for _ in range(changes):
+        await run.change(run.random.choice(run.names), run.names)
+        await run.pause()
+
+
+async def loss(run: Latency, changes: int) -> None:
+    """One in ten datagrams, and parts of streams, is lost between all processes."""
+    fault = Fault("loss", 0.0, run.names, 0.0, run.names, False, 0.1)
+    await run.rig._begin(fault)
+    await quiet(run, changes)
+
+
+async def zone(run: Latency, changes: int) -> None:
+    """A zone is down while changes are made, and returns; what returns is timed from its first answer."""
+    zones = run.rig.world.zones
+    run.more["returned"] = []
+    for number in range(3):
+        down = [name for n, name in enumerate(run.names) if n % len(zones) == number]
+        up = [name for name in run.names if name not in down]
+        run.rig.kill(*down)
+        for _ in range(max(1, changes // 3)):
+            await run.change(run.random.choice(up), up)
+            await run.pause()
+        run.rig.start(*down)
+        async with trio.open_nursery() as nursery:
+            for name in down:
+                nursery.start_soon(_returned, run, name)
+
+
+async def _returned(run: Latency, name: str) -> None:
+    """Time one process from its first answer until it has the last version in force."""
+    while await run.operators.status(name) is None:
+        await trio.sleep(0.05)
+    run.more["returned"].append(await run.operators.reached(run.operators.last, [name], 3 * EVERYWHERE_WITHIN))
+
+
+async def steps(run: Latency, changes: int) -> None:
+    """In each change one or two processes die, at a fault point or at a drawn time, and return after 2 s."""
+    run.more["who lived through"] = []
+    for _ in range(changes):
+        by, dies, other = run.random.sample(run.names, 3)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_dies, run, dies, run.random.uniform(0.0, 1.5))
+            if run.random.random() < 0.5:
+                nursery.start_soon(run.points.die, other, 1.5, 2.0)
+            answer = await run.push(by)
+            if answer is None:
+                run.spreading.append(None)
+                continue
+            lived = [name for name in run.names if name not in (dies, other)]
+            nursery.start_soon(_among, run.operators, answer.number, run.names, run.spreading)
+            nursery.start_soon(_among, run.operators, answer.number, lived, run.more["who lived through"])
+        await run.rig.settle(STARTED + run.rig.terms.healed(len(run.names)), "after a change")
+
+
+async def _dies(run: Latency, name: str, at: float) -> None:
+    await trio.sleep(at)
+    await run.rig.fault(Fault("kill", 0.0, [name], 2.0))
+
+
+async def _among(operators: Operators, number: int, names: list[str], took: list[float | None]) -> None:
+    took.append(await operators.reached(number, names, 3 * EVERYWHERE_WITHIN))
+
+
+async def burst(run: Latency, changes: int) -> None:
+    """So many changes, one a second, each timed on its own."""
+    async with trio.open_nursery() as nursery:
+        for number in range(2 * changes):
+            nursery.start_soon(run.change, run.names[number % len(run.names)], run.names)
+            await trio.sleep(1.0)
+
+
+SCENARIOS: dict[str, Callable[[Latency, int], Awaitable[None]]] = {
+    "quiet": quiet,
+    "loss": loss,
+    "zone": zone,
+    "steps": steps,
+    "burst": burst,
+}
+
+
+async def latency(scenario: str, changes: int, seed: int, folder: Path) -> dict[str, Any]:
+    """One scenario at nine processes, judged as the drawn runs are."""
+    async with open_rig(convert(NINE), seed, folder, start=False) as rig:
+        run = Latency(rig, seed)
+        if scenario == "steps":
+            points = run.points.names()
+            for name in run.names:
+                run.points.prepare(name, run.random.choice(points))
+        rig.start()
+        await rig.settle(STARTED + rig.terms.healed(len(run.names)), "first start")
+        await rig.begin()
+        await SCENARIOS[scenario](run, changes)
+    rig.truth.write(folder / "record.jsonl")
+    findings = checks.judge(rig.truth.rows, ["one_content", "forward", "refusals", "honest"])
+    return {"scenario": scenario, **run.result(), "findings": [finding._asdict() for finding in findings]}
+
+
+# -- what it costs
+
+
+async def cost(what: str, seed: int, folder: Path) -> dict[str, Any]:
+    """CPU, memory and bytes of each of nine processes: without the mechanism, at rest, with changes, in a burst."""
+    world = {**NINE, "configuration": what != "without"}
+    pauses = {"changes": 86_400.0 / CHANGES_A_DAY, "burst": 1.0}
+    async with open_rig(convert(world), seed, folder) as rig:
+        await rig.begin()
+        operators, names = Operators(rig, seed), list(rig.processes)
+        if what != "without":
+            await operators.push(names[0], operators.body(CHANGE_SIZE), ANY, "the first")
+        await trio.sleep(5.0)
+        rig.looks = False
+        await trio.sleep(2.0)
+        before, begun = {name: consumed(rig, name) for name in names}, trio.current_time()
+        changes, pause, number = 0, pauses.get(what, COST_SECONDS), 0
+        while trio.current_time() < begun + COST_SECONDS:
+            if what in pauses:
+                answer = await operators.push(names[number % len(names)], operators.body(CHANGE_SIZE), ANY, "cost")
+                changes += answer is not None and answer.done
+                number += 1
+            await trio.sleep_until(min(begun + COST_SECONDS, trio.current_time() + pause))
+        seconds = trio.current_time() - begun
+        after = {name: consumed(rig, name) for name in names}
+        memory = {name: resident(rig, name) for name in names}
+    rates = {name: {key: (after[name][key] - before[name][key]) / seconds for key in before[name]} for name in names}
+    told = {"what": what, "seconds": round(seconds, 1), "changes": changes}
+    for kind, among in (("voter", names[: rig.world.voters]), ("dispatcher", names[rig.world.voters :])):
+        told[kind] = cost_row([rates[name] for name in among], [memory[name] for name in among])
+    return told
+
+
+def consumed(rig: Rig, name: str) -> dict[str, float]:
+    """CPU seconds, and bytes of datagrams and of the register's streams, in and out, so far."""
+    child = rig.processes[name].child
+    assert child is not None
+    fields = Path(f"/proc/{child.pid}/stat").read_text().rpartition(")")[2].split()
+    sent = received = 0
+    for (sender, receiver), link in rig.links._links.items():
+        size = link.counts["bytes"] + link.counts["stream bytes"]
+        if name in (sender, receiver) and {sender, receiver} <= set(rig.processes):
+            sent += size * (sender == name)
+            received += size * (receiver == name)
+    return {"cpu": (int(fields[11]) + int(fields[12])) / CLOCK_TICKS, "sent": sent, "received": received}
+
+
+def resident(rig: Rig, name: str) -> float:
+    """Resident memory, MB."""
+    child = rig.processes[name].child
+    assert child is not None
+    return int(Path(f"/proc/{child.pid}/statm").read_text().split()[1]) * PAGE / 1e6
+
+
+def cost_row(rates: list[dict[str, float]], memory: list[float]) -> dict[str, float]:
+    """Medians and worst of one kind of process."""
+    cpu = [100.0 * rate["cpu"] for rate in rates]
+    size = [(rate["sent"] + rate["received"]) / 1000.0 for rate in rates]
+    return {
+        "cpu_percent_median": round(statistics.median(cpu), 2),
+        "cpu_percent_worst": round(max(cpu), 2),
+        "kb_a_second_median": round(statistics.median(size), 2),
+        "kb_a_second_worst": round(max(size), 2),
+        "sent_kb_a_second_worst": round(max(rate["sent"] for rate in rates) / 1000.0, 2),
+        "resident_mb_worst": round(max(memory), 1),
+    }
+
+
+# -- the command
+
+
+JOBS: dict[str, Callable[..., Awaitable[Any]]] = {"drawn": drawn, "latency": latency, "cost": cost}
+
+
+def job(keep: str, what: str, *arguments: Any) -> Any:
+    """Play one job in this process; the folder of a run that is not sound goes to `keep`, where that is named."""
+    with tempfile.TemporaryDirectory(prefix="distribution-") as folder:
+        out = Path(folder) / "run"
+        try:
+            found = trio.run(JOBS[what], *arguments, out)
+        except BaseException:
+            if keep:
+                shutil.copytree(out, Path(keep) / f"{what}-{arguments[0]}", dirs_exist_ok=True)
+            raise
+        if keep and (found.get("findings") or (what == "drawn" and not sound(found))):
+            shutil.copytree(out, Path(keep) / f"{what}-{arguments[0]}", dirs_exist_ok=True)
+        return found
+
+
+def save(file: Path, told: dict[str, Any]) -> None:
+    """Put the result under its key, beside what is there."""
+    found = json.loads(file.read_text()) if file.exists() else {}
+    found["processes"] = {**found.get("processes", {}), **told}
+    file.parent.mkdir(exist_ok=True)
+    file.write_text(json.dumps(found, indent=1) + "\n")
+
+
+def arguments() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(description=(__doc__ or "").split("\n")[0])
+    parser.add_argument("--runs", type=int, default=0)
+    parser.add_argument("--first", type=int, default=0)
+    parser.add_argument("--latency", nargs="+", choices=list(SCENARIOS), default=[])
+    parser.add_argument("--changes", type=int, default=30)
+    parser.add_argument("--cost", action="store_true")
+    parser.add_argument("--beside", type=int, default=2)
+    parser.add_argument("--keep", default="", help="where the folders of runs that are not sound go")
+    parser.add_argument("--save", type=Path)
+    parser.add_argument("--job", help=argparse.SUPPRESS)
+    return parser
+
+
+def main() -> int:
+    given = arguments().parse_args()
+    if given.job:
+        print(json.dumps(job(*json.loads(given.job))))
+        return 0
+    told: dict[str, Any] = {}
+    if given.runs:
+        jobs: list[tuple[Any, ...]] = [
+            (given.keep, "drawn", seed) for seed in range(given.first, given.first + given.runs)
+        ]
+        told["drawn"] = drawn_result(trio.run(beside, jobs, given.beside, MODULE), given.first)
+    if given.latency:
+        jobs = [(given.keep, "latency", scenario, given.changes, given.first) for scenario in given.latency]
+        told["latency"] = trio.run(beside, jobs, given.beside, MODULE)
+    if given.cost:
+        jobs = [(given.keep, "cost", what, given.first) for what in ("without", "rest", "changes", "burst")]
+        told["cost"] = trio.run(beside, jobs, given.beside, MODULE)
+    told["load"] = round(os.getloadavg()[0], 1)
+    if given.save:
+        save(given.save, told)
+    print(json.dumps(told, indent=1))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/thistleshore/rig/checks.py
+++ b/thistleshore/rig/checks.py
@@ -4,6 +4,7 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Mapping, Sequence
+from math import inf
 from typing import Any, NamedTuple
 
 from thistleshore.rig.truth import Row, of
@@ -12,6 +13,7 @@
 DRAIN = 3.0  # s after which nothing new goes to a host that was taken out
 STARTS = 10.0  # s within which a process that was started again serves
 SLACK = 0.25  # s that a datagram, a line and a scheduler may take beside
+IN_TRANSIT = 0.5  # s that a report of a version in force may be on its way, by a relay and with a delay of the rig
 
 
 class Finding(NamedTuple):
@@ -134,9 +136,143 @@
             for row in of(rows, "exit") if row["asked"] and row["status"] != 0]  # fmt: skip
 
 
+# -- agreed configuration: rows of `thistleshore.rig.configuration`
+
+
+def one_content(rows: Sequence[Row]) -> list[Finding]:
+    """Never two digests under one number, over all that any process has ever told."""
+    found, known = [], dict[int, tuple[str, str]]()
+    for row in of(rows, "push-answer", "config", "history"):
+        for number, digest in _versions(row):
+            first, by = known.setdefault(number, (digest, row["by"]))
+            if digest != first:
+                told = f"version {number} is {first} by {by} and {digest} by {row['by']}"
+                found.append(Finding("one_content", row["t"], told))
+    return found
+
+
+def _versions(row: Row) -> list[tuple[int, str]]:
+    """The numbers and digests that a row tells of."""
+    if row["what"] == "history":
+        return [(entry["number"], entry["digest"]) for entry in row["entries"]]
+    if row["what"] == "push-answer" and row["status"] != "done":
+        return []
+    return [(row["number"], row["digest"])] if row["number"] else []
+
+
+def forward(rows: Sequence[Row]) -> list[Finding]:
+    """The version in force at a process never goes down, over all its lives."""
+    found = []
+    told: dict[str, list[Row]] = defaultdict(list)
+    for row in of(rows, "config"):
+        before = [earlier["in_force_here"] for earlier in told[row["by"]] if earlier["t"] <= row["asked"]]
+        if row["in_force_here"] < max(before, default=0):
+            text = f"{row['by']} has {row['in_force_here']} in force after {max(before)}"
+            found.append(Finding("forward", row["t"], text))
+        told[row["by"]].append(row)
+    return found
+
+
+def kept(rows: Sequence[Row]) -> list[Finding]:
+    """What was answered with done stays in the history, and at the end all that live have the last version in force."""
+    found = []
+    told_of = of(rows, "push-answer", "config", "history")
+    last = max((number for row in told_of for number, _ in _versions(row)), default=0)
+    histories = of(rows, "history")
+    for answer in of(rows, "push-answer"):
+        if answer["status"] == "done":
+            later = [row["entries"] for row in histories if row["t"] >= answer["t"]]
+            if not any(_entry(entries, answer["number"], answer["digest"]) for entries in later):
+                told = f"version {answer['number']}, done by {answer['by']}, is in no later history"
+                found.append(Finding("kept", answer["t"], told))
+    words = {row["by"]: row for row in of(rows, "config")}
+    for ending in of(rows, "alive"):
+        for name in ending["names"]:
+            in_force = words[name]["in_force_here"] if name in words else 0
+            if in_force != last:
+                told = f"{name} ends with {in_force} in force, and {last} is agreed"
+                found.append(Finding("kept", ending["t"], told))
+    return found
+
+
+def _entry(entries: Sequence[Row], number: int, digest: str) -> bool:
+    return any(entry["number"] == number and entry["digest"] == digest for entry in entries)
+
+
+def refusals(rows: Sequence[Row]) -> list[Finding]:
+    """What was refused, or is faulty, is never agreed; no push is agreed twice."""
+    found = []
+    pushes = [row for row in of(rows, "push-answer") if row["kind"] == "push"]
+    wrong = {row["sent"]: "was refused" for row in pushes if row["status"] == "refused"}
+    wrong |= {row["digest"]: "is faulty" for row in of(rows, "push") if row["faulty"]}
+    numbers = dict[str, int]()
+    for row in of(rows, "history"):
+        for entry in row["entries"]:
+            number, digest = entry["number"], entry["digest"]
+            if digest in wrong:
+                found.append(Finding("refusals", row["t"], f"version {number} {wrong.pop(digest)}: {digest}"))
+            if not entry["restored"] and numbers.setdefault(digest, number) != number:
+                told = f"one push is agreed as {numbers[digest]} and as {number}: {digest}"
+                found.append(Finding("refusals", row["t"], told))
+    return found
+
+
+def honest(rows: Sequence[Row]) -> list[Finding]:
+    """Nobody is counted as having a version in force who has not, or who could not have said so lately."""
+    fleet = next(iter(of(rows, "distribution")), None)
+    if fleet is None:
+        return []
+    found, answers, silences = [], of(rows, "config"), _silences(rows, set(fleet["zones"]))
+    for row in answers:
+        since = row["asked"] - fleet["fresh"] - IN_TRANSIT
+        unheard = {who for who, by, a, b in silences if by in ("", row["by"]) and a <= since and row["t"] <= b}
+        later = [word for word in answers if word["asked"] >= row["t"]]
+        without = {word["by"] for word in later if word["in_force_here"] < row["of"]}
+        wrong = _miscounted(row, fleet["zones"], unheard - {row["by"]}, without)
+        found += [Finding("honest", row["t"], f"{row['by']} of version {row['of']}: {told}") for told in wrong]
+    return found
+
+
+def _miscounted(row: Row, zones: Mapping[str, str], unheard: set[str], without: set[str]) -> list[str]:
+    """What is wrong with the counts of one answer, where these could not be heard and these have not the version."""
+    told = []
+    cannot = unheard | without
+    for zone in row["zones"]:
+        members = {name for name, its in zones.items() if its == zone["zone"]}
+        most = len(members - cannot)
+        if zone["applied"] > most:
+            told.append(f"{zone['zone']} counts {zone['applied']} and not {most}, without {sorted(members & cannot)}")
+        behind = {member["name"] for member in zone["behind"]}
+        if behind & unheard:
+            told.append(f"{zone['zone']} has reports of {sorted(behind & unheard)}, which could not be heard")
+    if row["everywhere"] and cannot:
+        told.append(f"in force everywhere, and not so at {sorted(cannot)}")
+    return told
+
+
+def _silences(rows: Sequence[Row], names: set[str]) -> list[tuple[str, str, float, float]]:
+    """Who could not be heard by whom ("" is anybody), and from when to when."""
+    found, ended = [], dict[str, float]()
+    for row in of(rows, "exit", "began"):
+        if row["what"] == "exit":
+            ended.setdefault(row["name"], row["t"])
+        elif row["name"] in ended:
+            found.append((row["name"], "", ended.pop(row["name"]), row["t"]))
+    found += [(name, "", since, inf) for name, since in ended.items()]
+    for row in of(rows, "fault"):
+        if row["kind"] == "stop":
+            found += [(who, "", row["t"], row["until"]) for who in row["who"]]
+        if row["kind"] in ("cut", "silence") and {*row["who"], *row["to"]} == names:  # else there is a way round
+            found += [(who, to, row["t"], row["until"]) for who in row["who"] for to in row["to"]]
+            if row.get("both"):
+                found += [(to, who, row["t"], row["until"]) for who in row["who"] for to in row["to"]]
+    return found
+
+
 CHECKS: Mapping[str, Callable[[Sequence[Row]], list[Finding]]] = {
     "answers": answers, "keyed": keyed, "drained": drained, "settled": settled, "living": living, "clean": clean,
-    "limited": limited,
+    "limited": limited, "one_content": one_content, "forward": forward, "kept": kept, "refusals": refusals,
+    "honest": honest,
 }  # fmt: skip
 
 
--- a/thistleshore/rig/relay.py
+++ b/thistleshore/rig/relay.py
@@ -134,6 +134,7 @@
                 async def pump(link: Link, source: trio.SocketStream, sink: trio.SocketStream) -> None:
                     try:
                         while data := await source.receive_some(RECEIVE):
+                            link.counts["stream bytes"] += len(data)
                             if link.delay or link.jitter:
                                 await trio.sleep(link.delay + link.jitter * links.random.random())
                             if link.loss and links.random.random() < link.loss:
--- a/thistleshore/rig/rig.py
+++ b/thistleshore/rig/rig.py
@@ -113,6 +113,7 @@
         self.listens: dict[str, Address] = {}  # where each hears datagrams, behind its relay
         self.advertised: dict[str, Address] = {}
         self.senders: list[Sender] = []
+        self.looks = True  # whether it asks for views; turned off while the cost of the processes is measured
         self.called: dict[str, str] = {name: name for name in world.names}  # the members' names of now
         self._asked_to_end: set[str] = set()
         self._load: trio.CancelScope | None = None
@@ -290,6 +291,9 @@
         """Ask one process for its view again and again."""
         said = ""
         while True:
+            if not self.looks:
+                await trio.sleep(LOOK)
+                continue
             process = self.processes[name]
             if self.votes:
                 await self._ping(name)
@@ -398,7 +402,7 @@
     async def fault(self, fault: Fault) -> None:
         """Let it begin, last and end.  What was killed or ended is started again at its end."""
         row: Row = {"kind": fault.kind, "who": fault.who, "to": fault.to, "amount": fault.amount,
-                    "until": self.truth.now + fault.seconds}  # fmt: skip
+                    "both": fault.both, "until": self.truth.now + fault.seconds}  # fmt: skip
         self.truth.add("fault", **row)
         here = self.truth.rows[-1]
         try:
