--- a/tests/test_rig_configuration.py
+++ b/tests/test_rig_configuration.py
@@ -62,7 +62,7 @@
         entry = self.entries[-1]
         zones = zone_rows(entry["number"], self.in_force, unknown)
         everywhere = all(zone["applied"] == zone["members"] for zone in zones)
-        common = {"number": entry["number"], "of": entry["number"], "digest": entry["digest"], "agreed": True}
+        common = {"number": entry["number"], "spread_of": entry["number"], "digest": entry["digest"], "agreed": True}
         asked = round(self.now + 0.05, 6)
         here = {"in_force_here": self.in_force[by], "everywhere": everywhere, "zones": zones}
         self.add("config", by=by, asked=asked, **here, **common)
--- a/thistleshore/rig/checks.py
+++ b/thistleshore/rig/checks.py
@@ -227,9 +227,9 @@
         since = row["asked"] - fleet["fresh"] - IN_TRANSIT
         unheard = {who for who, by, a, b in silences if by in ("", row["by"]) and a <= since and row["t"] <= b}
         later = [word for word in answers if word["asked"] >= row["t"]]
-        without = {word["by"] for word in later if word["in_force_here"] < row["of"]}
+        without = {word["by"] for word in later if word["in_force_here"] < row["spread_of"]}
         wrong = _miscounted(row, fleet["zones"], unheard - {row["by"]}, without)
-        found += [Finding("honest", row["t"], f"{row['by']} of version {row['of']}: {told}") for told in wrong]
+        found += [Finding("honest", row["t"], f"{row['by']} of version {row['spread_of']}: {told}") for told in wrong]
     return found
 
 
--- a/thistleshore/rig/configuration.py
+++ b/thistleshore/rig/configuration.py
@@ -28,7 +28,7 @@
 STATUS_WITHIN = 3.0  # s for an answer to `config-status`, which asks the relays of all zones
 LOOK = 0.3  # s between two questions to one process
 ANY = "-"  # a push that names no version that it is made against
-POINT_PREFIX = "config-"  # of the fault points of the distribution
+POINT_PREFIX = "configuration-"  # of the fault points of the distribution
 DEATH_LOOK = 0.01  # s between two looks whether a process has died at its fault point
 FILLER = "0123456789abcdef"  # in comments: four bits a character, so that a body compresses to half of its size
 
@@ -72,6 +72,7 @@
     number: int
     digest: str
     in_force_here: int
+    spread_of: int  # the version that the zones are counted for
     everywhere: bool = False
     serving_from: str = ""
     zones: tuple[ZoneStatus, ...] = ()
@@ -182,9 +183,7 @@
         if status is None or process.life != life:
             return None
         self.latest[name] = status
-        row = msgspec.to_builtins(status)
-        row["of"] = number or status.number
-        self.rig.truth.add("config", by=name, asked=round(asked, 6), **row)
+        self.rig.truth.add("config", by=name, asked=round(asked, 6), **msgspec.to_builtins(status))
         return status
 
     async def push(self, name: str, body: bytes, against: str, reason: str, faulty: bool = False) -> PushAnswer | None:
