--- a/benchmarks/distribution_real.py
+++ b/benchmarks/distribution_real.py
@@ -35,6 +35,7 @@
 from benchmarks.fleet_real import beside
 from benchmarks.fleet_virtual import spread
 from thistleshore.fleet.model import Terms as FleetTerms
+from thistleshore.releases.faults import CONFIGURATION_POINTS
 from thistleshore.rig import checks
 from thistleshore.rig.configuration import ANY, ArmedPoints, Operators, PushAnswer, faulty_body
 from thistleshore.rig.rig import STARTED, Rig, open_rig
@@ -95,10 +96,9 @@
 
     def arm(self) -> None:
         """Draw who may die at which fault point, before any process starts."""
-        points = self.points.names()
-        self._armed = self.random.sample(self.names, self.random.randint(1, 3)) if points else []
+        self._armed = self.random.sample(self.names, self.random.randint(1, 3))
         for name in self._armed:
-            self.points.prepare(name, self.random.choice(points))
+            self.points.prepare(name, self.random.choice(CONFIGURATION_POINTS))
 
     async def _fault(self, at: float, seed: float) -> None:
         chance = random.Random(seed)
@@ -171,22 +171,6 @@
     def _count(self, what: str, answer: PushAnswer | None) -> None:
         self.told[f"{what}: {'no answer' if answer is None else answer.status}"] += 1
 
-    async def converge(self, bound: float) -> float | None:
-        """Wait until all have the last agreed version in force; the s it took, or None where it is not in time."""
-        begun = trio.current_time()
-        with trio.move_on_after(bound):
-            while not self._together():
-                await trio.sleep(0.05)
-            return trio.current_time() - begun
-        return None
-
-    def _together(self) -> bool:
-        """Whether all that any has told of since the faults ended is in force at all."""
-        last = self.operators.last
-        return last > 0 and all(
-            name in self.operators.latest and self.operators.latest[name].in_force_here == last for name in self.names
-        )
-
     async def last_push(self) -> tuple[PushAnswer | None, float | None]:
         """One push once all is well: what came of it, and how long it took to be in force everywhere."""
         name = self.random.choice(self.names)
@@ -230,12 +214,10 @@
             await run.play()
             rig.heal()
             rig.start()
-            took = await run.converge(converges_within(rig))
+            took = await run.operators.together(run.names, converges_within(rig))
             answer, everywhere = await run.last_push()
             nursery.cancel_scope.cancel()
-        for name in rig.running():  # the last word of each, for the checks
-            await run.operators.status(name)
-            await run.operators.history(name)
+        await run.operators.end(rig.running())
         rig.truth.add("alive", names=rig.running())
         await rig.end_load()
         await rig.term(*rig.running())
@@ -425,9 +407,8 @@
     async with open_rig(convert(NINE), seed, folder, start=False) as rig:
         run = Latency(rig, seed)
         if scenario == "steps":
-            points = run.points.names()
             for name in run.names:
-                run.points.prepare(name, run.random.choice(points))
+                run.points.prepare(name, run.random.choice(CONFIGURATION_POINTS))
         rig.start()
         await rig.settle(STARTED + rig.terms.healed(len(run.names)), "first start")
         await rig.begin()
--- a/thistleshore/rig/configuration.py
+++ b/thistleshore/rig/configuration.py
@@ -20,15 +20,15 @@
 import zstandard
 
 from thistleshore.distribution.model import BODY_MOST, Terms, digest_of
-from thistleshore.releases.faults import POINTS
 from thistleshore.rig.rig import CHANGE, Rig
 from thistleshore.rig.truth import Row
 
 PIECE = 3000  # characters of one piece of an upload
 STATUS_WITHIN = 3.0  # s for an answer to `config-status`, which asks the relays of all zones
+PUSH_EVERY = 1.0  # s
+SMALL = 600  # bytes of a body
 LOOK = 0.3  # s between two questions to one process
 ANY = "-"  # a push that names no version that it is made against
-POINT_PREFIX = "configuration-"  # of the fault points of the distribution
 DEATH_LOOK = 0.01  # s between two looks whether a process has died at its fault point
 FILLER = "0123456789abcdef"  # in comments: four bits a character, so that a body compresses to half of its size
 
@@ -234,6 +234,14 @@
             self.done[number] = digest
         return found
 
+    async def push_now_and_then(self, every: float = PUSH_EVERY) -> None:
+        """Push a small body at a drawn process again and again, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                name = self.random.choice(list(self.rig.processes))
+                nursery.start_soon(self.push, name, self.body(SMALL), ANY, "now and then")
+                await trio.sleep(every)
+
     # -- looking
 
     async def watch(self, every: float = LOOK) -> None:
@@ -248,9 +256,25 @@
                 await self.status(name)
             await trio.sleep(every)
 
-    def in_force(self, number: int, names: Sequence[str]) -> bool:
-        """Whether all of these have said that they have this version, or a newer one, in force."""
-        return all(name in self.latest and self.latest[name].in_force_here >= number for name in names)
+    async def together(self, names: Sequence[str], within: float) -> float | None:
+        """Wait, while `watch` runs, until all of these have the newest version in force that anybody has told of: the
+        s it took; None where it is not in time."""
+        begun = trio.current_time()
+        with trio.move_on_after(within):
+            while not self._together(names):
+                await trio.sleep(0.05)
+            return trio.current_time() - begun
+        return None
+
+    def _together(self, names: Sequence[str]) -> bool:
+        last = self.last
+        return last > 0 and all(name in self.latest and self.latest[name].in_force_here == last for name in names)
+
+    async def end(self, names: Sequence[str]) -> None:
+        """Ask each for its last word and its history, for the checks."""
+        for name in names:
+            await self.status(name)
+            await self.history(name)
 
     async def reached(self, number: int, names: Sequence[str], within: float, every: float = 0.05) -> float | None:
         """Ask each until it has this version or a newer one in force: the s until the last had; None: not in time.
@@ -291,11 +315,6 @@
         self.rig = rig
         self._files: dict[str, Path] = {}
 
-    @staticmethod
-    def names() -> tuple[str, ...]:
-        """The fault points of the distribution."""
-        return tuple(name for name in POINTS if name.startswith(POINT_PREFIX))
-
     def prepare(self, name: str, point: str) -> None:
         """From its next start on, a process may die at this point.  Such a process runs with its assertions."""
         file = self.rig.out / f"fault-{name}"
--- a/thistleshore/rig/run.py
+++ b/thistleshore/rig/run.py
@@ -11,11 +11,13 @@
 import trio
 
 from thistleshore.rig import checks
+from thistleshore.rig.configuration import Operators
 from thistleshore.rig.processes import PROGRAM
 from thistleshore.rig.rig import STARTED, Rig, open_rig
 from thistleshore.rig.world import Fault, World, timeline
 
 BEFORE = 0.5  # s of load before the first fault
+SPREAD_WITHIN = 18.0  # s for the last agreed version to be in force at all, once the view is settled
 AFTER = 0.5  # s of load after the view is settled again
 
 
@@ -28,6 +30,15 @@
     return bound
 
 
+async def converge(operators: Operators) -> None:
+    """Wait until all that run have the last version in force, and have each say its last word on it."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(operators.watch)
+        await operators.together(operators.rig.running(), SPREAD_WITHIN)
+        nursery.cancel_scope.cancel()
+    await operators.end(operators.rig.running())
+
+
 async def play(world: World, seed: int, out: Path, command: Sequence[str] = PROGRAM,
                told: Callable[[str], None] = lambda text: None) -> dict[str, Any]:  # fmt: skip
     """One run; its summary, which lies in `out` with the record.  Cancelled, all is ended and nothing written."""
@@ -45,11 +56,22 @@
             told(f"{fault.kind} {' '.join(fault.who)}")
             await rig.fault(fault)
 
-        async with trio.open_nursery() as nursery:
-            for fault in faults:
-                nursery.start_soon(one, fault)
+        async with trio.open_nursery() as operating:
+            operators = None
+            if world.configuration:
+                await rig.begin()
+                operators = Operators(rig, seed)
+                operating.start_soon(operators.watch)
+                operating.start_soon(operators.push_now_and_then)
+                begun = trio.current_time()
+            async with trio.open_nursery() as nursery:
+                for fault in faults:
+                    nursery.start_soon(one, fault)
+            operating.cancel_scope.cancel()
         told("settling")
         took = await rig.settle(bound)
+        if operators is not None:
+            await converge(operators)
         if world.load.rate:
             await trio.sleep(AFTER)
         for name in rig.running():  # the last word of each, for the checks
--- a/thistleshore/rig/world.py
+++ b/thistleshore/rig/world.py
@@ -85,6 +85,7 @@
     hot: bool = False  # each may be replaced by a hot restart
     trial: Zero = 0.0  # s of a newcomer's trial; above 0 each process has a keeper, and may be released to
     voters: Annotated[int, msgspec.Meta(ge=0)] = 0  # processes that vote on who may be out; 0: nothing is agreed
+    configuration: bool = False  # whether versions of the configuration are agreed and put in force; asks for voters
     out: dict[str, int | str] = {}  # noqa: RUF012 - the limits, as [fleet.out] has them
     fault: list[Fault] = []  # noqa: RUF012
     draw: Draw | None = None
@@ -106,6 +107,8 @@
 def convert(found: object) -> World:
     """The world of tables that were read."""
     world = typed.convert(found, World, WorldError)
+    if world.configuration and not world.voters:
+        raise WorldError("configuration: voters have to agree on it")
     known = {*world.names, *world.worker_names, "load"}
     for n, fault in enumerate(world.fault):
         if strange := sorted({*fault.who, *fault.to} - known):
