--- a/thistleshore/rig/world.py
+++ b/thistleshore/rig/world.py
@@ -87,6 +87,7 @@
     voters: Annotated[int, msgspec.Meta(ge=0)] = 0  # processes that vote on who may be out; 0: nothing is agreed
     configuration: bool = False  # whether versions of the configuration are agreed and put in force; asks for voters
     out: dict[str, int | str] = {}  # noqa: RUF012 - the limits, as [fleet.out] has them
+    configuration: bool = False  # the voters agree on a configuration, which all follow
     fault: list[Fault] = []  # noqa: RUF012
     draw: Draw | None = None
 
