--- a/benchmarks/distribution_real.py
+++ b/benchmarks/distribution_real.py
@@ -20,6 +20,7 @@
 import json
 import os
 import random
+import re
 import shutil
 import statistics
 import sys
@@ -34,6 +35,7 @@
 
 from benchmarks.fleet_real import beside
 from benchmarks.fleet_virtual import spread
+from thistleshore.distribution.model import Terms
 from thistleshore.fleet.model import Terms as FleetTerms
 from thistleshore.releases.faults import CONFIGURATION_POINTS
 from thistleshore.rig import checks
@@ -276,6 +278,14 @@
 # -- from agreed to in force everywhere
 
 
+def with_default_times(rig: Rig) -> None:
+    """Have each process report as often as it does where its file names no times; before any starts."""
+    for process in rig.processes.values():
+        text = process.file.read_text()
+        text = re.sub(r"^sync = .*$", f"sync = {Terms().sync}", text, flags=re.MULTILINE)
+        process.file.write_text(re.sub(r"^fresh = .*$", f"fresh = {Terms().fresh}", text, flags=re.MULTILINE))
+
+
 class Latency:
     """Changes one after another at nine processes, and how long each takes to be in force."""
 
@@ -405,6 +415,7 @@
 async def latency(scenario: str, changes: int, seed: int, folder: Path) -> dict[str, Any]:
     """One scenario at nine processes, judged as the drawn runs are."""
     async with open_rig(convert(NINE), seed, folder, start=False) as rig:
+        with_default_times(rig)
         run = Latency(rig, seed)
         if scenario == "steps":
             for name in run.names:
@@ -425,7 +436,10 @@
     """CPU, memory and bytes of each of nine processes: without the mechanism, at rest, with changes, in a burst."""
     world = {**NINE, "configuration": what != "without"}
     pauses = {"changes": 86_400.0 / CHANGES_A_DAY, "burst": 1.0}
-    async with open_rig(convert(world), seed, folder) as rig:
+    async with open_rig(convert(world), seed, folder, start=False) as rig:
+        with_default_times(rig)
+        rig.start()
+        await rig.settle(STARTED + rig.terms.healed(rig.world.processes), "first start")
         await rig.begin()
         operators, names = Operators(rig, seed), list(rig.processes)
         if what != "without":
--- a/tests/test_rig_configuration.py
+++ b/tests/test_rig_configuration.py
@@ -291,7 +291,7 @@
     made = [drawn_body(random.Random(7), workers, size, "x") for size in (300, 60_000)]
     again, other = (drawn_body(random.Random(seed), workers, 60_000, "x") for seed in (7, 8))
     assert made[1] == again != other
-    assert set(tomllib.loads(made[0].decode())) <= {"address_set", "match", "host"}
+    assert set(tomllib.loads(made[0].decode())) <= {"address_set", "match", "host", "contracts", "member"}
     parts = pieces(made[1])
     assert len(parts) > 1 and max(map(len, parts)) <= PIECE
     assert joined(parts) == made[1]
--- a/thistleshore/rig/configuration.py
+++ b/thistleshore/rig/configuration.py
@@ -11,6 +11,7 @@
 import os
 import random
 import sys
+import tomllib
 from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import TypeVar
@@ -98,7 +99,8 @@
 def drawn_body(chance: random.Random, workers: Sequence[tuple[str, int]], size: int, label: str) -> bytes:
     """A valid body of about so many bytes, unlike any other by its label.
 
-    `workers` are names and ports of ticket workers; one body in three lists hosts, at least two of them.
+    `workers` are names and ports of ticket workers; one body in three lists hosts, at least two of them, and one in
+    two has other shares of members.
     """
     networks = [f"10.{chance.randrange(256)}.{chance.randrange(256)}.0/24" for _ in range(chance.randint(1, 12))]
     lines = [
@@ -111,6 +113,9 @@
         f"when = 'request.path.startsWith(\"/drawn-{chance.randrange(1000)}\")'",
         "contract = '\"seat-search\"'",
     ]
+    if chance.random() < 1 / 2:
+        share = chance.randint(30, 60)
+        lines += ["[contracts]", f"others = 0.{99 - share}", "[[member]]", 'name = "house"', f"share = 0.{share}"]
     if chance.random() < 1 / 3:
         lines += host_lines(chance.sample(list(workers), chance.randint(min(2, len(workers)), len(workers))))
     while sum(len(line) + 1 for line in lines) < size:
@@ -150,18 +155,13 @@
 class Operators:
     """Changes at the processes of one rig, as several operators make them, with a record of all that they are told."""
 
-    def __init__(self, rig: Rig, seed: int, terms: Terms | None = None) -> None:
+    def __init__(self, rig: Rig, seed: int) -> None:
         self.rig = rig
         self.random = random.Random(f"operators {seed}")
         self.done: dict[int, str] = {}  # digests by number, of all changes that were answered with done
         self.latest: dict[str, Status] = {}  # the last word of each process
         self._uploads = 0
-        zones = rig.world.zones
-        rig.truth.add(
-            "distribution",
-            fresh=(terms or Terms()).fresh,
-            zones={name: zones[n % len(zones)] for n, name in enumerate(rig.world.names)},
-        )
+        rig.truth.add("distribution", fresh=_fresh(rig), zones=_zones(rig))
 
     @property
     def last(self) -> int:
@@ -296,6 +296,18 @@
         return None if limit.cancelled_caught else trio.current_time() - begun
 
 
+def _zones(rig: Rig) -> dict[str, str]:
+    """The zone of each process; the rig deals them out in turn."""
+    zones = rig.world.zones
+    return {name: zones[number % len(zones)] for number, name in enumerate(rig.world.names)}
+
+
+def _fresh(rig: Rig) -> float:
+    """The s for which a report counts, as the files of the processes have it."""
+    file = tomllib.loads(rig.processes[rig.world.names[0]].file.read_text())
+    return float(file["fleet"].get("configuration", {}).get("fresh", Terms().fresh))
+
+
 def _read(answer: str, kind: type[Read]) -> Read | None:
     """The first line of an answer; None where there is none, or the call was turned down."""
     line = answer.split("\n")[0]
--- a/thistleshore/rig/rig.py
+++ b/thistleshore/rig/rig.py
@@ -185,8 +185,6 @@
             lines += [f'listen = "127.0.0.1:{self.votes[name][1]}"', f'dir = "{self.out / ("register-" + name)}"']
         lines += ["[fleet.register.voters]", *(f'{voter} = "127.0.0.1:{port}"' for voter, (_, port) in voters.items())]
         lines += ["[fleet.out]", *(f"{key} = {json.dumps(limit)}" for key, limit in self.world.out.items()), ""]
-        if self.world.configuration:
-            lines += ["[fleet.configuration]", f'dir = "{self.out / ("configuration-" + name)}"', ""]
         return "\n".join(lines)
 
     def _write(self, name: str, number: int, hosts: str, register: str) -> None:
--- a/thistleshore/rig/world.py
+++ b/thistleshore/rig/world.py
@@ -85,7 +85,6 @@
     hot: bool = False  # each may be replaced by a hot restart
     trial: Zero = 0.0  # s of a newcomer's trial; above 0 each process has a keeper, and may be released to
     voters: Annotated[int, msgspec.Meta(ge=0)] = 0  # processes that vote on who may be out; 0: nothing is agreed
-    configuration: bool = False  # whether versions of the configuration are agreed and put in force; asks for voters
     out: dict[str, int | str] = {}  # noqa: RUF012 - the limits, as [fleet.out] has them
     configuration: bool = False  # the voters agree on a configuration, which all follow
     fault: list[Fault] = []  # noqa: RUF012
