--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -151,6 +151,37 @@
     places._within = lambda *args: None
 
 
+def uncounted_bodies() -> None:
+    """A version counts before its body is on a majority, and only its pusher has it: `kept`."""
+    from thistleshore.releases.carrier import Releases, Voter
+
+    async def deposit(self: Any, body: bytes) -> int:
+        return 0
+
+    Releases.deposit = deposit  # type: ignore[method-assign]
+    Voter._holds = lambda self, digest: True  # type: ignore[method-assign]
+
+
+def never_durable() -> None:
+    """Versions are put in force and reported, and are on no disk: `forward`."""
+    from thistleshore.distribution.store import VersionStore
+
+    VersionStore.write = lambda self, stamp, body: None  # type: ignore[method-assign]
+
+
+def believing_old() -> None:
+    """Whatever another tells of last is believed, also an older version: `forward`."""
+    from thistleshore.distribution.carrier import Applied, Distribution
+    from thistleshore.distribution.machine import Distributor
+
+    async def apply(self: Any, action: Any) -> None:
+        await self.applier.apply(action.stamp, action.body)
+        self._events.send_nowait(Applied(action.stamp))
+
+    Distribution._apply = apply  # type: ignore[method-assign]
+    Distributor._newer = staticmethod(lambda stamp, than: stamp != than)  # type: ignore[method-assign]
+
+
 def clock_back() -> None:
     """No fault: this machine's wall clock is an hour behind."""
     import time
@@ -161,7 +192,8 @@
 
 MUTANTS = {"clock_back": clock_back, "twice": twice, "deaf": deaf, "silent": silent, "unheeding": unheeding,
            "rough": rough, "sluggish": sluggish, "refusing": refusing, "refusing_tickets": refusing_tickets,
-           "never_ready": never_ready, "crashing": crashing, "unlimited": unlimited}  # fmt: skip
+           "never_ready": never_ready, "crashing": crashing, "unlimited": unlimited, "uncounted_bodies": uncounted_bodies,
+           "never_durable": never_durable, "believing_old": believing_old}  # fmt: skip
 
 if __name__ == "__main__":
     MUTANTS[sys.argv.pop(1)]()
--- a/tests/test_rig_configuration.py
+++ b/tests/test_rig_configuration.py
@@ -4,18 +4,31 @@
 
 import copy
 import random
+import sys
 import tomllib
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
 import msgspec
 import pytest
+import trio
 
 from benchmarks.distribution_real import drawn_world, play_drawn, sound
 from thistleshore.rig import checks
-from thistleshore.rig.configuration import PIECE, drawn_body, faulty_body, joined, pieces
+from thistleshore.rig.configuration import (
+    ANY,
+    PIECE,
+    ArmedPoints,
+    Operators,
+    drawn_body,
+    faulty_body,
+    joined,
+    pieces,
+)
+from thistleshore.rig.rig import STARTED, Rig, open_rig
 from thistleshore.rig.truth import Row, of
+from thistleshore.rig.world import convert
 
 CHECKS = ("one_content", "forward", "kept", "refusals", "honest")
 ZONES = {"p0": "east/a", "p1": "east/b", "p2": "west/a", "p3": "east/a"}
@@ -312,7 +325,94 @@
     assert found["versions"] >= 2 and found["served"]["served"] > 50, found
 
 
+# -- flawed forms of the program, each found by its check
+
+
+FLAWED_WORLD = convert(
+    {"name": "flawed", "processes": 4, "zones": ["east/a", "west/a"], "voters": 3, "configuration": True}
+)
+SPREADS_WITHIN = 8.0  # s, several of the rig's reports
+Scenario = Callable[[Rig, Operators], Awaitable[None]]
+
+
+async def pushed(operators: Operators, name: str, among: list[str]) -> None:
+    """One version is agreed and in force there."""
+    answer = await operators.push(name, operators.body(300), ANY, "test")
+    assert answer is not None and answer.done, answer
+    assert await operators.reached(answer.number, among, SPREADS_WITHIN) is not None
+
+
+async def the_pusher_dies_once_it_is_agreed(rig: Rig, operators: Operators) -> None:
+    """Nobody else has the body, unless a majority of the voters was given it before."""
+    points, names = ArmedPoints(rig), list(rig.processes)
+    rig.kill("p3")
+    points.prepare("p3", "configuration-agreed", rig.command)
+    rig.start("p3")
+    await pushed(operators, "p0", names)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(operators.push, "p3", operators.body(300), ANY, "test")
+        assert await points.die("p3", 5.0, 0.1)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(operators.watch)
+        await trio.sleep(1.0)
+        await operators.together(names, SPREADS_WITHIN)
+        nursery.cancel_scope.cancel()
+
+
+async def one_restarts_within_a_cut(rig: Rig, operators: Operators) -> None:
+    """What it has by its disk is all that it can know."""
+    await pushed(operators, "p0", list(rig.processes))
+    rig.cut(["p3"], ["p0", "p1", "p2"])
+    rig.kill("p3")
+    rig.start("p3")
+    with trio.fail_after(STARTED):
+        while await operators.status("p3") is None:
+            await trio.sleep(0.05)
+    rig.heal()
+    await operators.reached(1, list(rig.processes), SPREADS_WITHIN)
+
+
+async def one_returns_with_an_older_version(rig: Rig, operators: Operators) -> None:
+    """It was cut off while a version came; what it tells of is old."""
+    await pushed(operators, "p0", list(rig.processes))
+    rig.cut(["p3"], ["p0", "p1", "p2"])
+    await pushed(operators, "p1", ["p0", "p1", "p2"])
+    rig.heal()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(operators.watch, 0.1)
+        await trio.sleep(4.0)
+        nursery.cancel_scope.cancel()
+
+
+FLAWED: dict[str, tuple[str, Scenario]] = {
+    "uncounted_bodies": ("kept", the_pusher_dies_once_it_is_agreed),
+    "never_durable": ("forward", one_restarts_within_a_cut),
+    "believing_old": ("forward", one_returns_with_an_older_version),
+}
+
+
+def flawed(mutant: str, sound: bool) -> Callable[[Path], Awaitable[None]]:
+    """The scenario breaks the check with the mutant, and nothing with the program itself."""
+    check, scenario = FLAWED[mutant]
+    program = ("thistleshore",) if sound else ("tests.mutants", mutant)
+    command = (sys.executable, "-m", *program)  # with its assertions, and so with its fault points
+
+    async def story(folder: Path) -> None:
+        async with open_rig(FLAWED_WORLD, 1, folder, command) as rig:
+            await rig.begin()
+            operators = Operators(rig, 1)
+            await scenario(rig, operators)
+            await operators.end(rig.running())
+            rig.truth.add("alive", names=rig.running())
+        found = checks.judge(rig.truth.rows, CHECKS)
+        assert found == [] if sound else check in {finding.check for finding in found}, found
+
+    return story
+
+
 STORIES = {story.__name__: story for story in (a_short_drawn_run,)}
+STORIES |= {f"mutant {name}": flawed(name, False) for name in FLAWED}
+STORIES |= {f"sound {name}": flawed(name, True) for name in FLAWED}
 
 
 @pytest.mark.parametrize("story", STORIES)
--- a/thistleshore/rig/configuration.py
+++ b/thistleshore/rig/configuration.py
@@ -29,6 +29,7 @@
 PUSH_EVERY = 1.0  # s
 SMALL = 600  # bytes of a body
 LOOK = 0.3  # s between two questions to one process
+PROGRAM_WITH_POINTS = (sys.executable, "-m", "thistleshore")
 ANY = "-"  # a push that names no version that it is made against
 DEATH_LOOK = 0.01  # s between two looks whether a process has died at its fault point
 FILLER = "0123456789abcdef"  # in comments: four bits a character, so that a body compresses to half of its size
@@ -327,13 +328,12 @@
         self.rig = rig
         self._files: dict[str, Path] = {}
 
-    def prepare(self, name: str, point: str) -> None:
-        """From its next start on, a process may die at this point.  Such a process runs with its assertions."""
+    def prepare(self, name: str, point: str, program: Sequence[str] = PROGRAM_WITH_POINTS) -> None:
+        """From its next start on, a process may die at this point.  The program has to run with its assertions."""
         file = self.rig.out / f"fault-{name}"
         file.touch()
         self._files[name] = file
-        command = ("env", f"THISTLESHORE_FAULT={point}@{file}", sys.executable, "-m", "thistleshore")
-        self.rig.processes[name].command = command
+        self.rig.processes[name].command = ("env", f"THISTLESHORE_FAULT={point}@{file}", *program)
 
     async def die(self, name: str, within: float, down: float, told: Callable[[], None] = lambda: None) -> bool:
         """Arm the point, wait until the process has died at it, and start it again after so many s; `told` is called
