--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -192,8 +192,9 @@
 
 MUTANTS = {"clock_back": clock_back, "twice": twice, "deaf": deaf, "silent": silent, "unheeding": unheeding,
            "rough": rough, "sluggish": sluggish, "refusing": refusing, "refusing_tickets": refusing_tickets,
-           "never_ready": never_ready, "crashing": crashing, "unlimited": unlimited, "uncounted_bodies": uncounted_bodies,
-           "never_durable": never_durable, "believing_old": believing_old}  # fmt: skip
+           "never_ready": never_ready, "crashing": crashing, "unlimited": unlimited,
+           "uncounted_bodies": uncounted_bodies, "never_durable": never_durable,
+           "believing_old": believing_old}  # fmt: skip
 
 if __name__ == "__main__":
     MUTANTS[sys.argv.pop(1)]()
