--- a/thistleshore/cli/shared.py
+++ b/thistleshore/cli/shared.py
@@ -12,13 +12,18 @@
 
 from thistleshore import config
 from thistleshore.expressions import Request, RequestError
-from thistleshore.expressions.networks import written
+from thistleshore.addresses import ip_text
 from thistleshore.expressions.record import from_json
 from thistleshore.expressions.types import Ip, List, Map, Type
 from thistleshore.routing import RouteTable
 
-REQUEST = click.option("--request", "asked", default=None, metavar="FILE|-", help="A request as JSON; - reads it "
-                       "from standard input.  Without it: an empty request.")  # fmt: skip
+REQUEST = click.option(
+    "--request",
+    "asked",
+    default=None,
+    metavar="FILE|-",
+    help="A request as JSON; - reads it from standard input.  Without it: an empty request.",
+)
 JSON = click.option("--json", "as_json", is_flag=True, help="Print JSON for scripts.")
 
 
@@ -50,7 +55,7 @@
 def plain(value: Any, found: Type) -> Any:
     """A value as JSON has it: addresses as text, and doubles that JSON lacks as text."""
     if isinstance(found, Ip):
-        return written(value)
+        return ip_text(value)
     if isinstance(found, List):
         return [plain(entry, found.entry) for entry in value]
     if isinstance(found, Map):
--- a/thistleshore/fleet/carrier.py
+++ b/thistleshore/fleet/carrier.py
@@ -7,26 +7,21 @@
 import os
 import socket as sockets
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from math import inf
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import trio
 
 from thistleshore import __version__
-from thistleshore.config import Address
-from thistleshore.config.platform import FleetPlan
-from thistleshore.expressions.networks import address as number_of, address_set
+from thistleshore.addresses import Address, ip_number
+from thistleshore.expressions.networks import address_set
 from thistleshore.fleet import wire
 from thistleshore.fleet.machine import Fleet
 from thistleshore.fleet.model import Action, Changed, Record, Send, Service, State
+from thistleshore.fleet.plan import FleetPlan
 from thistleshore.listening import Aside
 
-if TYPE_CHECKING:
-    from thistleshore.distribution.calls import ConfigurationCalls
-    from thistleshore.distribution.carrier import Distribution
-    from thistleshore.releases.carrier import Releases
-
 log = logging.getLogger("thistleshore")
 
 LOOK = 0.1  # s between two looks at how this process serves
@@ -52,7 +47,7 @@
 
         def allowed(host: str) -> bool:
             if (found := self._allowed.get(host)) is None:
-                number = number_of(host)
+                number = ip_number(host)
                 found = number is not None and networks.has(number)
                 if len(self._allowed) < 4096:  # a flood of false senders must not fill the memory
                     self._allowed[host] = found
@@ -68,10 +63,12 @@
         now = trio.current_time()
         self.machine = Fleet(plan.name, me, plan.terms, plan.seeds, now, int.from_bytes(os.urandom(8), "big"), allowed,
                              number)  # fmt: skip
+        # Answers the calls of what the fleet agrees on: a name and its arguments.
+        self.register_call: Callable[[str, tuple[str, ...]], Awaitable[Any]] | None = None
         self.is_allowed = allowed
-        self.releases: Releases | None = None
-        self.distribution: Distribution | None = None  # whose datagrams come in on the same socket
-        self.configuration_calls: ConfigurationCalls | None = None
+        # Takes the datagrams of the distribution of configuration, which come in on the same socket.
+        self.on_distribution: Callable[[bytes, Address], None] | None = None
+        self.configuration_call: Callable[[str, tuple[str, ...]], Awaitable[Any]] | None = None
         self.subscribers: list[trio.MemorySendChannel[Changed]] = []
         self.socket: trio.socket.SocketType | None = (
             trio.socket.from_stdlib_socket(inherited) if inherited is not None else None
@@ -161,22 +158,22 @@
                 await trio.sleep(FLOODED)
                 continue
             tokens -= 1.0
-            if self.distribution is not None and data.startswith(DISTRIBUTION):
-                self._hand_to_distribution(self.distribution, data, sender)
+            if self.on_distribution is not None and data.startswith(DISTRIBUTION):
+                self._hand_to_distribution(self.on_distribution, data, sender)
                 continue
             try:
                 self._send.send_nowait((data, sender[0]))
             except trio.WouldBlock:
                 counts["flood"] += 1
 
-    def _hand_to_distribution(self, distribution: Distribution, data: bytes, sender: Address) -> None:
+    def _hand_to_distribution(self, hand: Callable[[bytes, Address], None], data: bytes, sender: Address) -> None:
         """Hand a datagram on that comes from one of the fleet's networks and is no longer than it may be."""
         if not self.is_allowed(sender[0]):
             self.machine.counts["network"] += 1
         elif len(data) > self.plan.terms.datagram:
             self.machine.counts["garbage"] += 1
         else:
-            distribution.on_datagram(data, (sender[0], sender[1]))
+            hand(data, (sender[0], sender[1]))
 
     async def _own(self) -> None:
         """The one task that owns the machine."""
@@ -222,13 +219,13 @@
     async def on_call(self, name: str, argument: str) -> tuple[bool, Any]:
         """One call of the admin interface: whether it was done, and what there is to say."""
         if name.startswith("config-"):
-            if self.configuration_calls is None:
+            if self.configuration_call is None:
                 return False, "no [fleet.configuration] in the file"
-            return True, await self.configuration_calls.on_call(name, argument.split())
+            return True, await self.configuration_call(name, tuple(argument.split()))
         if name not in ("members", "status", "events", "leave", "forget"):
-            if self.releases is None:
+            if self.register_call is None:
                 return False, "no [fleet.register] in the file"
-            return True, await self.releases.on_call(name, tuple(argument.split()))
+            return True, await self.register_call(name, tuple(argument.split()))
         if name == "members":
             return True, self.members()
         if name == "status":
--- a/thistleshore/wiring/releases.py
+++ b/thistleshore/wiring/releases.py
@@ -11,7 +11,7 @@
 from thistleshore.config import Plan
 from thistleshore.core.broker import Broker
 from thistleshore.core.model import BanAsked
-from thistleshore.distribution.store import BODY_FOLDER, FileBodyStore
+from thistleshore.configuration.store import BODY_FOLDER, FileBodyStore
 from thistleshore.fleet.machine import Fleet
 from thistleshore.releases.carrier import Releases
 from thistleshore.releases.figures import Counter
@@ -58,7 +58,7 @@
     assert plan.releases is not None and fleet is not None
     machine, counter = fleet.machine, _count_answers(components, fleet.machine.me.name)
     control = HostControl(plan, broker, machine)
-    components.releases = fleet.releases = Releases(
+    releases = components.releases = Releases(
         plan=plan.releases,
         name=machine.me.name,
         life=machine.me.life,
@@ -73,7 +73,10 @@
         # Kept by each voter, whether or not it follows the configuration itself: what the others agree on needs it.
         bodies=FileBodyStore(Path(plan.releases.folder) / BODY_FOLDER) if plan.releases.listen is not None else None,
     )
-    components.start_as_member(components.releases.run)
+    fleet.register_call = releases.on_call
+    if components.handover is not None:
+        components.handover.releases = releases
+    components.start_as_member(releases.run)
 
 
 def _count_answers(components: Components, name: str) -> Counter:
