--- a/thistleshore/configuration/calls.py
+++ b/thistleshore/configuration/calls.py
@@ -49,6 +49,31 @@
     told: str
 
 
+class Behind(msgspec.Struct, frozen=True):
+    """An instance that has reported an older version."""
+
+    name: str
+    applied: int
+    refused: int
+    reason: str
+
+
+class ZoneStatus(msgspec.Struct, frozen=True):
+    """How far one zone is with a version, as an answer has it."""
+
+    zone: str
+    members: int
+    applied: int
+    behind: tuple[Behind, ...]
+    unknown: tuple[str, ...]
+
+
+def zone_status(zone: Zone) -> ZoneStatus:
+    """The rows of the protocol are arrays; those of an answer are objects."""
+    behind = tuple(Behind(row.name, row.applied, row.refused, row.reason) for row in zone.behind)
+    return ZoneStatus(zone.zone, zone.members, zone.applied, behind, zone.unknown)
+
+
 class Status(msgspec.Struct, frozen=True):
     """The newest version, and how far the fleet is with one."""
 
@@ -59,7 +84,7 @@
     serving_from: str  # fleet, disk or file
     spread_of: int  # the version that the zones are counted for
     everywhere: bool
-    zones: tuple[Zone, ...]
+    zones: tuple[ZoneStatus, ...]
     counts: dict[str, int]
 
 
@@ -170,7 +195,7 @@
             distribution.serving_from,
             number,
             spread.everywhere,
-            spread.zones,
+            tuple(map(zone_status, spread.zones)),
             dict(sorted(machine.counts.items())),
         )
 
