--- a/benchmarks/distribution_real.py
+++ b/benchmarks/distribution_real.py
@@ -84,7 +84,8 @@
         self.told: Counter[str] = Counter()
 
     async def play(self) -> None:
-        """Changes and faults; all faults are over at the end."""
+        """One change, and then more with faults; all faults are over at the end."""
+        await self._push(self.names[0], self.random)
         async with trio.open_nursery() as nursery:
             for _ in range(self.random.randint(2, 4)):
                 nursery.start_soon(self._fault, self._begins(), self.random.random())
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -164,14 +164,14 @@
 
 def never_durable() -> None:
     """Versions are put in force and reported, and are on no disk: `forward`."""
-    from thistleshore.distribution.store import VersionStore
+    from thistleshore.configuration.store import VersionStore
 
     VersionStore.write = lambda self, stamp, body: None  # type: ignore[method-assign]
 
 
 def believing_old() -> None:
     """Whatever another tells of last is believed, also an older version: `forward`."""
-    from thistleshore.distribution.carrier import Applied, Distribution
+    from thistleshore.configuration.carrier import Applied, Distribution
     from thistleshore.distribution.machine import Distributor
 
     async def apply(self: Any, action: Any) -> None:
