--- a/benchmarks/distribution_real.py
+++ b/benchmarks/distribution_real.py
@@ -65,12 +65,27 @@
     "period": FleetTerms().period,
 }
 CHANGE_SIZE = 4_000  # bytes of a body where latency and cost are measured
+LATENESS_LOOK = 0.05  # s
 COST_SECONDS = 60.0
 CHANGES_A_DAY = 2_900
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 PAGE = os.sysconf("SC_PAGE_SIZE")
 
 
+class Lateness:
+    """How late the rig itself is: it carries all datagrams, and one that is late has members rightly suspected."""
+
+    def __init__(self) -> None:
+        self.found: list[float | None] = []
+
+    async def run(self) -> None:
+        """Note it again and again, until cancelled."""
+        while True:
+            wanted = trio.current_time() + LATENESS_LOOK
+            await trio.sleep_until(wanted)
+            self.found.append(trio.current_time() - wanted)
+
+
 # -- drawn runs
 
 
@@ -212,7 +227,9 @@
         await rig.settle(STARTED + rig.terms.healed(rig.world.processes), "first start")
         await rig.begin()
         rig.load(300.0)
+        lateness = Lateness()
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(lateness.run)
             nursery.start_soon(run.operators.watch)
             await run.play()
             rig.heal()
@@ -239,6 +256,7 @@
         "everywhere": rounded(everywhere),
         "served": checks.served(rig.truth.rows),
         "findings": findings,
+        "rig late": spread(lateness.found),
     }
 
 
@@ -265,6 +283,7 @@
         "converged": spread([row["converged"] for row in played]),
         "bound": max((row["bound"] for row in played), default=0.0),
         "everywhere": spread([row["everywhere"] for row in played]),
+        "rig late, worst of each": spread([row["rig late"]["worst"] for row in played]),
     }
 
 
@@ -424,10 +443,15 @@
         rig.start()
         await rig.settle(STARTED + rig.terms.healed(len(run.names)), "first start")
         await rig.begin()
-        await SCENARIOS[scenario](run, changes)
+        lateness = Lateness()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(lateness.run)
+            await SCENARIOS[scenario](run, changes)
+            nursery.cancel_scope.cancel()
     rig.truth.write(folder / "record.jsonl")
     findings = checks.judge(rig.truth.rows, ["one_content", "forward", "refusals", "honest"])
-    return {"scenario": scenario, **run.result(), "findings": [finding._asdict() for finding in findings]}
+    told = {"scenario": scenario, **run.result(), "rig late": spread(lateness.found)}
+    return {**told, "findings": [finding._asdict() for finding in findings]}
 
 
 # -- what it costs
--- a/thistleshore/rig/configuration.py
+++ b/thistleshore/rig/configuration.py
@@ -28,7 +28,7 @@
 STATUS_WITHIN = 3.0  # s for an answer to `config-status`, which asks the relays of all zones
 PUSH_EVERY = 1.0  # s
 SMALL = 600  # bytes of a body
-LOOK = 0.3  # s between two questions to one process
+LOOK = 0.5  # s between two questions to one process
 PROGRAM_WITH_POINTS = (sys.executable, "-m", "thistleshore")
 ANY = "-"  # a push that names no version that it is made against
 DEATH_LOOK = 0.01  # s between two looks whether a process has died at its fault point
@@ -277,7 +277,7 @@
             await self.status(name)
             await self.history(name)
 
-    async def reached(self, number: int, names: Sequence[str], within: float, every: float = 0.05) -> float | None:
+    async def reached(self, number: int, names: Sequence[str], within: float, every: float = 0.2) -> float | None:
         """Ask each until it has this version or a newer one in force: the s until the last had; None: not in time.
 
         A process that is down is asked again once it runs."""
