--- a/benchmarks/distribution_baselines.py
+++ b/benchmarks/distribution_baselines.py
@@ -26,6 +26,7 @@
 WINDOW = 8  # parts that are asked for at once
 REPEAT_AFTER = 0.4  # s until missing parts are asked for again
 REPEATS_MOST = 4  # then the transfer is given up, and another voter is asked
+KEPT = 4  # bodies that a voter can still send
 
 
 class Ask(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
@@ -117,13 +118,13 @@
         held: tuple[Stamp, bytes] | None = None,
     ) -> None:
         self.me, self.voters = me, voters
-        self.applied, self._body = held if held is not None else (NO_VERSION, b"")
+        self.applied = held[0] if held is not None else NO_VERSION
+        self._bodies = {held[0].number: held[1]} if held is not None else {}
         self.counts: Counter[str] = Counter()
         self._random = randoms.Random(seed)
         self._addresses: dict[str, Address] = {}
         self._transfer: Transfer | None = None
         self._under_way = NO_VERSION  # that the carrier puts in force
-        self._next_body = b""
         self._next_ask = now + self._random.uniform(0.0, ASK_EVERY)
 
     @property
@@ -177,7 +178,6 @@
         """The version is durable and in force."""
         if stamp.number > self.applied.number:
             self.applied = stamp
-            self._body = self._next_body if stamp == self._under_way else self._body
         self._under_way = NO_VERSION
         return []
 
@@ -205,13 +205,16 @@
     def _put_in_force(self, stamp: Stamp, body: bytes) -> list[Action]:
         if stamp.number <= max(self.applied.number, self._under_way.number):
             return []
-        self._under_way, self._next_body = stamp, body
+        self._under_way = stamp
+        self._bodies[stamp.number] = body
+        while len(self._bodies) > KEPT:
+            del self._bodies[min(self._bodies)]
         return [Apply(stamp, body)]
 
     def _send_parts(self, message: Fetch, sender: Address) -> list[Action]:
-        if message.number != self.applied.number:
-            return []  # there is a newer one by now: the other will ask again
-        body = self._body
+        body = self._bodies.get(message.number)
+        if body is None:
+            return []  # there are newer ones by now: the other will ask again
         return [
             Send(sender, _encode(Part(message.number, part, body[part * PART_BYTES : (part + 1) * PART_BYTES])))
             for part in message.parts
