--- a/benchmarks/distribution_baselines.py
+++ b/benchmarks/distribution_baselines.py
@@ -6,7 +6,8 @@
 *By hand*: one operator copies the file to one instance after another and sends SIGHUP.  Dead instances are skipped, and
 stay behind until somebody goes round again.  How long a copy takes is assumed, see `HandTerms`.
 
-Both run in the network of `distribution_net`, under the same faults.
+Both run in the network of `distribution_net`, under the same faults.  By hand nothing is a datagram: the bytes of the
+copies are counted apart.
 """
 
 from __future__ import annotations
@@ -19,6 +20,7 @@
 
 import msgspec
 
+from benchmarks.distribution_fleet import Fleet
 from thistleshore.distribution.model import NO_VERSION, Action, Address, Apply, Peer, Send, Stamp, Terms
 
 ASK_EVERY = 1.0  # s
@@ -228,3 +230,64 @@
     give_up: float = 10.0  # s until an instance that does not answer is skipped
     lossy_copy: float = 6.0  # s of a copy where datagrams are lost
     overhead: int = 4_000  # bytes of the session that copies
+
+
+class FileOnly(Asker):
+    """An instance that reads its file at a SIGHUP, and neither asks nor answers anybody."""
+
+    @property
+    def due(self) -> float:
+        return inf
+
+    def on_agreed(self, stamp: Stamp, body: bytes | None, now: float) -> list[Action]:
+        """There is no register: the operator's file is what counts."""
+        return []
+
+
+class Operator:
+    """Copies the newest file to one instance after another, round after round until all have been tried with it."""
+
+    def __init__(self, fleet: Fleet, terms: HandTerms) -> None:
+        self._fleet, self._terms = fleet, terms
+        self._newest: Apply | None = None
+        self._remaining: list[str] = []
+        self._round: Apply | None = None  # what the round under way brings
+        self._busy = False
+        self.copied_bytes = 0
+        self.skipped = 0
+
+    def push(self, body: bytes) -> int:
+        """Write a new file; it is brought to all once the round under way is over."""
+        number = self._fleet.push(body)
+        if number:
+            self._newest = Apply(self._fleet.register, body)
+            if not self._busy:
+                self._begin_round()
+        return number
+
+    def _begin_round(self) -> None:
+        self._remaining = list(self._fleet.nodes)
+        self._round = self._newest
+        self._busy = True
+        self._next()
+
+    def _next(self) -> None:
+        if not self._remaining:
+            self._busy = False
+            if self._newest is not self._round:
+                self._begin_round()
+            return
+        name = self._remaining.pop(0)
+        reached = self._fleet.nodes[name].alive and name not in self._fleet.cut_off
+        copy = self._terms.lossy_copy if self._fleet.loss else self._terms.copy
+        seconds = copy if reached else self._terms.give_up
+        self._fleet.at(self._fleet.now + seconds, lambda: self._copied(name, reached))
+
+    def _copied(self, name: str, reached: bool) -> None:
+        action = self._round
+        if reached and action is not None and self._fleet.nodes[name].alive:
+            self.copied_bytes += len(action.body) + self._terms.overhead
+            self._fleet.hand_over(name, action)
+        else:
+            self.skipped += 1
+        self._next()
--- a/benchmarks/distribution_times.py
+++ b/benchmarks/distribution_times.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -26,20 +26,31 @@
     beyond: int = 0  # over the bound, those that never came to it among them
 
 
-def quantiles(times: Sequence[float], never: int = 0) -> Quantiles:
-    """p50, p99 and the worst; `never` are those without a time."""
-    if not times:
-        return Quantiles(never, never=never, beyond=never)
-    rows = sorted(times)
-    last = len(rows) - 1
-    return Quantiles(
-        n=len(rows) + never,
-        p50=round(rows[last // 2], 3),
-        p99=round(rows[min(last, len(rows) * 99 // 100)], 3),
-        worst=round(rows[-1], 3),
-        never=never,
-        beyond=never + sum(value > BOUND for value in rows),
-    )
+class Sample(msgspec.Struct):
+    """Times in seconds, and how many never came to an end."""
+
+    times: list[float] = []
+    never: int = 0
+
+    def add(self, other: Sample) -> None:
+        """Take in another sample."""
+        self.times = self.times + other.times
+        self.never += other.never
+
+    def quantiles(self) -> Quantiles:
+        """p50, p99 and the worst of those that came to an end."""
+        if not self.times:
+            return Quantiles(self.never, never=self.never, beyond=self.never)
+        rows = sorted(self.times)
+        last = len(rows) - 1
+        return Quantiles(
+            n=len(rows) + self.never,
+            p50=round(rows[last // 2], 3),
+            p99=round(rows[min(last, len(rows) * 99 // 100)], 3),
+            worst=round(rows[-1], 3),
+            never=self.never,
+            beyond=self.never + sum(value > BOUND for value in rows),
+        )
 
 
 class Miss(NamedTuple):
@@ -133,16 +144,14 @@
             self.misses += [Miss(version.number, name, None) for name in sorted(version.waiting)]
         self.returns += self._returning.values()
 
-    def everywhere(self) -> Quantiles:
+    def everywhere(self) -> Sample:
         """From agreed to in force everywhere, a version each."""
-        return quantiles(self.done, len(self._open))
-
-    def returned(self, instances: Iterable[str] | None = None) -> Quantiles:
-        """From a return to in force, of these instances or all."""
-        wanted = None if instances is None else set(instances)
-        found = [row for row in self.returns if wanted is None or row.instance in wanted]
-        times = [row.seconds for row in found if row.seconds is not None]
-        return quantiles(times, len(found) - len(times))
+        return Sample(list(self.done), len(self._open))
+
+    def returned(self) -> Sample:
+        """From a return to in force, a return each."""
+        times = [row.seconds for row in self.returns if row.seconds is not None]
+        return Sample(times, len(self.returns) - len(times))
 
     def _close(self, numbers: Iterable[int]) -> None:
         for number in numbers:
