--- a/benchmarks/distribution_deaths.py
+++ b/benchmarks/distribution_deaths.py
@@ -133,7 +133,7 @@
         machine.deaths = deaths
         return machine
 
-    fleet = Fleet(size, seed, loss=loss, kind=made)
+    fleet = Fleet(size, seed, loss=loss, kind=made, recorded=True)
     # At the same moment, but after the call that the machine is in.
     deaths.kill = lambda name: fleet.at(fleet.now, lambda: fleet.kill(name))
     fleet.on_durable = lambda name: _durable(deaths, name)
--- a/benchmarks/distribution_scenarios.py
+++ b/benchmarks/distribution_scenarios.py
@@ -84,6 +84,7 @@
     """A fleet with its configuration and whoever brings it; past the warm-up."""
 
     def __init__(self, size: int, seed: int, way: Way, loss: float = 0.0, fleet: Fleet | None = None) -> None:
+        """`fleet` where it is made already."""
         kinds: dict[Way, type] = {Way.TREE: Distributor, Way.ASKING: Asker, Way.BY_HAND: FileOnly}
         recorded = way is Way.TREE
         self.way = way
