--- a/benchmarks/distribution_virtual.py
+++ b/benchmarks/distribution_virtual.py
@@ -4,10 +4,11 @@
     python -m benchmarks.distribution_virtual --deaths [--nodes 60]         # between any two steps
     python -m benchmarks.distribution_virtual --day [--nodes 60] [--seed 1] [--share 1.0] [--profile]
     python -m benchmarks.distribution_virtual --stories 200                 # drawn stories, sound and flawed forms
+    python -m benchmarks.distribution_virtual --cost [--nodes 9 60 200]     # CPU and bytes by role, memory of the state
 
 Scenarios are played by the tree and by two baselines (`--ways`).  `--keep` puts the results into a JSON file under
 "virtual", beside what is there.  Ends with 1 where the checker found a fault in the sound form, or a change was not in
-force everywhere within the bound where it should have been.
+force everywhere within the bound where it should have been, or the worst instance is beyond the budget.
 """
 
 from __future__ import annotations
@@ -24,6 +25,7 @@
 
 import msgspec
 
+from benchmarks.distribution_cost import CostReport, measure_cost
 from benchmarks.distribution_day import DayReport, play_day
 from benchmarks.distribution_scenarios import SCENARIOS, DeathRow, Measured, Way, deaths_at_steps, over_seeds
 from benchmarks.distribution_stories import FORMS, FormReport, stories
@@ -101,6 +103,18 @@
     return (report.found == 0) if report.form == "sound" else (report.found > 0)
 
 
+def played_cost(asked: argparse.Namespace) -> Outcome:
+    """What the machine costs by role, at each size."""
+    reports = {str(size): measure_cost(size, asked.seed) for size in asked.nodes}
+    for report in reports.values():
+        _tell("cost", report)
+    return Outcome("cost", msgspec.to_builtins(reports), all(_fine_cost(report) for report in reports.values()))
+
+
+def _fine_cost(report: CostReport) -> bool:
+    return all(row.within_budget for row in report.rows.values())
+
+
 def _tell(told: str, row: msgspec.Struct) -> None:
     print(told, msgspec.json.encode(row).decode(), file=sys.stderr, flush=True)
 
@@ -145,6 +159,7 @@
     parser.add_argument("--day", action="store_true")
     parser.add_argument("--share", type=float, default=1.0)
     parser.add_argument("--stories", type=int, default=0)
+    parser.add_argument("--cost", action="store_true")
     parser.add_argument("--profile", action="store_true")
     parser.add_argument("--json", action="store_true")
     parser.add_argument("--keep", type=Path)
@@ -161,6 +176,8 @@
         play = played_day
     elif asked.deaths:
         play = played_deaths
+    elif asked.cost:
+        play = played_cost
     elif asked.stories:
         play = played_stories
     outcome = _profiled(play, asked) if asked.profile else play(asked)
