The test of the list in hand follows wait_for_hosts by its new name

Need: it still asked for dispatcher._list, which the split has moved; the assertions are as they were.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -15,7 +15,7 @@
 from tests.standins import Http
 from tests.support import Lines, end, free_port, listening, play
 from tests.test_config import PLATFORM
-from thistleshore import config, dispatcher
+from thistleshore import config
 from thistleshore.core import model
 from thistleshore.core.broker import QUEUE, Broker
 from thistleshore.platform import discovery
@@ -24,6 +24,7 @@
 from thistleshore.platform.upstream import Upstreams, Ways
 from thistleshore.platform.watching import CARRIED, TOLD_AFTER, TOLD_AFTER_MOVE, Call, Pace, Refused, Watch, pace_of
 from thistleshore.restart.handover_state import HandoverState
+from thistleshore.wiring.http import wait_for_hosts
 
 SIZES = (1, 40, 200, 1024)
 DRAIN = 3.0
@@ -561,7 +562,7 @@
             watch = watching(await listening(nursery, handle), of=of)
             nursery.start_soon(broker.run)
             broker.post(model.HostsTold(ListKind.CACHED, (model.HostLine(Entry(b"h", State.READY), ("127.0.0.1", 9)),)))
-            nursery.start_soon(dispatcher._list, broker, watch, listed)
+            nursery.start_soon(wait_for_hosts, broker, watch, listed)
             nursery.start_soon(watch.run, broker.post)
             await trio.sleep(0.1)
             assert not listed.is_set()
