--- /dev/null
+++ b/benchmarks/capacity/counted.py
@@ -0,0 +1,70 @@
+"""Counts the bytes that a process sends, in memory that another process can read.
+
+python -O -m benchmarks.capacity.counted COUNTS MODULE [ARGUMENT ...]     # that module's program, counted
+"""
+
+from __future__ import annotations
+
+import mmap
+import runpy
+import socket
+import sys
+from pathlib import Path
+from typing import Any, NamedTuple
+
+FIELDS = 4
+BYTES_EACH = 8
+
+
+class Sent(NamedTuple):
+    """What a process has sent since its start."""
+
+    udp_bytes: int
+    udp_sends: int
+    tcp_bytes: int
+    tcp_sends: int
+
+    def since(self, before: Sent) -> Sent:
+        return Sent(*(now - then for now, then in zip(self, before, strict=True)))
+
+
+def create(file: Path) -> None:
+    """An empty file of counts, before the process that counts is started."""
+    file.write_bytes(bytes(FIELDS * BYTES_EACH))
+
+
+def read(file: Path) -> Sent:
+    return Sent(*memoryview(file.read_bytes()).cast("Q"))
+
+
+def install(file: Path) -> None:
+    """Count from now on; to be called before trio is imported, which keeps the methods that it finds."""
+    with file.open("r+b") as opened:
+        counts = memoryview(mmap.mmap(opened.fileno(), FIELDS * BYTES_EACH)).cast("Q")
+    plain_send, plain_sendto = socket.socket.send, socket.socket.sendto
+
+    def send(self: socket.socket, *arguments: Any) -> int:
+        sent = plain_send(self, *arguments)
+        counts[2] += sent
+        counts[3] += 1
+        return sent
+
+    def sendto(self: socket.socket, *arguments: Any) -> int:
+        sent = plain_sendto(self, *arguments)
+        counts[0] += sent
+        counts[1] += 1
+        return sent
+
+    socket.socket.send = send  # type: ignore[method-assign]
+    socket.socket.sendto = sendto  # type: ignore[method-assign]
+
+
+def main() -> None:
+    file, module, *arguments = sys.argv[1:]
+    install(Path(file))
+    sys.argv = [module, *arguments]
+    runpy.run_module(module, run_name="__main__", alter_sys=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,81 @@
+"""The capacity measurements: the page says what was kept, and the short form comes to its verdicts."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from benchmarks.capacity import counted, figures, model, page, rows, runs
+from benchmarks.capacity.model import FEWEST_POINTS, Point, Result, Series, fit
+
+
+@pytest.fixture(scope="module")
+def quick() -> Result:
+    """One run of the short form."""
+    return runs.measure(True, [], None)
+
+
+def test_the_page_shows_the_kept_result() -> None:
+    assert page.generated().strip() == page.render(model.read(), rows.distribution()).strip()
+
+
+def test_the_kept_result_is_a_full_run_with_enough_sizes() -> None:
+    result = model.read()
+    assert not result.quick
+    for slope in figures.SLOPES:
+        assert len(result.series[slope.series].used(slope.value)) >= FEWEST_POINTS, slope
+
+
+def test_every_requirement_has_a_verdict() -> None:
+    found = rows.requirements(model.read(), rows.distribution())
+    assert len(found) >= 20
+    assert all(row.verdict.startswith(("fits", "over", "no mechanism", "not run")) for row in found)
+    assert all(row.mark in ("measured", "from a slope", "assumed", "not run", "-") for row in found)
+
+
+def test_a_fit_gives_back_its_line_and_where_the_budget_is_passed() -> None:
+    found = fit([(n, 3.0 + 2.0 * n) for n in (1, 5, 9, 20)])
+    assert found is not None
+    assert found.at(100) == pytest.approx(203.0)
+    assert found.r_squared == pytest.approx(1.0)
+    assert found.size_at(43.0) == 20
+    assert fit([(1, 1.0), (2, 2.0), (3, 3.0)]) is None
+
+
+def test_points_at_which_the_host_was_the_limit_are_in_no_fit() -> None:
+    points = tuple(Point(n, {"bytes": float(n)}, fits=n < 5) for n in range(1, 7))
+    series = Series("s", "instances", "made up", points)
+    assert series.used("bytes") == [(1, 1.0), (2, 2.0), (3, 3.0), (4, 4.0)]
+
+
+def test_counts_are_read_by_another_process(tmp_path: Path) -> None:
+    file = tmp_path / "counts"
+    counted.create(file)
+    assert counted.read(file) == counted.Sent(0, 0, 0, 0)
+
+
+def test_the_short_form_measures_every_series(quick: Result) -> None:
+    assert set(quick.series) >= {"decisions", "teams", "requests", "running", "leases", "view", "register", "crashes"}
+
+
+def test_leases_send_a_message_to_each_peer(quick: Result) -> None:
+    """Bytes of a dispatcher grow with their number: at the fleet's size they are over the budget."""
+    found = figures.series_fit(quick.series["leases"], "bytes")
+    assert found is not None and found.r_squared > 0.9
+    assert found.at(26) > 5.0 * model.SIZE.control_bytes_a_second
+
+
+def test_the_view_stays_within_its_budget(quick: Result) -> None:
+    """Bytes of a member of a quiet fleet; a slope of such small sizes is not drawn out to the fleet's."""
+    assert all(point.values["bytes"] < model.SIZE.control_bytes_a_second for point in quick.series["view"].points)
+
+
+def test_hollow_and_whole_dispatchers_form_one_fleet(quick: Result) -> None:
+    (found,) = quick.mixed
+    assert found.one_view_s is not None
+    assert found.memory_mb < model.SIZE.test_memory_mb
+
+
+def test_an_operators_calls_are_answered_in_full(quick: Result) -> None:
+    assert quick.mixed[0].members_bytes > 0
