--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -208,7 +209,7 @@
         assert not [message for message in found if isinstance(message, wire.Fetch | Apply)]
         assert not kind or one.counts[kind] == 1
         assert one.known == one.applied == held[0]
-    found = one.on_agreed(stamp_of(6, b"", size=BODY_MOST + 1), None, 0.0)
+    one.on_agreed(stamp_of(6, b"", size=BODY_MOST + 1), None, 0.0)
     assert one.spread(6, 0.0).zones[0].behind[0].reason.startswith("a body of")
 
 
@@ -224,15 +225,15 @@
     if kind == "silent":
         found = [*one.on_time(0.4), *one.on_time(0.8)]
     else:
-        wrong = {
+        wrong: dict[str, wire.Message] = {
             "altered": wire.Part(fetch.transfer, 0, len(data), 1, 0, data[:100] + b"?" + data[101:]),
             "too many": wire.Part(fetch.transfer, 0, 1 << 30, 4000, 0, data[:100]),
             "too long": wire.Part(fetch.transfer, 0, 99, 2, 0, data[:100]),
             "another encoding": wire.Part(fetch.transfer, 9, len(data), 1, 0, data),
             "lacking": wire.Lacking(fetch.transfer),
-        }[kind]
+        }
         one.terms = one.terms._replace(datagram=60_000)
-        found = one.on_datagram(wire.write(FLEET, "a", 1, wrong), OTHER.address, 0.8)
+        found = one.on_datagram(wire.write(FLEET, "a", 1, wrong[kind]), OTHER.address, 0.8)
     sent = [
         (action.address, wire.read(action.data, FLEET, 1200).message) for action in found if isinstance(action, Send)
     ]
@@ -412,7 +413,7 @@
 def test_versions_in_quick_succession_end_at_the_newest() -> None:
     fleet = world(45, seed=4, loss=0.1, repeat=0.1, reorder=0.2)
     for number in range(1, 41):
-        fleet.at(2.0 + 0.1 * number, lambda number=number: fleet.push(body_of(number)))
+        fleet.at(2.0 + 0.1 * number, partial(fleet.push, body_of(number)))
     fleet.run(7.0)
     assert fleet.run_until(lambda: fleet.in_force(40), 8.0) is not None
     sound(fleet)
@@ -445,9 +446,9 @@
     chance = random.Random(seed)
     fleet.run(4.0)
     relays = relays_of(fleet)
-    doomed = {chance.choice(sorted(fleet.voters)), *chance.sample(sorted(set(relays) - fleet.voters), 4)}
+    doomed = [chance.choice(sorted(fleet.voters)), *chance.sample(sorted(set(relays) - fleet.voters), 4)]
     for name in doomed:
-        fleet.at(fleet.now + chance.uniform(0.0, 0.4), lambda name=name: fleet.kill(name))
+        fleet.at(fleet.now + chance.uniform(0.0, 0.4), partial(fleet.kill, name))
     fleet.run(fleet.now)
     pushed(fleet, 1)
     for name in doomed:
--- a/thistleshore/distribution/machine.py
+++ b/thistleshore/distribution/machine.py
@@ -70,7 +70,7 @@
         self.applied: Stamp = held[0] if held is not None else NO_VERSION
         self.known: Stamp = self.applied
         self.counts: Counter[str] = Counter()
-        self._random = randoms.Random(seed)
+        self._random = randoms.Random(f"{seed} {me.name} {me.life}")  # never in step with another instance
         self._peers: dict[str, Peer] = {}
         self._tree = Tree(me, {}, voters)
         self._bodies = Bodies(terms.kept)
@@ -338,7 +338,7 @@
         self.counts["refused"] += 1
         self._refused = stamp.number
         self._reason = reason.encode()[:REASON_MOST].decode(errors="ignore")
-        self._note("refused", stamp, reason)
+        self._note("refused", stamp, self._reason)
         self._report(now, everywhere=True)
 
     # -- offers ------------------------------------------------------------------------------------
