Reports that waited in the socket of a stopped process count as of before the stop

Change: a call of on_time that is late by over 0.5 s tells the machine that it was stopped; what it reads in the next 0.2 s counts from its last call before.

--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -368,6 +368,21 @@
     assert other_at(1.4) == "behind", "of another register"
 
 
+def test_a_report_that_waited_while_the_process_was_stopped_is_as_old_as_the_stop() -> None:
+    one = machine((stamp_of(5, body_of(5)), body_of(5)))
+    report = wire.Report(1, REGISTER, 5, 0, "", NO_VERSION)
+    last = one.due
+    one.on_time(last)
+    resumed = last + TERMS.fresh + 1.0
+    one.on_time(resumed)
+    tell(one, report, resumed + 0.01)
+    assert one.spread(5, resumed + 0.02).zones[0].unknown == (OTHER.name,)
+    assert one.counts["stalls"] == 1
+    one.on_time(one.due)
+    tell(one, report, resumed + 0.5)
+    assert not one.spread(5, resumed + 0.6).zones[0].unknown
+
+
 # -- many machines ---------------------------------------------------------------------------------
 
 
--- a/thistleshore/distribution/machine.py
+++ b/thistleshore/distribution/machine.py
@@ -47,6 +47,8 @@
 WAIT_LEAST = 0.25  # of `wait_most`, for one whose relays did not answer
 SOURCES_MOST = 4  # of those that told of the newest version
 TRANSFER_BITS = 48
+STALL_LEAST = 0.5  # s by which a call of `on_time` may be late; whoever is later was stopped
+BACKLOG_READ = 0.2  # s after a stop for which what is read had waited in the socket
 
 
 class Distributor:
@@ -89,6 +91,8 @@
         self._unasked: Iterator[Peer] = iter(())  # parents for the report, where those before do not answer
         self._answer_due = inf
         self._noted: dict[str, Stamp] = {}  # the last version of each kind that cannot be put in force here
+        self._last_call = now
+        self._backlog_since, self._backlog_until = now, -inf  # after a stop: what is read came in that time
         self._out: list[Action] = []
         if held is not None:
             self._bodies.add(*held, in_force=held[0].number)
@@ -132,6 +136,7 @@
 
     def on_datagram(self, data: bytes, sender: Address, now: float) -> list[Action]:
         """Take a datagram in; what is no datagram of this fleet changes nothing and is counted."""
+        self._last_call = now
         self.counts["heard"] += 1
         self.counts["bytes_heard"] += len(data)
         try:
@@ -148,7 +153,8 @@
         return self._done()
 
     def on_time(self, now: float) -> list[Action]:
-        """Do what is due."""
+        """Do what is due; after a stop it is called before anything that has come meanwhile is taken in."""
+        self._notice_stall(now)
         if now >= self._offers.due:
             self._offer_to(self._offers.on_time(now))
         if now >= self._answer_due:
@@ -200,6 +206,19 @@
         found = self._bodies.get(number)
         return None if found is None else found[1]
 
+    # -- time ------------------------------------------------------------------------------------
+
+    def _notice_stall(self, now: float) -> None:
+        """A process that was stopped reads what had waited in its socket: such reports are older than they look."""
+        if now - self.due > STALL_LEAST:
+            self.counts["stalls"] += 1
+            self._backlog_since, self._backlog_until = self._last_call, now + BACKLOG_READ
+        self._last_call = now
+
+    def _heard_at(self, now: float) -> float:
+        """The time that a report read now counts from: never later than it came."""
+        return self._backlog_since if now < self._backlog_until else now
+
     # -- datagrams ---------------------------------------------------------------------------------
 
     def _take(self, message: wire.Message, life: int, source: Source, now: float) -> None:
@@ -224,11 +243,11 @@
             case wire.Ask():
                 self._on_ask(source, now)
             case wire.Rows():
-                self.counts["rows_useless"] += self._reports.take_rows(message, now)
+                self.counts["rows_useless"] += self._reports.take_rows(message, self._heard_at(now))
 
     def _on_report(self, report: wire.Report, life: int, source: Source, now: float) -> None:
         row = Row(source.name, life, report.applied, report.refused, report.reason)
-        if not self._reports.take(Heard(row, report.register, now)):
+        if not self._reports.take(Heard(row, report.register, self._heard_at(now))):
             self.counts["report_useless"] += 1
         self._send(source.address, wire.Answer(report.number, self._bodies.newest))
         self._hear(report.held, source, now)
