--- a/thistleshore/cli/configuration.py
+++ b/thistleshore/cli/configuration.py
@@ -211,6 +211,8 @@
             why = f", refused {row['refused']}: {row['reason']}" if row["refused"] else ""
             lines.append(f"{place}: {row['name']} behind, at {row['applied']}{why}")
         lines += [f"{place}: {name} unknown: no fresh report" for name in zone["unknown"]]
+    if found["unlisted"]:
+        lines.append(f"{found['unlisted']} more, known to others and not to the member that was asked")
     return lines
 
 
--- a/thistleshore/configuration/calls.py
+++ b/thistleshore/configuration/calls.py
@@ -85,6 +85,7 @@
     spread_of: int  # the version that the zones are counted for
     everywhere: bool
     zones: tuple[ZoneStatus, ...]
+    unlisted: int  # members that others know and this one does not: they died before it joined
     counts: dict[str, int]
 
 
@@ -199,8 +200,9 @@
             machine.applied.number,
             distribution.serving_from,
             number,
-            spread.everywhere,
+            spread.everywhere and distribution.fleet.machine.knows_all,
             tuple(map(zone_status, spread.zones)),
+            distribution.fleet.machine.unlisted,
             dict(sorted(machine.counts.items())),
         )
 
--- a/thistleshore/fleet/machine.py
+++ b/thistleshore/fleet/machine.py
@@ -184,9 +184,19 @@
 
         All: also by the word of those that live.  One that has just joined a minority knows none of the dead.
         """
-        known = max([self.known, *(member.known for member in self._alive())])
+        known = self.known + self.unlisted
         return self.heard_any and not self.quiet and not self.leaving and 2 * self.seen > known
 
+    @property
+    def unlisted(self) -> int:
+        """How many more members another one knows than are known here: whoever joins is not told of the dead."""
+        return max([0, *(member.known - self.known for member in self._alive())])
+
+    @property
+    def knows_all(self) -> bool:
+        """Whether no other member is known to know more; never while no seed was heard, or while it stays out."""
+        return self.heard_any and not self.quiet and not self.unlisted
+
     def bound(self) -> float:
         """s within which the view settles after the last fault, without loss."""
         fleet = len(self.members) + 1
