--- a/thistleshore/configuration/calls.py
+++ b/thistleshore/configuration/calls.py
@@ -85,6 +85,7 @@
     spread_of: int  # the version that the zones are counted for
     everywhere: bool
     zones: tuple[ZoneStatus, ...]
+    unlisted: int  # members that others know and this one does not: they died before it joined
     counts: dict[str, int]
 
 
@@ -199,8 +200,10 @@
             machine.applied.number,
             distribution.serving_from,
             number,
-            spread.everywhere and distribution.sees_all(spread),
+            # Some that started together in a cut may know nobody else: a majority of the voters has to say so, too.
+            spread.everywhere and distribution.fleet.machine.knows_all and self._agreed(),
             tuple(map(zone_status, spread.zones)),
+            distribution.fleet.machine.unlisted,
             dict(sorted(machine.counts.items())),
         )
 
