--- a/thistleshore/wiring/distribution.py
+++ b/thistleshore/wiring/distribution.py
@@ -4,11 +4,13 @@
 
 from pathlib import Path
 
+from oxbowarch.interface import ListKind
 from thistleshore.config import Plan
 from thistleshore.configuration.applying import Applier
 from thistleshore.configuration.calls import ConfigurationCalls
 from thistleshore.configuration.carrier import Distribution
 from thistleshore.configuration.store import VersionStore
+from thistleshore.core.model import HostsTold
 from thistleshore.wiring.components import Components
 
 
@@ -31,6 +33,6 @@
     if components.handover is not None:
         components.handover.distribution = distribution
     if components.initial.inherited is not None and applier.hosts_told:
-        # The hosts of the process before may be those of an earlier version.
-        follower.tell_hosts(plan.known)
+        # The hosts of the process before, which the broker has been told, may be those of an earlier version.
+        components.broker.inbox.send_nowait(HostsTold(ListKind.FULL, plan.known))
     components.start_as_member(distribution.run)
