--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -419,8 +419,9 @@
     sound(fleet)
 
 
-def test_a_great_body_with_nothing_in_common_comes_by_parts() -> None:
-    fleet = world(45, seed=2, loss=0.02, terms=TERMS._replace(transfers=3))
+@pytest.mark.parametrize(("loss", "transfers"), [(0.02, 3), (0.1, 16)])
+def test_a_great_body_with_nothing_in_common_comes_by_parts(loss: float, transfers: int) -> None:
+    fleet = world(45, seed=2, loss=loss, terms=TERMS._replace(transfers=transfers))
     fleet.run(4.0)
     body = random.Random(3).randbytes(BODY_MOST)
     assert fleet.push(body) == 1
@@ -428,7 +429,8 @@
     fleet.at(fleet.now + 1.0, partial(fleet.kill, relay))
     fleet.at(fleet.now + 3.0, partial(fleet.restart, relay))
     assert fleet.run_until(lambda: fleet.in_force(1), SPREAD_MOST) is not None
-    assert sum(node.machine.counts["busy"] for node in fleet.living() if node.machine) > 0
+    busy = sum(node.machine.counts["busy"] for node in fleet.living() if node.machine)
+    assert (busy > 0) == (transfers == 3)
     sound(fleet)
 
 
