--- a/thistleshore/addresses.py
+++ b/thistleshore/addresses.py
@@ -12,6 +12,12 @@
 MAPPED = 0xFFFF << 32  # ::ffff:0:0
 
 
+def address_text(address: Address) -> str:
+    """HOST:PORT, an IPv6 host in brackets."""
+    host, port = address
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
 def ip_number(text: str) -> int | None:
     """An address as an integer; None where the text is none.  A zone (`fe80::1%eth0`) is no part of it."""
     try:
--- a/thistleshore/fleet/carrier.py
+++ b/thistleshore/fleet/carrier.py
@@ -14,7 +14,7 @@
 import trio
 
 from thistleshore import __version__
-from thistleshore.addresses import Address, ip_number
+from thistleshore.addresses import address_text, ip_number
 from thistleshore.expressions.networks import address_set
 from thistleshore.fleet import wire
 from thistleshore.fleet.machine import Fleet
@@ -221,7 +221,7 @@
             "members": [
                 {"name": record.name, "zone": record.zone, "life": record.life,
                  "state": State(record.state).name.lower(), "service": Service(record.service).name.lower(),
-                 "address": written(record.address), "since": round(time.time() - (now - since), 3),
+                 "address": address_text(record.address), "since": round(time.time() - (now - since), 3),
                  "incarnation": record.incarnation}
                 for record, since in sorted(rows, key=lambda row: row[0].name)
             ],
@@ -233,7 +233,7 @@
         return {
             "fleet": machine.fleet, "self": machine.me.name, "life": machine.me.life,
             "takes_part": not machine.quiet and not machine.leaving,
-            "name_taken_by": None if machine.rival is None else written(machine.rival.address),
+            "name_taken_by": None if machine.rival is None else address_text(machine.rival.address),
             "digest": f"{machine.digest:08x}", "settled": machine.settled, "majority": machine.majority,
             "seen": machine.seen, "known": machine.known, "health": machine.health,
             "unchanged": round(trio.current_time() - machine.changed_at, 3),
@@ -244,10 +244,6 @@
         }  # fmt: skip
 
 
-def written(address: Address) -> str:
-    return f"[{address[0]}]:{address[1]}" if ":" in address[0] else f"{address[0]}:{address[1]}"
-
-
 def fingerprint(told: Mapping[str, Any]) -> str:
     """Of a file's tables, whatever their order."""
     import xxhash
--- a/thistleshore/restart/handover_state.py
+++ b/thistleshore/restart/handover_state.py
@@ -13,6 +13,7 @@
 from oxbowarch.brain import Brain
 from oxbowarch.interface import ListKind, State
 from oxbowarch.notes import NUMBERS
+from thistleshore.addresses import address_text
 from thistleshore.config import Plan
 from thistleshore.core.broker import Broker
 from thistleshore.core.model import BanAsked, HostLine, SettingsTold, UpstreamHost
@@ -49,7 +50,7 @@
         "born_ms": (entry.started_at - epoch) * 1000 if entry.started_at else 0,
     }
     if isinstance(dial, tuple):
-        made["dial"] = f"[{dial[0]}]:{dial[1]}" if ":" in dial[0] else f"{dial[0]}:{dial[1]}"
+        made["dial"] = address_text(dial)
     return made
 
 
