--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -26,6 +26,7 @@
     Address,
     Apply,
     Peer,
+    Row,
     Send,
     Stamp,
     Terms,
@@ -368,6 +369,18 @@
     assert other_at(1.4) == "behind", "of another register"
 
 
+def test_a_report_that_was_told_by_others_is_not_told_on() -> None:
+    one = machine((stamp_of(5, body_of(5)), body_of(5)))
+    third = Peer("c", ("127.0.0.1", 3), "r/z", 1, True)
+    one.on_view([OTHER, third], 0.0)
+    rows = wire.Rows(0, 0, b"", (wire.AgedRow(Row("c", 1, 5), REGISTER, 100),))
+    tell(one, rows)
+    assert one.spread(5, 0.1).zones[0].unknown == (OTHER.name,)
+    tell(one, wire.Report(1, REGISTER, 5, 0, "", NO_VERSION), 0.2)
+    (told,) = tell(one, wire.Ask(), 0.3)
+    assert isinstance(told, wire.Rows) and len(told.members) == 2 * 10, "itself, and whom it heard"
+
+
 def test_a_report_that_waited_while_the_process_was_stopped_is_as_old_as_the_stop() -> None:
     one = machine((stamp_of(5, body_of(5)), body_of(5)))
     report = wire.Report(1, REGISTER, 5, 0, "", NO_VERSION)
--- a/thistleshore/distribution/reports.py
+++ b/thistleshore/distribution/reports.py
@@ -40,26 +40,31 @@
     def __init__(self, terms: Terms) -> None:
         self._terms = terms
         self._peers: Mapping[str, Peer] = {}
-        self._heard: dict[str, Heard] = {}
+        self._heard: dict[str, Heard] = {}  # from the members themselves
+        self._learnt: dict[str, Heard] = {}  # from relays; not told on, as a report would grow younger with each hop
         self._by_token: dict[int, Peer] | None = None  # made when it is needed
 
     def on_view(self, peers: Mapping[str, Peer]) -> None:
         """The members have changed: what others said goes."""
         self._peers = peers
         self._heard = {name: heard for name, heard in self._heard.items() if name in peers}
+        self._learnt = {name: heard for name, heard in self._learnt.items() if name in peers}
         self._by_token = None
 
     def take(self, heard: Heard) -> bool:
-        """Keep a report; False where its member is not in the view, or has said something later."""
+        """Keep a member's own report; False where it is not in the view, or has said something later."""
+        return self._keep(heard, self._heard)
+
+    def _keep(self, heard: Heard, reports: dict[str, Heard]) -> bool:
         row = heard.row
         if row.name not in self._peers:
             return False
-        if (kept := self._heard.get(row.name)) is not None:
+        if (kept := reports.get(row.name)) is not None:
             if row.life < kept.row.life:
                 return False
             if row.life == kept.row.life and (row.applied < kept.row.applied or heard.at < kept.at):
                 return False
-        self._heard[row.name] = heard
+        reports[row.name] = heard
         return True
 
     def take_rows(self, message: Rows, now: float) -> int:
@@ -72,13 +77,13 @@
                 useless += 1
                 continue
             row = Row(peer.name, peer.life, message.applied)
-            useless += not self.take(Heard(row, message.register, now - age / 1000))
+            useless += not self._keep(Heard(row, message.register, now - age / 1000), self._learnt)
         for aged in message.rows:
-            useless += not self.take(Heard(aged.row, aged.register, now - aged.age / 1000))
+            useless += not self._keep(Heard(aged.row, aged.register, now - aged.age / 1000), self._learnt)
         return useless
 
     def tell(self, own: Heard, room: int, now: float) -> list[Rows]:
-        """All fresh reports as messages of at most so many bytes beyond their numbers."""
+        """All fresh reports of members themselves as messages of at most so many bytes beyond their numbers."""
         fresh = [own, *(heard for heard in self._heard.values() if self._is_fresh(heard, now))]
         plain = Counter((heard.register, heard.row.applied) for heard in fresh if not heard.row.refused)
         common = plain.most_common(1)[0][0] if plain else None
@@ -112,7 +117,7 @@
         if peer.name == own.row.name:
             heard = own
         else:
-            found = self._heard.get(peer.name)
+            found = self._latest(peer.name)
             if found is None or not peer.alive or found.row.life != peer.life or not self._is_fresh(found, now):
                 return None
             heard = found
@@ -121,6 +126,11 @@
             return msgspec.structs.replace(heard.row, applied=0, reason=reason)
         return heard.row
 
+    def _latest(self, name: str) -> Heard | None:
+        """The latest report of a member, of its latest life, from itself or from a relay."""
+        reports = [found[name] for found in (self._heard, self._learnt) if name in found]
+        return max(reports, key=lambda heard: (heard.row.life, heard.row.applied, heard.at), default=None)
+
     def _is_fresh(self, heard: Heard, now: float) -> bool:
         return now - heard.at <= self._terms.fresh
 
