--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -32,6 +32,7 @@
     digest_of,
     region_of,
 )
+from thistleshore.distribution.transfer import Fetching, Source, Taken
 from thistleshore.distribution.tree import Tree
 
 TERMS = Terms()
@@ -215,13 +216,13 @@
 
 @pytest.mark.parametrize("kind", ["altered", "too many", "too long", "another encoding", "lacking", "silent"])
 def test_another_source_is_asked_after_one_that_is_of_no_use(kind: str) -> None:
-    one = Distributor(FLEET, ME, frozenset({"a", "c"}), TERMS, 0.0)
+    one = Distributor(FLEET, ME, frozenset({"a", "c"}), TERMS, 0.0, held=(stamp_of(1, body_of(1)), body_of(1)))
     third = Peer("c", ("127.0.0.1", 3), "s/z", 1, True)
     one.on_view([OTHER, third], 0.0)
-    body = body_of(1, 2000)
-    stamp, data = stamp_of(1, body), encode(body, None)
+    body = body_of(2, 2000)
+    stamp, data = stamp_of(2, body), encode(body, None)
     _, fetch = tell(one, wire.Offer(stamp))
-    assert isinstance(fetch, wire.Fetch)
+    assert isinstance(fetch, wire.Fetch) and fetch.base == 1
     if kind == "silent":
         found = [*one.on_time(0.4), *one.on_time(0.8)]
     else:
@@ -241,8 +242,37 @@
     assert address == third.address
     assert isinstance(again, wire.Fetch) and again.transfer != fetch.transfer
     assert one.counts["mismatch"] == (kind not in ("lacking", "silent"))
+    assert again.base == 1 - one.counts["mismatch"], "whole, after what did not fit"
     late = tell(one, wire.Part(fetch.transfer, 0, len(data), 1, 0, data[:900]), 0.9)
-    assert late == [] and one.counts["stray_part"] == 1 and one.applied == NO_VERSION
+    assert late == [] and one.counts["stray_part"] == 1 and one.applied.number == 1
+
+
+def test_a_body_that_is_coming_in_is_not_given_up_for_a_newer_one() -> None:
+    one = machine()
+    bodies = {number: random.Random(number).randbytes(20_000) for number in (1, 2)}
+    data = encode(bodies[1], None)
+    parts = [data[at : at + 1000] for at in range(0, len(data), 1000)]
+    _, fetch = tell(one, wire.Offer(stamp_of(1, bodies[1])))
+    assert isinstance(fetch, wire.Fetch)
+    found: list[wire.Message | Action] = []
+    for index, part in enumerate(parts):
+        found = tell(one, wire.Part(fetch.transfer, 0, len(data), len(parts), index, part), 0.001)
+        if index == 3:
+            assert tell(one, wire.Offer(stamp_of(2, bodies[2])), 0.001) == [wire.Acknowledge(2)]
+    assert Apply(stamp_of(1, bodies[1]), bodies[1]) in found
+    assert [(m.number, m.base) for m in found if isinstance(m, wire.Fetch)] == [(2, 1)]
+    assert one.known.number == 2
+
+
+def test_a_source_that_falls_silent_is_asked_ever_more_seldom() -> None:
+    fetching = Fetching(stamp_of(1, b"x" * 5000), NO_VERSION, [Source("a", ("h", 1))], TERMS, 1)
+    fetching.request(0.0)
+    assert fetching.on_part(wire.Part(1, 0, 5000, 20, 0, b"x" * 250), 0.001) is Taken.MORE
+    asked = []
+    while fetching.on_late(fetching.due):
+        asked.append(fetching.due)
+        fetching.request_again(fetching.due)
+    assert 3 <= len(asked) <= 7 and asked[0] < 0.05 and fetching.due == pytest.approx(0.001 + 2 * TERMS.answer)
 
 
 def sent_in(one: Distributor, until: float, kind: type[wire.Message]) -> list[tuple[float, Address]]:
@@ -261,6 +291,10 @@
     for one in (silent, answered):
         one.on_agreed(stamp_of(1, body_of(1)), body_of(1), 0.0)
     assert tell(answered, wire.Acknowledge(1)) == [] and sent_in(answered, 30.0, wire.Offer) == []
+    assert len(sent_in(silent, 0.5, wire.Offer)) == 1
+    silent.on_view([OTHER._replace(alive=False)], 0.5)
+    assert sent_in(silent, 0.9, wire.Offer) == []
+    silent.on_view([OTHER], 0.9)
     assert len(sent_in(silent, 30.0, wire.Offer)) == TERMS.retries
 
 
@@ -434,9 +468,9 @@
     sound(fleet)
 
 
-def relays_of(fleet: World) -> list[str]:
-    """All relays and voters, by the view of one that lives."""
-    found = set(fleet.voters)
+def relays_of(fleet: World, voters: bool = True) -> list[str]:
+    """All relays, and the voters with them."""
+    found = set(fleet.voters) if voters else set()
     for node in fleet.living():
         assert node.machine is not None
         tree = node.machine._tree
@@ -533,8 +567,9 @@
 
 
 def test_all_is_counted_within_seconds_and_a_dead_member_never() -> None:
-    fleet = world(45, seed=9, loss=0.05)
+    fleet = world(45, seed=9, loss=0.05, voters=5)
     fleet.run(12.0)
+    assert fleet.voters - set(relays_of(fleet, voters=False)), "one of them reports to relays only for this"
 
     def counted(number: int) -> bool:
         fleet.ask_spread("n7")
@@ -543,6 +578,8 @@
 
     pushed(fleet, 1)
     assert fleet.run_until(lambda: counted(1), 6.0) is not None
+    fleet.run(fleet.now + 20.0)
+    assert fleet.run_until(lambda: counted(1), 6.0) is not None
     fleet.kill("n20")
     fleet.run(fleet.now + 9.0)
     pushed(fleet, 2)
--- a/thistleshore/distribution/transfer.py
+++ b/thistleshore/distribution/transfer.py
@@ -55,7 +55,6 @@
 
     def _forget_parts(self) -> None:
         """Begin from the first part, with whatever source is next."""
-        self.transfer += 1
         self._encoding: tuple[int, int, int] | None = None  # base, size, count of parts
         self._parts: dict[int, bytes] = {}
         self._received = 0  # bytes
@@ -95,6 +94,7 @@
         del self._sources[:1]
         if whole:
             self.base = NO_VERSION
+        self.transfer += 1
         self._forget_parts()
 
     def request(self, now: float) -> wire.Fetch:
@@ -133,7 +133,6 @@
             if part.base not in (0, self.base.number) or not part.count <= part.size <= encoded_most(self.stamp):
                 return Taken.UNSOUND
             self._encoding = encoding
-            self._next = min(self._next, part.count)
             self._window = {index for index in self._window if index < part.count}
         if encoding != self._encoding or part.index >= part.count or self._received + len(part.data) > part.size:
             return Taken.UNSOUND
