--- a/thistleshore/distribution/machine.py
+++ b/thistleshore/distribution/machine.py
@@ -70,7 +70,7 @@
         self.applied: Stamp = held[0] if held is not None else NO_VERSION
         self.known: Stamp = self.applied
         self.counts: Counter[str] = Counter()
-        self._random = randoms.Random(seed)
+        self._random = randoms.Random(f"{seed} {me.name} {me.life}")  # never in step with another instance
         self._peers: dict[str, Peer] = {}
         self._tree = Tree(me, {}, voters)
         self._bodies = Bodies(terms.kept)
@@ -338,7 +338,7 @@
         self.counts["refused"] += 1
         self._refused = stamp.number
         self._reason = reason.encode()[:REASON_MOST].decode(errors="ignore")
-        self._note("refused", stamp, reason)
+        self._note("refused", stamp, self._reason)
         self._report(now, everywhere=True)
 
     # -- offers ------------------------------------------------------------------------------------
@@ -429,9 +429,13 @@
         self.known = self._agreed if self._newer(self._agreed, held) else held
 
     def _fetch_late(self, fetching: Fetching, now: float) -> None:
-        if not fetching.on_silence():
-            self.counts["silent_sources"] += 1
-            fetching.next_source()
+        source = fetching.source
+        if source is not None and fetching.on_late(now):
+            self.counts["late_parts"] += 1
+            self._send(source.address, fetching.request_again(now))
+            return
+        self.counts["silent_sources"] += 1
+        fetching.next_source()
         self._request(fetching, now)
 
     def _on_part(self, part: wire.Part, now: float) -> None:
