--- a/thistleshore/distribution/reports.py
+++ b/thistleshore/distribution/reports.py
@@ -40,26 +40,28 @@
     def __init__(self, terms: Terms) -> None:
         self._terms = terms
         self._peers: Mapping[str, Peer] = {}
-        self._heard: dict[str, Heard] = {}
+        self._heard: dict[str, Heard] = {}  # from the members themselves
+        # From others.  Not told on: with each hop a report grows younger by its time on the way, and where many ask one
+        # another it would never grow old.
+        self._told: dict[str, Heard] = {}
         self._by_token: dict[int, Peer] | None = None  # made when it is needed
 
     def on_view(self, peers: Mapping[str, Peer]) -> None:
         """The members have changed: what others said goes."""
         self._peers = peers
         self._heard = {name: heard for name, heard in self._heard.items() if name in peers}
+        self._told = {name: heard for name, heard in self._told.items() if name in peers}
         self._by_token = None
 
     def take(self, heard: Heard) -> bool:
-        """Keep a report; False where its member is not in the view, or has said something later."""
-        row = heard.row
-        if row.name not in self._peers:
+        """Keep a report of its member; False where that is not in the view, or has said something later."""
+        return self._keep(heard, self._heard)
+
+    def _keep(self, heard: Heard, reports: dict[str, Heard]) -> bool:
+        name = heard.row.name
+        if name not in self._peers or ((kept := reports.get(name)) is not None and not _supersedes(heard, kept)):
             return False
-        if (kept := self._heard.get(row.name)) is not None:
-            if row.life < kept.row.life:
-                return False
-            if row.life == kept.row.life and (row.applied < kept.row.applied or heard.at < kept.at):
-                return False
-        self._heard[row.name] = heard
+        reports[name] = heard
         return True
 
     def take_rows(self, message: Rows, now: float) -> int:
@@ -72,13 +74,13 @@
                 useless += 1
                 continue
             row = Row(peer.name, peer.life, message.applied)
-            useless += not self.take(Heard(row, message.register, now - age / 1000))
+            useless += not self._keep(Heard(row, message.register, now - age / 1000), self._told)
         for aged in message.rows:
-            useless += not self.take(Heard(aged.row, aged.register, now - aged.age / 1000))
+            useless += not self._keep(Heard(aged.row, aged.register, now - aged.age / 1000), self._told)
         return useless
 
     def tell(self, own: Heard, room: int, now: float) -> list[Rows]:
-        """All fresh reports as messages of at most so many bytes beyond their numbers."""
+        """All fresh reports of the members themselves, as messages of at most so many bytes beyond their numbers."""
         fresh = [own, *(heard for heard in self._heard.values() if self._is_fresh(heard, now))]
         plain = Counter((heard.register, heard.row.applied) for heard in fresh if not heard.row.refused)
         common = plain.most_common(1)[0][0] if plain else None
@@ -112,7 +114,7 @@
         if peer.name == own.row.name:
             heard = own
         else:
-            found = self._heard.get(peer.name)
+            found = self._latest(peer.name)
             if found is None or not peer.alive or found.row.life != peer.life or not self._is_fresh(found, now):
                 return None
             heard = found
@@ -121,6 +123,13 @@
             return msgspec.structs.replace(heard.row, applied=0, reason=reason)
         return heard.row
 
+    def _latest(self, name: str) -> Heard | None:
+        """What a member said last, to this instance or to one that told of it."""
+        heard, told = self._heard.get(name), self._told.get(name)
+        if heard is None or told is None:
+            return heard or told
+        return told if _supersedes(told, heard) else heard
+
     def _is_fresh(self, heard: Heard, now: float) -> bool:
         return now - heard.at <= self._terms.fresh
 
@@ -130,6 +139,13 @@
         return self._by_token
 
 
+def _supersedes(heard: Heard, kept: Heard) -> bool:
+    """Whether a report is later than another of the same member."""
+    if heard.row.life != kept.row.life:
+        return heard.row.life > kept.row.life
+    return heard.row.applied >= kept.row.applied and heard.at >= kept.at
+
+
 def _age(heard: Heard, now: float) -> int:
     return min(AGE_MOST, max(0, round((now - heard.at) * 1000)))
 
