--- a/benchmarks/distribution_real.py
+++ b/benchmarks/distribution_real.py
@@ -66,6 +66,7 @@
 }
 CHANGE_SIZE = 4_000  # bytes of a body where latency and cost are measured
 LAST_TRIES = 5  # of the push at the end: a voter that has returned votes once it has heard from the others
+ROWS_FILE = "rows.jsonl"  # what each drawn run came to, in the folder that is named to keep them
 LATENESS_LOOK = 0.05  # s
 COST_SECONDS = 60.0
 CHANGES_A_DAY = 2_900
@@ -546,6 +547,9 @@
             if keep:
                 shutil.copytree(out, Path(keep) / f"{what}-{arguments[0]}", dirs_exist_ok=True)
             raise
+        if keep and what == "drawn":
+            with (Path(keep) / ROWS_FILE).open("a") as rows:
+                rows.write(json.dumps(found) + "\n")
         if keep and (found.get("findings") or (what == "drawn" and not sound(found))):
             shutil.copytree(out, Path(keep) / f"{what}-{arguments[0]}", dirs_exist_ok=True)
         return found
@@ -568,6 +572,7 @@
     parser.add_argument("--cost", action="store_true")
     parser.add_argument("--beside", type=int, default=2)
     parser.add_argument("--keep", default="", help="where the folders of runs that are not sound go")
+    parser.add_argument("--rows", type=Path, help="drawn runs that were made before, by the file that --keep has left")
     parser.add_argument("--save", type=Path)
     parser.add_argument("--job", help=argparse.SUPPRESS)
     return parser
@@ -584,6 +589,9 @@
             (given.keep, "drawn", seed) for seed in range(given.first, given.first + given.runs)
         ]
         told["drawn"] = drawn_result(trio.run(beside, jobs, given.beside, MODULE), given.first)
+    if given.rows:
+        rows = {row["seed"]: row for row in map(json.loads, given.rows.read_text().splitlines())}
+        told["drawn"] = drawn_result([rows.get(seed) for seed in range(min(rows), max(rows) + 1)], min(rows))
     if given.latency:
         jobs = [(given.keep, "latency", scenario, given.changes, given.first) for scenario in given.latency]
         told["latency"] = trio.run(beside, jobs, given.beside, MODULE)
