--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -293,8 +293,8 @@
     assert tell(answered, wire.Acknowledge(1)) == [] and sent_in(answered, 30.0, wire.Offer) == []
     assert len(sent_in(silent, 0.5, wire.Offer)) == 1
     silent.on_view([OTHER._replace(alive=False)], 0.5)
-    assert sent_in(silent, 0.9, wire.Offer) == []
-    silent.on_view([OTHER], 0.9)
+    assert sent_in(silent, 5.0, wire.Offer) == []
+    silent.on_view([OTHER], 5.0)
     assert len(sent_in(silent, 30.0, wire.Offer)) == TERMS.retries
 
 
@@ -311,6 +311,16 @@
     assert one.on_datagram(wire.write(FLEET, "b", 1, wire.Ask()), ME.address, 120.0) == [] and one.counts["own"] == 1
 
 
+def test_a_voter_that_is_no_relay_reports_to_the_relays_of_its_zone_too() -> None:
+    peers = [Peer(f"p{n}", ("127.0.0.1", n + 9), "r/z", 1, True) for n in range(20)]
+    one = Distributor(FLEET, ME, frozenset({"b", "c"}), TERMS, 0.0)
+    one.on_view([*peers, Peer("c", ("127.0.0.1", 3), "s/z", 1, True)], 0.0)
+    relays = Tree(ME, {peer.name: peer for peer in peers}, frozenset({"b"})).own_zone_relays
+    assert len(relays) == RELAYS
+    told = {address for _, address in sent_in(one, 5.0, wire.Report)}
+    assert told == {("127.0.0.1", 3), *(relay.address for relay in relays)}
+
+
 def test_a_relay_with_many_transfers_says_when_to_come_back() -> None:
     body = random.Random(1).randbytes(50_000)
     one = Distributor(FLEET, ME, VOTERS, TERMS._replace(transfers=1), 0.0, held=(stamp_of(1, body), body))
