--- /dev/null
+++ b/thistleshore/wiring/distribution.py
@@ -0,0 +1,33 @@
+"""This process's part in the agreed configuration: which version it starts on, and how it follows later ones."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from thistleshore.config import Plan
+from thistleshore.distribution.applying import Applier
+from thistleshore.distribution.calls import ConfigurationCalls
+from thistleshore.distribution.carrier import Distribution
+from thistleshore.distribution.store import VersionStore
+from thistleshore.wiring.components import Components
+
+
+def make_applier(file: Plan) -> Applier:
+    """What puts versions in force over the own file, whose plan is `file`."""
+    assert file.distribution is not None and file.fleet is not None
+    return Applier(VersionStore(Path(file.distribution.folder), file.fleet.name), file)
+
+
+def join(components: Components, applier: Applier) -> None:
+    """Make this process's part of the distribution, and start it once this process is the member."""
+    plan, fleet, releases, follower = components.plan, components.fleet, components.releases, components.follower
+    assert plan.distribution is not None and fleet is not None and releases is not None
+    applier.force = follower.adopt
+    terms = plan.distribution.terms._replace(datagram=fleet.plan.terms.datagram)
+    distribution = Distribution(terms, fleet, releases, applier)
+    components.distribution = fleet.distribution = distribution
+    fleet.configuration_calls = ConfigurationCalls(releases, distribution, applier)
+    if components.initial.inherited is not None and applier.hosts_told:
+        # The hosts of the process before may be those of an earlier version.
+        follower.tell_hosts(plan.known)
+    components.start_as_member(distribution.run)
