--- a/benchmarks/capacity/files.py
+++ b/benchmarks/capacity/files.py
@@ -59,6 +59,8 @@
             text.append(_view(number, setup, view))
         if Part.REGISTER in setup.parts:
             text.append(_register(name, votes, folder))
+        if Part.CONFIGURATION in setup.parts:
+            text.append(f'[fleet.configuration]\ndir = "{folder / ("configuration-" + name)}"\n')
         if Part.LEASES in setup.parts:
             text.append(_leases(number, leases))
         if setup.teams:
@@ -128,6 +130,16 @@
     return "\n".join([rule, *(f'[[member]]\nname = "team-{n}"\nshare = {1 / count:.6f}\n' for n in range(count))])
 
 
+def configuration_body(teams: int, changes: int) -> bytes:
+    """What is agreed in place of the teams of the files; each change moves a little of one team's share."""
+    share = 1.0 / teams
+    rows = [
+        f'[[member]]\nname = "team-{n}"\nshare = {share - 1e-6 * changes if n == changes % teams else share:.6f}\n'
+        for n in range(teams)
+    ]
+    return "\n".join(rows).encode()
+
+
 def _work(setup: Setup) -> str:
     """The service, its workers and its one contract."""
     ports = setup.worker_ports
--- a/benchmarks/capacity/fleets.py
+++ b/benchmarks/capacity/fleets.py
@@ -87,7 +87,7 @@
     members = write_files(folder, Setup(count, ALL, voters=min(VOTERS, count), teams=teams))
     with ending([]) as running:
         groups = [
-            HollowGroup(f"hollow-{n}", part, folder, begins=n == 0)
+            HollowGroup(f"hollow-{n}", part, folder, ["--begin"] if n == 0 else [])
             for n, part in enumerate(grouped(members, HOLLOW_EACH))
         ]
         running += groups
--- a/benchmarks/capacity/processes.py
+++ b/benchmarks/capacity/processes.py
@@ -111,9 +111,9 @@
 class HollowGroup(Measured):
     """Many hollow dispatchers in one process."""
 
-    def __init__(self, name: str, members: Sequence[Member], folder: Path, begins: bool = False) -> None:
+    def __init__(self, name: str, members: Sequence[Member], folder: Path, options: Sequence[str] = ()) -> None:
         self.size, self.file = len(members), folder / f"{name}.status"
-        arguments = [str(self.file), *(["--begin"] if begins else []), *(str(member.file) for member in members)]
+        arguments = [*options, str(self.file), *(str(member.file) for member in members)]
         super().__init__(name, folder, "benchmarks.capacity.hollow", arguments)
 
     def status(self) -> dict[str, Any] | None:
--- a/benchmarks/capacity/slopes.py
+++ b/benchmarks/capacity/slopes.py
@@ -156,7 +156,7 @@
     """
     members = write_files(folder, Setup(count, (Part.VIEW, Part.REGISTER), teams=0))
     with ending([]) as running:
-        voters = HollowGroup("voters", members[:VOTERS], folder, begins=True)
+        voters = HollowGroup("voters", members[:VOTERS], folder, ["--begin"])
         followers = HollowGroup("followers", members[VOTERS:], folder)
         groups: list[HollowGroup] = [voters, followers]
         running += groups
--- a/thistleshore/rig/hollow.py
+++ b/thistleshore/rig/hollow.py
@@ -1,17 +1,17 @@
 """Hollow dispatchers: the real control machines of a dispatcher, without its fronts, so that many fit in one process.
 
 A hollow dispatcher is wired by the same functions as a whole one (`thistleshore.dispatcher`): its broker with the
-decision module, the ledger and the leases, the view of the fleet and the follower of the register, each with its own
-sockets.  It takes no jobs.
+decision module, the ledger and the leases, the view of the fleet, the follower of the register and the distribution of
+configuration, each with its own sockets.  It takes no jobs.
 """
 
 from __future__ import annotations
 
+from dataclasses import replace
 from enum import StrEnum
 
 import trio
 
-from oxbowarch.brain import Brain
 from oxbowarch.interface import ListKind
 from thistleshore import dispatcher
 from thistleshore.config import Plan
@@ -19,6 +19,8 @@
 from thistleshore.core.model import HostsTold
 from thistleshore.fleet.carrier import Carrier
 from thistleshore.platform.upstream import Upstreams
+from thistleshore.wiring.components import Components
+from thistleshore.wiring.limits import upstream_limits
 
 
 class Part(StrEnum):
@@ -27,46 +29,52 @@
     VIEW = "view"
     LEASES = "leases"
     REGISTER = "register"
+    CONFIGURATION = "configuration"
 
 
 class HollowDispatcher:
     """One dispatcher without fronts, as its operator's file describes it."""
 
     def __init__(self, plan: Plan) -> None:
-        self.plan = plan
-        self.broker = Broker(Brain(plan.settings, plan.seed, trio.current_time()), plan.class_names)
-        if plan.agreements is not None:
-            dispatcher._keep_shares(self.broker, plan)
-        self.fleet: Carrier | None = None
-        self._drain = trio.Event()
+        # No front, nothing that listens for operators, and no hot restart.
+        self.plan = replace(plan, http=None, beanstalkd=None, admin=None, metrics=None, restart="")
+        self._components: Components | None = None
 
     @property
-    def ready(self) -> bool:
-        """Whether it has a list of hosts; a whole dispatcher asks its fronts as well."""
-        return bool(self.broker.hosts)
+    def broker(self) -> Broker | None:
+        """None before it runs."""
+        return None if self._components is None else self._components.broker
+
+    @property
+    def fleet(self) -> Carrier | None:
+        """Its part in the view; None before it runs, or where its file sets none up."""
+        return None if self._components is None else self._components.fleet
 
     async def run(self) -> None:
         """Take part in everything that the file sets up, until cancelled."""
-        plan = self.plan
-        upstreams = Upstreams(dispatcher._ways(plan))
-        self.broker.carriers[tuple] = upstreams
+        plan, applier = dispatcher._configured(self.plan)
+        initial = await dispatcher._initial_state(plan)
+        broker = dispatcher._make_broker(plan, initial)
+        upstreams = Upstreams(upstream_limits(plan))
+        broker.carriers[tuple] = upstreams
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.broker.run)
+            components = Components(plan, trio.Event(), nursery, initial, broker, upstreams, applier)
+            nursery.start_soon(broker.run)
             nursery.start_soon(upstreams.run)
-            await self.broker.inbox.send(HostsTold(ListKind.CACHED, plan.known))
-            if plan.agreements is not None:
-                await dispatcher._tell_shares(self.broker, plan, nursery)
-            if plan.fleet is not None:
-                self.fleet = dispatcher._join(plan, self._drain, lambda: self.ready, None)
-                nursery.start_soon(self.fleet.run)
-            if self.fleet is not None and plan.releases is not None:
-                self.fleet.releases = dispatcher._agree(
-                    plan, self.fleet, self.broker, lambda: self.ready, self._drain, ()
-                )
-                nursery.start_soon(self.fleet.releases.run)
+            await broker.inbox.send(HostsTold(ListKind.CACHED, initial.known_hosts))
+            dispatcher._start_follower(components, None)
+            await dispatcher._start_subsystems(components)
+            components.serving.set()
+            self._components = components
 
     @property
     def follows(self) -> bool:
         """Whether a majority of the voters has answered it lately."""
         releases = self.fleet.releases if self.fleet is not None else None
         return releases is not None and trio.current_time() <= releases.fresh_until
+
+    @property
+    def configuration(self) -> int:
+        """The version of the agreed configuration that is in force; 0: its own file's."""
+        distribution = self._components.distribution if self._components is not None else None
+        return 0 if distribution is None else distribution.machine.applied.number
