--- a/thistleshore/distribution/applying.py
+++ b/thistleshore/configuration/applying.py
@@ -14,9 +14,9 @@
 
 from thistleshore.config import Plan
 from thistleshore.core.model import HostLine
-from thistleshore.distribution import document
+from thistleshore.configuration import document
 from thistleshore.distribution.model import FORMAT, REASON_MOST, Stamp
-from thistleshore.distribution.store import StoreError, VersionStore
+from thistleshore.configuration.store import StoreError, VersionStore
 from thistleshore.releases.faults import point
 
 log = logging.getLogger("thistleshore")
@@ -33,8 +33,8 @@
 
     @property
     def reason(self) -> str:
-        """As it is reported to the fleet."""
-        return str(self)[:REASON_MOST]
+        """As it is reported to the fleet: the first line of each problem."""
+        return "; ".join(problem.partition("\n")[0] for problem in self.problems)[:REASON_MOST]
 
 
 class NotDurable(NotApplied):
--- a/thistleshore/core/broker.py
+++ b/thistleshore/core/broker.py
@@ -48,7 +48,7 @@
         self.carriers: dict[type, model.UpstreamFront] = {}  # by what a host's `dial` is
         self.notebook = Notebook()
         self.on_attempt: Callable[[model.UpstreamRequest, Status, float], None] | None = None  # as each has ended
-        self.tell: Callable[[bytes, tuple[int, ...] | None], None] | None = None  # to some dispatchers, or to all
+        self.send_notes: Callable[[bytes, tuple[int, ...] | None], None] | None = None  # to some dispatchers, or to all
         self.inbox, self._events = trio.open_memory_channel[model.Event](QUEUE)
         self._urgent: deque[model.Event] = deque()
         self.hosts: dict[bytes, model.UpstreamHost] = {}
@@ -85,7 +85,7 @@
                 event = await self._next()
                 now = trio.current_time()
                 try:
-                    self._carry_out(self._fire(now) if event is None else self._tell(event, now), now)
+                    self._carry_out(self._fire_timer(now) if event is None else self._handle(event, now), now)
                     if self.ledger is not None:
                         self._offer(self.ledger, now)
                 except Exception:
@@ -112,7 +112,7 @@
             return await self._events.receive()
         return None
 
-    def _fire(self, now: float) -> list[Action]:
+    def _fire_timer(self, now: float) -> list[Action]:
         _, token = heappop(self._timers)
         if token == LOOK:
             self._looking = False
@@ -135,7 +135,7 @@
                 for request in self._out.get(stream.id, ()):
                     request.scope.cancel()
 
-    def _tell(self, event: model.Event, now: float) -> list[Action]:
+    def _handle(self, event: model.Event, now: float) -> list[Action]:
         if isinstance(event, model.UpstreamEnded):
             return self._ended(event, now)
         if isinstance(event, model.Posted):
@@ -151,7 +151,7 @@
             notes = self.notebook.read(event.peer, event.data, now)
             return self.brain.on_told(event.peer, notes, now) if notes else []
         if isinstance(event, model.PeerHeard):
-            return self._heard(event.data, now)
+            return self._on_peer_datagram(event.data, now)
         if isinstance(event, model.HostReported):
             return self.brain.on_report(event.host, event.report, now)
         if isinstance(event, model.BanAsked):
@@ -159,7 +159,7 @@
         if isinstance(event, model.SettingsTold):
             self.name_classes(event.names)
             return self.brain.on_settings(event.settings, now)
-        return self._told(event, now)
+        return self._update_hosts(event, now)
 
     def _ban(self, event: model.BanAsked, now: float) -> list[Action]:
         """A host that the list has dropped can be called back; one that nobody has heard of cannot be taken out."""
@@ -181,13 +181,21 @@
         if stream.job_class < len(self._counts):
             stream.counts = self._counts[stream.job_class]
         self.record.outstanding += 1
-        ask = Request(stream.id, stream.job_class, stream.deadline - now, stream.tenant, stream.key,
-                      repeat=stream.repeat, spare=stream.spare)  # fmt: skip
+        ask = Request(
+            stream.id,
+            stream.job_class,
+            stream.deadline - now,
+            stream.tenant,
+            stream.key,
+            repeat=stream.repeat,
+            spare=stream.spare,
+        )
         if self.ledger is None:
             return self.brain.on_request(ask, now)
-        stamp, purse = self.ledger.on_open(stream.id, stream.job_class, stream.member, stream.size, stream.repeat, now,
-                                           ask.budget)  # fmt: skip
-        self._asks[stream.id] = ask._replace(beyond=stamp.beyond, rank=stamp.rank, purse=purse)
+        stamp, retry_budget = self.ledger.on_open(
+            stream.id, stream.job_class, stream.member, stream.size, stream.repeat, now, ask.budget
+        )
+        self._asks[stream.id] = ask._replace(beyond=stamp.beyond, rank=stamp.rank, purse=retry_budget)
         return []
 
     def _offer(self, ledger: Ledger, now: float) -> None:
@@ -238,8 +246,9 @@
         elif not stream.over and not stream.wanted:
             # That its downstream has gone may wait in the inbox behind this: no other attempt may begin meanwhile.
             withdrawn = self._withdrawn(stream, now)
-        told = Outcome(stream.id, request.number, request.host.id, outcome.status, event.took, stream.over,
-                       outcome.report)  # fmt: skip
+        told = Outcome(
+            stream.id, request.number, request.host.id, outcome.status, event.took, stream.over, outcome.report
+        )
         actions = self.brain.on_outcome(told, now)
         self._forget(stream)
         return withdrawn + actions
@@ -251,18 +260,21 @@
             return 0.0
         return now - event.request.started if event.request.started else event.took
 
-    def beat(self, now: float) -> list[tuple[int, bytes]]:
+    def exchange_datagrams(self, now: float) -> list[tuple[int, bytes]]:
         """The datagrams to send to the other instances now, by their numbers."""
         if self.ledger is None or self.exchange is None:
             return []
         self.exchange.on_demand(self.ledger.demands(now))
         # A host that reserves is one instance's alone: only of those that are dialled do others need to know.
-        out = {host.id: self.brain.workers[host.id].out for host in self.hosts.values()
-               if isinstance(host.dial, tuple) and host.id in self.brain.workers}  # fmt: skip
+        out = {
+            host.id: self.brain.workers[host.id].out
+            for host in self.hosts.values()
+            if isinstance(host.dial, tuple) and host.id in self.brain.workers
+        }
         self.exchange.on_out(out)
         return self.exchange.due(now)
 
-    def _heard(self, data: bytes, now: float) -> list[Action]:
+    def _on_peer_datagram(self, data: bytes, now: float) -> list[Action]:
         """Leases, and what a peer has out at each host: news of it as good as its own."""
         actions: list[Action] = []
         if self.exchange is not None and self.exchange.on_datagram(data, now):
@@ -272,7 +284,7 @@
                     actions += self.brain.on_report(name, report, now)
         return actions
 
-    def _told(self, event: model.HostsTold, now: float) -> list[Action]:
+    def _update_hosts(self, event: model.HostsTold, now: float) -> list[Action]:
         named = {line.entry.worker for line in event.lines}
         self.version = event.version if event.version is not None else self.version
         if event.kind is not ListKind.CHANGES:
@@ -283,7 +295,8 @@
             known = self.hosts.get(line.entry.worker)
             if known is None:
                 self.hosts[line.entry.worker] = model.UpstreamHost(
-                    line.entry.worker, line.dial, line.entry, banned=line.entry.worker in self.brain.banned)
+                    line.entry.worker, line.dial, line.entry, banned=line.entry.worker in self.brain.banned
+                )
                 continue
             if known.dial != line.dial or known.entry.started_at != line.entry.started_at:
                 self._close_idle(known)  # connections to what it was before are of no use
@@ -319,9 +332,9 @@
             elif isinstance(action, Cancel):
                 self._cancel(action)
             elif isinstance(action, Tell):
-                if self.tell is not None:
+                if self.send_notes is not None:
                     for data in self.notebook.write(action.notes):
-                        self.tell(data, action.to)
+                        self.send_notes(data, action.to)
             elif isinstance(action, Log):
                 log.info("module: %s", self._named(action.text))
             else:  # discovery watches by itself
@@ -400,10 +413,10 @@
                 self.ledger.on_answered(stream.id, ANSWERS[type(answer)], trio.current_time())
 
     def _forget(self, stream: model.Stream) -> None:
-        """Drop the books of a stream that is over and has nothing out."""
+        """Drop the records of a stream that is over and has nothing out."""
         if stream.over and not self._left[stream.id]:
-            for book in (self._streams, self._out, self._left):
-                book.pop(stream.id, None)
+            for records in (self._streams, self._out, self._left):
+                records.pop(stream.id, None)
             if self.ledger is not None:
                 self.ledger.on_forgotten(stream.id)
                 self._asks.pop(stream.id, None)
--- a/thistleshore/follower.py
+++ b/thistleshore/follower.py
@@ -12,14 +12,14 @@
 from thistleshore.config import Plan
 from thistleshore.core.broker import Broker
 from thistleshore.core.model import HostLine, HostsTold, SettingsTold
+from thistleshore.limits import longest_deadline, upstream_limits
 from thistleshore.platform.discovery import Discovery
 from thistleshore.platform.downstream import Downstream
 from thistleshore.platform.messages import Routes
 from thistleshore.platform.upstream import Upstreams
-from thistleshore.wiring.limits import longest_deadline, upstream_limits
 
 if TYPE_CHECKING:  # imported only where the plan has them
-    from thistleshore.distribution.applying import Applier
+    from thistleshore.configuration.applying import Applier
     from thistleshore.fleet.carrier import Carrier
     from thistleshore.restart.handover_state import HandoverState
 
@@ -147,5 +147,5 @@
     now = trio.current_time()
     broker.ledger.adopt(found.agreements, now)
     if broker.exchange is not None:
-        broker.exchange.adopt(found.agreements.leaves, found.agreements.names, now)
+        broker.exchange.adopt(found.agreements.share_keys, found.agreements.names, now)
     log.info("configuration reread: shares of %d members in force", len(found.agreements.members))
