--- a/benchmarks/capacity/slopes.py
+++ b/benchmarks/capacity/slopes.py
@@ -177,7 +177,7 @@
     """
     members = write_files(folder, Setup(count, (Part.VIEW, Part.REGISTER), teams=0, period=pace.period))
     with ending([]) as running:
-        voters = HollowGroup("voters", members[:VOTERS], folder, begins=True)
+        voters = HollowGroup("voters", members[:VOTERS], folder, ["--begin"])
         followers = HollowGroup("followers", members[VOTERS:], folder)
         groups: list[HollowGroup] = [voters, followers]
         running += groups
