--- a/thistleshore/fleet/carrier.py
+++ b/thistleshore/fleet/carrier.py
@@ -14,7 +14,7 @@
 import trio
 
 from thistleshore import __version__
-from thistleshore.addresses import address_text, ip_number
+from thistleshore.addresses import Address, address_text, ip_number
 from thistleshore.expressions.networks import address_set
 from thistleshore.fleet import wire
 from thistleshore.fleet.machine import Fleet
