--- a/thistleshore/config/fleets.py
+++ b/thistleshore/config/fleets.py
@@ -32,8 +32,10 @@
             found.append(f"fleet.register.voters: the files of {fleet!r} name different voters")
         for file, plan in members.items():
             assert plan.fleet is not None
-            for key, folder in (("keep.dir", plan.keep.folder if plan.keep is not None else ""),
-                                ("fleet.register.dir", plan.releases.folder if plan.releases is not None else "")):
+            for key, folder in (
+                ("keep.dir", plan.keep.folder if plan.keep is not None else ""),
+                ("fleet.register.dir", plan.releases.folder if plan.releases is not None else ""),
+            ):
                 if folder and (other := folders.setdefault(f"{plan.fleet.advertise[0]} {key} {folder}", file)) != file:
                     found.append(f"{file}: {key}: {folder} is also that of {other}, on one machine")
         reached = {plan.fleet.advertise for plan in members.values() if plan.fleet is not None}
--- a/thistleshore/fleet/carrier.py
+++ b/thistleshore/fleet/carrier.py
@@ -249,4 +249,3 @@
     import xxhash
 
     return xxhash.xxh32_hexdigest(json.dumps(told, sort_keys=True, default=str).encode())
-
--- a/thistleshore/releases/carrier.py
+++ b/thistleshore/releases/carrier.py
@@ -179,8 +179,9 @@
             self.reports[report.name] = now, report
         held = self.acceptor.held if self.acceptor is not None else Held(0, self.name)
         fresh = tuple(report for at, report in self.reports.values() if now - at <= REPORT_KEPT)
-        return Known(held.accepted, held.value, held.register, held.writes, self.why, fresh,
-                     merged(held.seen, self.seen))
+        return Known(
+            held.accepted, held.value, held.register, held.writes, self.why, fresh, merged(held.seen, self.seen)
+        )
 
     def _install(self, asked: Install) -> Reply:
         if self.store is None or asked.held.voter != self.name:
@@ -493,8 +494,11 @@
             return self._outcome(await self.change(lambda v: waves.failed(v, me, version, told, me, now)))
         told, state = " ".join(words), {"halt": "halted", "undo": "undoing", "resume": "resume"}[name]
         # Of the release that the register holds by now, whatever is known here.
-        return self._outcome(await self.change(
-            lambda v: waves.turn(v, v.release.number if v.release is not None else 0, state, told, me, now)))
+        return self._outcome(
+            await self.change(
+                lambda v: waves.turn(v, v.release.number if v.release is not None else 0, state, told, me, now)
+            )
+        )
 
     def told_release(self) -> dict[str, Any]:
         """The release as it is known here, who runs what, and why nothing goes on."""
