--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -7,11 +7,12 @@
 
 from benchmarks.capacity import figures, model, rows
 from benchmarks.capacity.figures import ASSUMED, MEASURED, SLOPE, Figure, SlopeOf
-from benchmarks.capacity.model import Fit, Result
+from benchmarks.capacity.model import CONTROL, Fit, Result, Series
 from benchmarks.capacity.rows import Spread, number
 
 PAGE = Path(__file__).parent.parent.parent / "docs" / "CAPACITY.md"
 BEGIN, END = "<!-- capacity: generated from here -->", "<!-- capacity: generated to here -->"
+NAMES = {"bytes": "bytes", "cpu_percent": "processor time", "memory_mb": "memory"}
 COMPARED = (("bytes", "B/s"), ("cpu_percent", "% of a core"), ("memory_mb", "MB"))
 
 
@@ -152,7 +153,7 @@
 
 
 def _slope_of(result: Result, series: str, value: str) -> Fit | None:
-    return figures.series_fit(result.series.get(series), value)
+    return figures.series_fit(result.find(series), value)
 
 
 def _each_worker(result: Result) -> str:
@@ -187,8 +188,7 @@
     return " ".join(terms)
 
 
-def _points(result: Result, slope: SlopeOf) -> str:
-    series = result.series[slope.series]
+def _points(series: Series, slope: SlopeOf) -> str:
     told = [
         f"{point.size}: {number(point.values[slope.value])}" + ("" if point.fits else " (not fitted)")
         for point in series.points
@@ -213,14 +213,14 @@
 def _slopes(result: Result) -> str:
     lines = []
     for slope in figures.SLOPES:
-        series = result.series.get(slope.series)
+        series = result.find(slope.series)
         if series is None:
             lines.append((slope.title, "", "not run", "", "", "", ""))
             continue
         size = _design_size(result, series.of)
         found = figures.series_fit(series, slope.value, slope.degree)
         if found is None:
-            lines.append((slope.title, series.of, _points(result, slope), "too few points", "", "", ""))
+            lines.append((slope.title, series.of, _points(series, slope), "too few points", "", "", ""))
             continue
         breaks = ""
         if slope.budget is not None:
@@ -230,7 +230,7 @@
             (
                 f"{slope.title}, {slope.unit}",
                 series.of,
-                _points(result, slope),
+                _points(series, slope),
                 _formula(found),
                 f"{found.r_squared:.4f}",
                 f"{number(found.at(size))} at {size:,}",
@@ -238,7 +238,8 @@
             )
         )
     head = ("what", "n", "points", "fit", "r²", "at the design's size", "budget is passed")
-    how = "\n".join(f"- `{name}`: {series.how}." for name, series in result.series.items())
+    ran = [series for name in (CONTROL, *result.series) if (series := result.find(name)) is not None]
+    how = "\n".join(f"- `{series.name}`: {series.how}." for series in ran)
     return f"{table(head, lines)}\n\nWhat ran:\n\n{how}"
 
 
@@ -251,7 +252,7 @@
             lines.append(
                 (
                     str(found.size),
-                    f"{value.removesuffix('_percent').removesuffix('_mb')}, {unit}",
+                    f"{NAMES[value]}, {unit}",
                     number(found.whole[value]),
                     number(found.idle.get(value, 0.0)),
                     number(found.control(value)),
@@ -261,7 +262,13 @@
                 )
             )
     head = ("dispatchers", "what, of one", "whole", "whole without control", "control", "hollow", "error", "load")
-    return table(head, lines)
+    errors = (_errors(result, value) for value, _ in COMPARED)
+    return f"{table(head, lines)}\n\nStated error of hollow dispatchers: {'; '.join(errors)}."
+
+
+def _errors(result: Result, value: str) -> str:
+    found = [each.error(value) for each in result.agreement]
+    return f"{NAMES[value]} {min(found):+.0%} to {max(found):+.0%}"
 
 
 def _mixed(result: Result) -> str:
