--- a/benchmarks/distribution_real.py
+++ b/benchmarks/distribution_real.py
@@ -68,6 +68,7 @@
 LAST_TRIES = 5  # of the push at the end: a voter that has returned votes once it has heard from the others
 ROWS_FILE = "rows.jsonl"  # what each drawn run came to, in the folder that is named to keep them
 STARTS_WITHIN = 90.0  # s for all processes to start and to be one fleet
+LATE = f"over {EVERYWHERE_WITHIN:g} s or not agreed"
 LATENESS_LOOK = 0.05  # s
 COST_SECONDS = 30.0
 CHANGES_A_DAY = 2_900
@@ -358,7 +359,7 @@
             "changes": len(self.spreading),
             "agreeing": spread(self.agreeing),
             "spreading": spread(self.spreading),
-            f"over {EVERYWHERE_WITHIN:g} s or not agreed": over,
+            LATE: over,
             **{what: spread(took) for what, took in self.more.items()},
         }
 
@@ -554,7 +555,7 @@
         if keep and what == "drawn":
             with (Path(keep) / ROWS_FILE).open("a") as rows:
                 rows.write(json.dumps(found) + "\n")
-        if keep and (found.get("findings") or (what == "drawn" and not sound(found))):
+        if keep and (found.get("findings") or found.get(LATE) or (what == "drawn" and not sound(found))):
             shutil.copytree(out, Path(keep) / f"{what}-{arguments[0]}", dirs_exist_ok=True)
         return found
 
--- a/tests/test_rig_configuration.py
+++ b/tests/test_rig_configuration.py
@@ -291,6 +291,13 @@
     died["t"] = word["asked"] - 7.0
     counted(rows, "p2")
     assert checks.judge(rows, ["honest"]) == []
+    # One that was dead when it was to be stopped runs from its next life on; so does one whose other stop has ended.
+    for row in ({"what": "began", "name": "p3"}, {"what": "fault", "kind": "stop", "who": ["p3"], "to": []}):
+        rows = sound_record()
+        stop = next(row for row in of(rows, "fault") if row["kind"] == "stop")
+        rows.insert(rows.index(stop) + 1, {"t": stop["t"] + 1.0, "until": stop["t"] + 1.5, **row})
+        counted(rows, "p3")
+        assert checks.judge(rows, ["honest"]) == []
     for change in ({"to": ["p0", "p2"]}, {"both": False, "who": ["p0", "p2", "p3"], "to": ["p1"]}):
         rows = sound_record()
         next(row for row in of(rows, "fault") if row["kind"] == "cut").update(change)
--- a/thistleshore/rig/checks.py
+++ b/thistleshore/rig/checks.py
@@ -261,7 +261,7 @@
     found += [(name, "", since, inf) for name, since in ended.items()]
     for row in of(rows, "fault"):
         if row["kind"] == "stop":
-            found += [(who, "", row["t"], row["until"]) for who in row["who"]]
+            found += [(who, "", row["t"], _goes_on(rows, who, row["t"])) for who in row["who"]]
         if row["kind"] in ("cut", "silence") and {*row["who"], *row["to"]} == names:  # else there is a way round
             found += [(who, to, row["t"], row["until"]) for who in row["who"] for to in row["to"]]
             if row.get("both"):
@@ -269,6 +269,13 @@
     return found
 
 
+def _goes_on(rows: Sequence[Row], who: str, since: float) -> float:
+    """When a process that was stopped goes on: at the end of any stop of it, or in its next life."""
+    ends = [row["until"] for row in of(rows, "fault") if row["kind"] == "stop" and who in row["who"]]
+    begins = [row["t"] for row in of(rows, "began") if row["name"] == who]
+    return min(time for time in (*ends, *begins, inf) if time > since)
+
+
 CHECKS: Mapping[str, Callable[[Sequence[Row]], list[Finding]]] = {
     "answers": answers, "keyed": keyed, "drained": drained, "settled": settled, "living": living, "clean": clean,
     "limited": limited, "one_content": one_content, "forward": forward, "kept": kept, "refusals": refusals,
