--- a/thistleshore/rig/checks.py
+++ b/thistleshore/rig/checks.py
@@ -271,8 +271,8 @@
 
 def _goes_on(rows: Sequence[Row], who: str, since: float) -> float:
     """When a process that was stopped goes on: at the end of any stop of it, or in its next life."""
-    ends = [row["until"] for row in of(rows, "fault") if row["kind"] == "stop" and who in row["who"]]
-    begins = [row["t"] for row in of(rows, "began") if row["name"] == who]
+    ends: list[float] = [row["until"] for row in of(rows, "fault") if row["kind"] == "stop" and who in row["who"]]
+    begins: list[float] = [row["t"] for row in of(rows, "began") if row["name"] == who]
     return min(time for time in (*ends, *begins, inf) if time > since)
 
 
