--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -23,6 +23,7 @@
     parser.add_argument("--quick", action="store_true", help="the short form for CI")
     parser.add_argument("--only", nargs="+", default=[], metavar="NAME", help="of the measurements")
     parser.add_argument("--keep", type=Path, help="write the result to this file")
+    parser.add_argument("--seconds", type=float, help="that each point of control is looked at")
     parser.add_argument("--page", action="store_true", help="write the table into the page, of the kept result")
     parser.add_argument("--json", action="store_true")
     given = parser.parse_args()
@@ -30,7 +31,7 @@
         page.write()
         return 0
     before = model.read(given.keep) if given.only and given.keep and given.keep.exists() else None
-    result = runs.measure(given.quick, given.only, before)
+    result = runs.measure(given.quick, given.only, before, given.seconds)
     if given.keep:
         model.write(result, given.keep)
     if given.json:
--- a/benchmarks/capacity/fleets.py
+++ b/benchmarks/capacity/fleets.py
@@ -111,7 +111,7 @@
 ) -> Mixed:
     """One fleet of whole dispatchers, the voters among them, and hollow ones in one process."""
     count = hollow + whole
-    members = write_files(folder, Setup(count, parts, teams=0))
+    members = write_files(folder, Setup(count, parts, teams=0, period=pace.period))
     with ending([]) as running:
         processes = start_whole(members[:whole], folder, running)
         begun = time.monotonic()
