--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -122,7 +122,7 @@
                 told,
                 _told(part.bytes, "B/s"),
                 _told(part.cpu_percent, "% of a core"),
-                _told(part.memory_mb, "MB") if part.memory_mb is not None else "with the view",
+                _told(part.memory_mb, "MB") if figures.PARTS[name][2] else _register_memory(result, name, n),
             )
         )
     running = round(size.running / count.serving)
@@ -146,6 +146,11 @@
     return table(("role and mechanism", "messages", "processor time", "memory"), lines)
 
 
+def _register_memory(result: Result, role: str, count: int) -> str:
+    """Of an instance with its view, as the register has no process without one."""
+    return _told(figures.at(result, "register", f"{role}_memory_mb", count), "MB, with the view")
+
+
 def _slope_of(result: Result, series: str, value: str) -> Fit | None:
     return figures.series_fit(result.series.get(series), value)
 
--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -76,7 +76,7 @@
     ratio = figure.value / budget
     text = f"{number(figure.value)} {unit}{told}"
     return Row(
-        requirement, carried_by, text, figure.mark, f"{number(budget)} {unit}", round(ratio, 3), verdict_of(ratio)
+        requirement, carried_by, text, figure.mark, f"{number(budget)} {unit}", round(ratio, 6), verdict_of(ratio)
     )
 
 
@@ -242,6 +242,16 @@
             judged(f"control of {name}: memory", parts, found.memory_mb, "MB", size.control_memory_mb),
             judged(f"control of {name}: bytes sent", parts, found.bytes, "B/s", size.control_bytes_a_second),
         ]
+    program = figures.at(result, "requests", "idle_memory_mb", result.size.workers)
+    rows.append(
+        judged(
+            "memory of the whole program, full list, no tasks",
+            "python -O -m thistleshore serve; its own control is not in it",
+            program,
+            "MB",
+            result.size.control_memory_mb,
+        )
+    )
     machines = Figure(count.count / count.each, ASSUMED)
     rows.append(
         judged(
