--- a/benchmarks/capacity/counted.py
+++ b/benchmarks/capacity/counted.py
@@ -12,7 +12,8 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-FIELDS = 4
+FIELDS = 6
+DISTRIBUTION = b"tC"  # how datagrams begin that are of the distribution of configuration
 BYTES_EACH = 8
 
 
@@ -23,6 +24,8 @@
     udp_sends: int
     tcp_bytes: int
     tcp_sends: int
+    distribution_bytes: int  # of the bytes by UDP
+    distribution_sends: int
 
     def since(self, before: Sent) -> Sent:
         return Sent(*(now - then for now, then in zip(self, before, strict=True)))
@@ -53,6 +56,9 @@
         sent = plain_sendto(self, *arguments)
         counts[0] += sent
         counts[1] += 1
+        if arguments[0][:2] == DISTRIBUTION:
+            counts[4] += sent
+            counts[5] += 1
         return sent
 
     socket.socket.send = send  # type: ignore[method-assign]
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -52,7 +52,7 @@
 def test_counts_are_read_by_another_process(tmp_path: Path) -> None:
     file = tmp_path / "counts"
     counted.create(file)
-    assert counted.read(file) == counted.Sent(0, 0, 0, 0)
+    assert counted.read(file) == counted.Sent(0, 0, 0, 0, 0, 0)
 
 
 def test_the_short_form_measures_every_series(quick: Result) -> None:
