--- a/benchmarks/capacity/figures.py
+++ b/benchmarks/capacity/figures.py
@@ -54,7 +54,7 @@
 
 def at(result: Result, name: str, value: str, size: int, degree: int = 1) -> Figure | None:
     """As measured at that size, else by the slope; None where neither is there."""
-    series = result.series.get(name)
+    series = result.find(name)
     if series is None:
         return None
     measured = series.at(size, value)
@@ -138,6 +138,9 @@
 
 
 SLOPES = (
+    SlopeOf("control of whole dispatchers: bytes sent a second", "control", "bytes", "B/s", 5000.0),
+    SlopeOf("control of whole dispatchers: processor time", "control", "cpu_percent", "% of a core", 1.6),
+    SlopeOf("control of whole dispatchers: memory", "control", "memory_mb", "MB", 64.0),
     SlopeOf("leases: bytes sent a second", "leases", "bytes", "B/s", 5000.0),
     SlopeOf("leases: processor time", "leases", "cpu_percent", "% of a core", 1.6),
     SlopeOf("leases: memory", "leases", "memory_mb", "MB", 64.0),
--- a/benchmarks/capacity/model.py
+++ b/benchmarks/capacity/model.py
@@ -41,6 +41,7 @@
 
 
 SIZE = Size()
+CONTROL = "control"
 
 
 class Point(msgspec.Struct, frozen=True):
@@ -119,6 +120,17 @@
     mixed: tuple[Mixed, ...] = ()
     size: Size = SIZE
 
+    def find(self, name: str) -> Series | None:
+        """The series of that name; `control` is what whole dispatchers use for control, of their comparison."""
+        if name != CONTROL:
+            return self.series.get(name)
+        points = tuple(
+            Point(found.size, {value: round(found.control(value), 3) for value in found.whole}, found.load)
+            for found in self.agreement
+        )
+        how = "whole dispatchers, up to five of them voters, less one without control; the mean of all"
+        return Series(CONTROL, "instances", how, points) if points else None
+
 
 class Fit(msgspec.Struct, frozen=True):
     """A polynomial through the points of a series by least squares."""
--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -7,7 +7,7 @@
 
 from benchmarks.capacity import figures, model, rows
 from benchmarks.capacity.figures import ASSUMED, MEASURED, SLOPE, Figure, SlopeOf
-from benchmarks.capacity.model import Fit, Result
+from benchmarks.capacity.model import CONTROL, Fit, Result, Series
 from benchmarks.capacity.rows import Spread, number
 
 PAGE = Path(__file__).parent.parent.parent / "docs" / "CAPACITY.md"
@@ -152,7 +152,7 @@
 
 
 def _slope_of(result: Result, series: str, value: str) -> Fit | None:
-    return figures.series_fit(result.series.get(series), value)
+    return figures.series_fit(result.find(series), value)
 
 
 def _each_worker(result: Result) -> str:
@@ -187,8 +187,7 @@
     return " ".join(terms)
 
 
-def _points(result: Result, slope: SlopeOf) -> str:
-    series = result.series[slope.series]
+def _points(series: Series, slope: SlopeOf) -> str:
     told = [
         f"{point.size}: {number(point.values[slope.value])}" + ("" if point.fits else " (not fitted)")
         for point in series.points
@@ -213,14 +212,14 @@
 def _slopes(result: Result) -> str:
     lines = []
     for slope in figures.SLOPES:
-        series = result.series.get(slope.series)
+        series = result.find(slope.series)
         if series is None:
             lines.append((slope.title, "", "not run", "", "", "", ""))
             continue
         size = _design_size(result, series.of)
         found = figures.series_fit(series, slope.value, slope.degree)
         if found is None:
-            lines.append((slope.title, series.of, _points(result, slope), "too few points", "", "", ""))
+            lines.append((slope.title, series.of, _points(series, slope), "too few points", "", "", ""))
             continue
         breaks = ""
         if slope.budget is not None:
@@ -230,7 +229,7 @@
             (
                 f"{slope.title}, {slope.unit}",
                 series.of,
-                _points(result, slope),
+                _points(series, slope),
                 _formula(found),
                 f"{found.r_squared:.4f}",
                 f"{number(found.at(size))} at {size:,}",
@@ -238,7 +237,8 @@
             )
         )
     head = ("what", "n", "points", "fit", "r²", "at the design's size", "budget is passed")
-    how = "\n".join(f"- `{name}`: {series.how}." for name, series in result.series.items())
+    ran = [series for name in (CONTROL, *result.series) if (series := result.find(name)) is not None]
+    how = "\n".join(f"- `{series.name}`: {series.how}." for series in ran)
     return f"{table(head, lines)}\n\nWhat ran:\n\n{how}"
 
 
--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -9,10 +9,11 @@
 
 from benchmarks.capacity import figures
 from benchmarks.capacity.figures import ASSUMED, MEASURED, NOT_RUN, Control, Dispatchers, Figure
-from benchmarks.capacity.model import DISTRIBUTION, Mixed, Result
+from benchmarks.capacity.model import CONTROL, DISTRIBUTION, Mixed, Result
 from thistleshore.fleet import Terms
 
 NONE = "none"
+CONTROL_NAMES = {"cpu_percent": "processor time", "memory_mb": "memory", "bytes": "bytes sent"}
 NO_MECHANISM = "no mechanism"
 SECONDS_A_DAY = 86_400.0
 DESCRIPTORS_A_TASK = 2  # its client's connection and its worker's
@@ -242,6 +243,21 @@
             judged(f"control of {name}: memory", parts, found.memory_mb, "MB", size.control_memory_mb),
             judged(f"control of {name}: bytes sent", parts, found.bytes, "B/s", size.control_bytes_a_second),
         ]
+    for value, unit, budget in (
+        ("cpu_percent", "% of a core", result.size.control_cpu_percent),
+        ("memory_mb", "MB", result.size.control_memory_mb),
+        ("bytes", "B/s", result.size.control_bytes_a_second),
+    ):
+        whole = figures.at(result, CONTROL, value, count.count)
+        rows.append(
+            judged(
+                f"control by whole dispatchers: {CONTROL_NAMES[value]}",
+                "the same, whole processes, mean of all with their voters",
+                whole,
+                unit,
+                budget,
+            )
+        )
     program = figures.at(result, "requests", "idle_memory_mb", result.size.workers)
     rows.append(
         judged(
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -24,7 +24,9 @@
     result = model.read()
     assert not result.quick
     for slope in figures.SLOPES:
-        assert len(result.series[slope.series].used(slope.value)) >= FEWEST_POINTS, slope
+        found = result.find(slope.series)
+        assert found is not None, slope
+        assert len(found.used(slope.value)) >= FEWEST_POINTS, slope
 
 
 def test_every_requirement_has_a_verdict() -> None:
