--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -12,6 +12,7 @@
 
 PAGE = Path(__file__).parent.parent.parent / "docs" / "CAPACITY.md"
 BEGIN, END = "<!-- capacity: generated from here -->", "<!-- capacity: generated to here -->"
+NAMES = {"bytes": "bytes", "cpu_percent": "processor time", "memory_mb": "memory"}
 COMPARED = (("bytes", "B/s"), ("cpu_percent", "% of a core"), ("memory_mb", "MB"))
 
 
@@ -251,7 +252,7 @@
             lines.append(
                 (
                     str(found.size),
-                    f"{value.removesuffix('_percent').removesuffix('_mb')}, {unit}",
+                    f"{NAMES[value]}, {unit}",
                     number(found.whole[value]),
                     number(found.idle.get(value, 0.0)),
                     number(found.control(value)),
@@ -261,7 +262,13 @@
                 )
             )
     head = ("dispatchers", "what, of one", "whole", "whole without control", "control", "hollow", "error", "load")
-    return table(head, lines)
+    errors = (_errors(result, value) for value, _ in COMPARED)
+    return f"{table(head, lines)}\n\nStated error of hollow dispatchers: {'; '.join(errors)}."
+
+
+def _errors(result: Result, value: str) -> str:
+    found = [each.error(value) for each in result.agreement]
+    return f"{NAMES[value]} {min(found):+.0%} to {max(found):+.0%}"
 
 
 def _mixed(result: Result) -> str:
--- a/benchmarks/capacity/runs.py
+++ b/benchmarks/capacity/runs.py
@@ -48,6 +48,7 @@
     mixed: Sequence[tuple[int, int, tuple[Part, ...]]] = (
         (6, 9, FOLLOWED),
         (17, 9, FOLLOWED),
+        (31, 9, FOLLOWED),
         (51, 9, FOLLOWED),
         (200, 9, VIEW),
         (200, 9, FOLLOWED),
