--- a/benchmarks/fleet_beats.py
+++ b/benchmarks/fleet_beats.py
@@ -13,7 +13,8 @@
 
 import msgspec
 
-from thistleshore.fleet.model import Action, Address, Changed, Record, Send, Service, State, Terms
+from thistleshore.addresses import Address
+from thistleshore.fleet.model import Action, Changed, Record, Send, Service, State, Terms
 
 
 class _Other:
@@ -24,8 +25,9 @@
 class Beats:
     """Heartbeats of all to all; each carries the sender's own record and the addresses that it knows."""
 
-    def __init__(self, fleet: str, me: Record, terms: Terms, seeds: Sequence[Address], now: float,
-                 seed: int = 0) -> None:  # fmt: skip
+    def __init__(
+        self, fleet: str, me: Record, terms: Terms, seeds: Sequence[Address], now: float, seed: int = 0
+    ) -> None:
         self.fleet, self.me, self.terms, self.seeds = fleet, me, terms, [s for s in seeds if s != me.address]
         self.members: dict[str, _Other] = {}
         self.counts: Counter[str] = Counter()
--- a/thistleshore/distribution/calls.py
+++ b/thistleshore/configuration/calls.py
@@ -9,11 +9,11 @@
 import msgspec
 import trio
 
-from thistleshore.distribution import agreement
-from thistleshore.distribution.applying import Applier, NotApplied
-from thistleshore.distribution.carrier import Distribution
+from thistleshore.configuration import agreement
+from thistleshore.configuration.applying import Applier, NotApplied
+from thistleshore.configuration.carrier import Distribution
 from thistleshore.distribution.model import Zone, digest_of
-from thistleshore.distribution.uploads import UploadError, Uploads
+from thistleshore.configuration.uploads import UploadError, Uploads
 from thistleshore.releases.carrier import NoMajority, Releases
 from thistleshore.releases.faults import point
 from thistleshore.releases.model import Configuration, ConfigurationEntry, Refusal, Value
@@ -49,6 +49,31 @@
     told: str
 
 
+class Behind(msgspec.Struct, frozen=True):
+    """An instance that has reported an older version."""
+
+    name: str
+    applied: int
+    refused: int
+    reason: str
+
+
+class ZoneStatus(msgspec.Struct, frozen=True):
+    """How far one zone is with a version, as an answer has it."""
+
+    zone: str
+    members: int
+    applied: int
+    behind: tuple[Behind, ...]
+    unknown: tuple[str, ...]
+
+
+def zone_status(zone: Zone) -> ZoneStatus:
+    """The rows of the protocol are arrays; those of an answer are objects."""
+    behind = tuple(Behind(row.name, row.applied, row.refused, row.reason) for row in zone.behind)
+    return ZoneStatus(zone.zone, zone.members, zone.applied, behind, zone.unknown)
+
+
 class Status(msgspec.Struct, frozen=True):
     """The newest version, and how far the fleet is with one."""
 
@@ -59,7 +84,7 @@
     serving_from: str  # fleet, disk or file
     spread_of: int  # the version that the zones are counted for
     everywhere: bool
-    zones: tuple[Zone, ...]
+    zones: tuple[ZoneStatus, ...]
     counts: dict[str, int]
 
 
@@ -164,13 +189,13 @@
         machine = distribution.machine
         return Status(
             self._agreed(),
-            distribution.newest.number,
-            distribution.newest.digest,
+            newest.number,  # as it was when the zones were counted for it
+            newest.digest,
             machine.applied.number,
             distribution.serving_from,
             number,
             spread.everywhere,
-            spread.zones,
+            tuple(map(zone_status, spread.zones)),
             dict(sorted(machine.counts.items())),
         )
 
