--- a/benchmarks/capacity/hollow.py
+++ b/benchmarks/capacity/hollow.py
@@ -91,10 +91,10 @@
 
 async def begin(first: HollowDispatcher) -> None:
     """Begin the register, again where its voters do not listen yet."""
-    while first.fleet is None or first.fleet.releases is None:
+    while first.releases is None:
         await trio.sleep(BEGIN_AGAIN)
     while True:
-        found = await first.fleet.releases.on_call("begin", ())
+        found = await first.releases.on_call("begin", ())
         if found["status"] in ("done", "refused"):
             return
         await trio.sleep(BEGIN_AGAIN)
--- a/thistleshore/rig/hollow.py
+++ b/thistleshore/rig/hollow.py
@@ -18,9 +18,10 @@
 from thistleshore.core.broker import Broker
 from thistleshore.core.model import HostsTold
 from thistleshore.fleet.carrier import Carrier
+from thistleshore.limits import upstream_limits
 from thistleshore.platform.upstream import Upstreams
+from thistleshore.releases.carrier import Releases
 from thistleshore.wiring.components import Components
-from thistleshore.wiring.limits import upstream_limits
 
 
 class Part(StrEnum):
@@ -50,6 +51,11 @@
         """Its part in the view; None before it runs, or where its file sets none up."""
         return None if self._components is None else self._components.fleet
 
+    @property
+    def releases(self) -> Releases | None:
+        """Its part in what the fleet agrees on; None before it runs, or where its file sets none up."""
+        return None if self._components is None else self._components.releases
+
     async def run(self) -> None:
         """Take part in everything that the file sets up, until cancelled."""
         plan, applier = dispatcher._configured(self.plan)
@@ -70,7 +76,7 @@
     @property
     def follows(self) -> bool:
         """Whether a majority of the voters has answered it lately."""
-        releases = self.fleet.releases if self.fleet is not None else None
+        releases = self.releases
         return releases is not None and trio.current_time() <= releases.fresh_until
 
     @property
