--- a/benchmarks/capacity/hollow.py
+++ b/benchmarks/capacity/hollow.py
@@ -30,7 +30,7 @@
 
 START_GAP = 0.02  # s between two starts: a fleet is not started in one instant
 STATUS_EVERY = 0.5  # s
-BEGIN_AGAIN = 0.5  # s
+CALL_AGAIN = 0.5  # s
 VERSION_LOOK = 0.05  # s
 PIECE = 3000  # characters of a piece of an upload
 
@@ -67,13 +67,20 @@
     }
 
 
+async def call(dispatcher: HollowDispatcher, name: str, *words: str) -> dict[str, Any]:
+    """An operator's call about the fleet, once the dispatcher can take it."""
+    while dispatcher.fleet is None:
+        await trio.sleep(CALL_AGAIN)
+    _, answer = await dispatcher.fleet.on_call(name, " ".join(words))
+    return answer if isinstance(answer, dict) else {"status": "no part", "told": answer}
+
+
 async def push(first: HollowDispatcher, every: float, versions: Versions) -> None:
     """Push another configuration so often, by the calls that an operator's command makes."""
     changes = 0
     while True:
         await trio.sleep(every)
-        calls = first.fleet.configuration_calls if first.fleet is not None else None
-        if calls is None or not first.follows:
+        if not first.follows:
             continue
         changes += 1
         body = configuration_body(TEAMS, changes)
@@ -81,8 +88,8 @@
         data = base64.urlsafe_b64encode(zstandard.ZstdCompressor().compress(body)).decode()
         pieces = [data[n : n + PIECE] for n in range(0, len(data), PIECE)]
         for number, piece in enumerate(pieces):
-            await calls.on_call("config-piece", [upload, str(number), str(len(pieces)), piece])
-        found = await calls.on_call("config-push", [upload, digest_of(body), "-", "capacity"])
+            await call(first, "config-piece", upload, str(number), str(len(pieces)), piece)
+        found = await call(first, "config-push", upload, digest_of(body), "-", "capacity")
         if found["status"] == "done":
             versions.pushed[found["number"]] = at
         else:
@@ -91,13 +98,8 @@
 
 async def begin(first: HollowDispatcher) -> None:
     """Begin the register, again where its voters do not listen yet."""
-    while first.releases is None:
-        await trio.sleep(BEGIN_AGAIN)
-    while True:
-        found = await first.releases.on_call("begin", ())
-        if found["status"] in ("done", "refused"):
-            return
-        await trio.sleep(BEGIN_AGAIN)
+    while (await call(first, "begin"))["status"] not in ("done", "refused"):
+        await trio.sleep(CALL_AGAIN)
 
 
 async def run(given: argparse.Namespace) -> None:
