--- a/benchmarks/capacity/hollow.py
+++ b/benchmarks/capacity/hollow.py
@@ -5,7 +5,7 @@
 Twice a second a line of JSON is added to STATUS: how many have started, whose views are settled and alike, how many
 follow the register, and when each version of the configuration was pushed and in force at all of them (by the system's
 monotonic clock).  `--begin`: the first of them begins the register.  `--push SECONDS`: the first of them pushes another
-configuration so often.
+configuration so often, once STATUS's name with `.push` is there.
 """
 
 from __future__ import annotations
@@ -30,6 +30,7 @@
 
 START_GAP = 0.02  # s between two starts: a fleet is not started in one instant
 STATUS_EVERY = 0.5  # s
+PUSH_SUFFIX = ".push"  # of the file, beside STATUS, that has the pushes begin
 CALL_AGAIN = 0.5  # s
 VERSION_LOOK = 0.05  # s
 PIECE = 3000  # characters of a piece of an upload
@@ -75,9 +76,11 @@
     return answer if isinstance(answer, dict) else {"status": "no part", "told": answer}
 
 
-async def push(first: HollowDispatcher, every: float, versions: Versions) -> None:
-    """Push another configuration so often, by the calls that an operator's command makes."""
+async def push(first: HollowDispatcher, every: float, versions: Versions, begins: Path) -> None:
+    """Push another configuration so often, by the calls that an operator's command makes, once the file is there."""
     changes = 0
+    while not begins.exists():
+        await trio.sleep(CALL_AGAIN)
     while True:
         await trio.sleep(every)
         if not first.follows:
@@ -130,7 +133,7 @@
         if given.begin:
             nursery.start_soon(begin, dispatchers[0])
         if given.push:
-            nursery.start_soon(push, dispatchers[0], given.push, versions)
+            nursery.start_soon(push, dispatchers[0], given.push, versions, given.status.with_suffix(PUSH_SUFFIX))
         if any(each.plan.distribution is not None for each in dispatchers):
             nursery.start_soon(versions.watch, dispatchers)
         await trio.to_thread.run_sync(sys.stdin.read, abandon_on_cancel=True)
