--- a/benchmarks/capacity/hollow.py
+++ b/benchmarks/capacity/hollow.py
@@ -28,7 +28,7 @@
 from thistleshore.distribution.model import digest_of
 from thistleshore.rig.hollow import HollowDispatcher
 
-START_GAP = 0.02  # s between two starts: a fleet is not started in one instant
+START_GAP = 0.1  # s between two starts: each that joins compares its view with others
 STATUS_EVERY = 0.5  # s
 PUSH_SUFFIX = ".push"  # of the file, beside STATUS, that has the pushes begin
 CALL_AGAIN = 0.5  # s
