--- a/benchmarks/capacity/configuration.py
+++ b/benchmarks/capacity/configuration.py
@@ -71,12 +71,12 @@
 class _Rates(NamedTuple):
     """What one instance of a process sends and uses, a second."""
 
-    udp_bytes: float
+    distribution_bytes: float
     cpu_percent: float
 
     @classmethod
     def of(cls, window: Window, instances: int) -> _Rates:
-        return cls(window.sent.udp_bytes / window.seconds / instances, window.cpu_percent / instances)
+        return cls(window.sent.distribution_bytes / window.seconds / instances, window.cpu_percent / instances)
 
 
 def _alone(folder: Path, count: int, pace: Pace) -> Window:
@@ -107,12 +107,12 @@
     voter_still, still = _Rates.of(quiet[0], VOTERS), _Rates.of(quiet[1], only)
     voter_moved, moved = _Rates.of(changing[0], VOTERS), _Rates.of(changing[1], only)
     values = {
-        "bytes": round(still.udp_bytes - base.udp_bytes, 1),
+        "bytes": round(still.distribution_bytes, 1),
         "cpu_percent": round(still.cpu_percent - base.cpu_percent, 3),
         "memory_mb": round((quiet[1].resident_kb - alone.resident_kb) / KB_A_MB / only, 3),
-        "change_bytes": round((moved.udp_bytes - still.udp_bytes) * PUSH_EVERY, 1),
+        "change_bytes": round((moved.distribution_bytes - still.distribution_bytes) * PUSH_EVERY, 1),
         "change_cpu_ms": round((moved.cpu_percent - still.cpu_percent) * MILLISECONDS_A_PERCENT * PUSH_EVERY, 2),
-        "voter_change_bytes": round((voter_moved.udp_bytes - voter_still.udp_bytes) * PUSH_EVERY, 1),
+        "voter_change_bytes": round((voter_moved.distribution_bytes - voter_still.distribution_bytes) * PUSH_EVERY, 1),
         "voter_change_cpu_ms": round(
             (voter_moved.cpu_percent - voter_still.cpu_percent) * MILLISECONDS_A_PERCENT * PUSH_EVERY, 2
         ),
