--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -31,6 +32,7 @@
     digest_of,
     region_of,
 )
+from thistleshore.distribution.transfer import Fetching, Source, Taken
 from thistleshore.distribution.tree import Tree
 
 TERMS = Terms()
@@ -208,31 +210,31 @@
         assert not [message for message in found if isinstance(message, wire.Fetch | Apply)]
         assert not kind or one.counts[kind] == 1
         assert one.known == one.applied == held[0]
-    found = one.on_agreed(stamp_of(6, b"", size=BODY_MOST + 1), None, 0.0)
+    one.on_agreed(stamp_of(6, b"", size=BODY_MOST + 1), None, 0.0)
     assert one.spread(6, 0.0).zones[0].behind[0].reason.startswith("a body of")
 
 
 @pytest.mark.parametrize("kind", ["altered", "too many", "too long", "another encoding", "lacking", "silent"])
 def test_another_source_is_asked_after_one_that_is_of_no_use(kind: str) -> None:
-    one = Distributor(FLEET, ME, frozenset({"a", "c"}), TERMS, 0.0)
+    one = Distributor(FLEET, ME, frozenset({"a", "c"}), TERMS, 0.0, held=(stamp_of(1, body_of(1)), body_of(1)))
     third = Peer("c", ("127.0.0.1", 3), "s/z", 1, True)
     one.on_view([OTHER, third], 0.0)
-    body = body_of(1, 2000)
-    stamp, data = stamp_of(1, body), encode(body, None)
+    body = body_of(2, 2000)
+    stamp, data = stamp_of(2, body), encode(body, None)
     _, fetch = tell(one, wire.Offer(stamp))
-    assert isinstance(fetch, wire.Fetch)
+    assert isinstance(fetch, wire.Fetch) and fetch.base == 1
     if kind == "silent":
         found = [*one.on_time(0.4), *one.on_time(0.8)]
     else:
-        wrong = {
+        wrong: dict[str, wire.Message] = {
             "altered": wire.Part(fetch.transfer, 0, len(data), 1, 0, data[:100] + b"?" + data[101:]),
             "too many": wire.Part(fetch.transfer, 0, 1 << 30, 4000, 0, data[:100]),
             "too long": wire.Part(fetch.transfer, 0, 99, 2, 0, data[:100]),
             "another encoding": wire.Part(fetch.transfer, 9, len(data), 1, 0, data),
             "lacking": wire.Lacking(fetch.transfer),
-        }[kind]
+        }
         one.terms = one.terms._replace(datagram=60_000)
-        found = one.on_datagram(wire.write(FLEET, "a", 1, wrong), OTHER.address, 0.8)
+        found = one.on_datagram(wire.write(FLEET, "a", 1, wrong[kind]), OTHER.address, 0.8)
     sent = [
         (action.address, wire.read(action.data, FLEET, 1200).message) for action in found if isinstance(action, Send)
     ]
@@ -240,8 +242,37 @@
     assert address == third.address
     assert isinstance(again, wire.Fetch) and again.transfer != fetch.transfer
     assert one.counts["mismatch"] == (kind not in ("lacking", "silent"))
+    assert again.base == 1 - one.counts["mismatch"], "whole, after what did not fit"
     late = tell(one, wire.Part(fetch.transfer, 0, len(data), 1, 0, data[:900]), 0.9)
-    assert late == [] and one.counts["stray_part"] == 1 and one.applied == NO_VERSION
+    assert late == [] and one.counts["stray_part"] == 1 and one.applied.number == 1
+
+
+def test_a_body_that_is_coming_in_is_not_given_up_for_a_newer_one() -> None:
+    one = machine()
+    bodies = {number: random.Random(number).randbytes(20_000) for number in (1, 2)}
+    data = encode(bodies[1], None)
+    parts = [data[at : at + 1000] for at in range(0, len(data), 1000)]
+    _, fetch = tell(one, wire.Offer(stamp_of(1, bodies[1])))
+    assert isinstance(fetch, wire.Fetch)
+    found: list[wire.Message | Action] = []
+    for index, part in enumerate(parts):
+        found = tell(one, wire.Part(fetch.transfer, 0, len(data), len(parts), index, part), 0.001)
+        if index == 3:
+            assert tell(one, wire.Offer(stamp_of(2, bodies[2])), 0.001) == [wire.Acknowledge(2)]
+    assert Apply(stamp_of(1, bodies[1]), bodies[1]) in found
+    assert [(m.number, m.base) for m in found if isinstance(m, wire.Fetch)] == [(2, 1)]
+    assert one.known.number == 2
+
+
+def test_a_source_that_falls_silent_is_asked_ever_more_seldom() -> None:
+    fetching = Fetching(stamp_of(1, b"x" * 5000), NO_VERSION, [Source("a", ("h", 1))], TERMS, 1)
+    fetching.request(0.0)
+    assert fetching.on_part(wire.Part(1, 0, 5000, 20, 0, b"x" * 250), 0.001) is Taken.MORE
+    asked = []
+    while fetching.on_late(fetching.due):
+        asked.append(fetching.due)
+        fetching.request_again(fetching.due)
+    assert 3 <= len(asked) <= 7 and asked[0] < 0.05 and fetching.due == pytest.approx(0.001 + 2 * TERMS.answer)
 
 
 def sent_in(one: Distributor, until: float, kind: type[wire.Message]) -> list[tuple[float, Address]]:
@@ -260,6 +291,10 @@
     for one in (silent, answered):
         one.on_agreed(stamp_of(1, body_of(1)), body_of(1), 0.0)
     assert tell(answered, wire.Acknowledge(1)) == [] and sent_in(answered, 30.0, wire.Offer) == []
+    assert len(sent_in(silent, 0.5, wire.Offer)) == 1
+    silent.on_view([OTHER._replace(alive=False)], 0.5)
+    assert sent_in(silent, 0.9, wire.Offer) == []
+    silent.on_view([OTHER], 0.9)
     assert len(sent_in(silent, 30.0, wire.Offer)) == TERMS.retries
 
 
@@ -412,25 +447,30 @@
 def test_versions_in_quick_succession_end_at_the_newest() -> None:
     fleet = world(45, seed=4, loss=0.1, repeat=0.1, reorder=0.2)
     for number in range(1, 41):
-        fleet.at(2.0 + 0.1 * number, lambda number=number: fleet.push(body_of(number)))
+        fleet.at(2.0 + 0.1 * number, partial(fleet.push, body_of(number)))
     fleet.run(7.0)
     assert fleet.run_until(lambda: fleet.in_force(40), 8.0) is not None
     sound(fleet)
 
 
-def test_a_great_body_with_nothing_in_common_comes_by_parts() -> None:
-    fleet = world(45, seed=2, loss=0.02, terms=TERMS._replace(transfers=3))
+@pytest.mark.parametrize(("loss", "transfers"), [(0.02, 3), (0.1, 16)])
+def test_a_great_body_with_nothing_in_common_comes_by_parts(loss: float, transfers: int) -> None:
+    fleet = world(45, seed=2, loss=loss, terms=TERMS._replace(transfers=transfers))
     fleet.run(4.0)
     body = random.Random(3).randbytes(BODY_MOST)
     assert fleet.push(body) == 1
+    relay = next(name for name in relays_of(fleet) if name not in fleet.voters)
+    fleet.at(fleet.now + 1.0, partial(fleet.kill, relay))
+    fleet.at(fleet.now + 3.0, partial(fleet.restart, relay))
     assert fleet.run_until(lambda: fleet.in_force(1), SPREAD_MOST) is not None
-    assert sum(node.machine.counts["busy"] for node in fleet.living() if node.machine) > 0
+    busy = sum(node.machine.counts["busy"] for node in fleet.living() if node.machine)
+    assert (busy > 0) == (transfers == 3)
     sound(fleet)
 
 
-def relays_of(fleet: World) -> list[str]:
-    """All relays and voters, by the view of one that lives."""
-    found = set(fleet.voters)
+def relays_of(fleet: World, voters: bool = True) -> list[str]:
+    """All relays, and the voters with them."""
+    found = set(fleet.voters) if voters else set()
     for node in fleet.living():
         assert node.machine is not None
         tree = node.machine._tree
@@ -445,9 +485,9 @@
     chance = random.Random(seed)
     fleet.run(4.0)
     relays = relays_of(fleet)
-    doomed = {chance.choice(sorted(fleet.voters)), *chance.sample(sorted(set(relays) - fleet.voters), 4)}
+    doomed = [chance.choice(sorted(fleet.voters)), *chance.sample(sorted(set(relays) - fleet.voters), 4)]
     for name in doomed:
-        fleet.at(fleet.now + chance.uniform(0.0, 0.4), lambda name=name: fleet.kill(name))
+        fleet.at(fleet.now + chance.uniform(0.0, 0.4), partial(fleet.kill, name))
     fleet.run(fleet.now)
     pushed(fleet, 1)
     for name in doomed:
@@ -527,8 +567,9 @@
 
 
 def test_all_is_counted_within_seconds_and_a_dead_member_never() -> None:
-    fleet = world(45, seed=9, loss=0.05)
+    fleet = world(45, seed=9, loss=0.05, voters=5)
     fleet.run(12.0)
+    assert fleet.voters - set(relays_of(fleet, voters=False)), "one of them reports to relays only for this"
 
     def counted(number: int) -> bool:
         fleet.ask_spread("n7")
@@ -537,6 +578,8 @@
 
     pushed(fleet, 1)
     assert fleet.run_until(lambda: counted(1), 6.0) is not None
+    fleet.run(fleet.now + 20.0)
+    assert fleet.run_until(lambda: counted(1), 6.0) is not None
     fleet.kill("n20")
     fleet.run(fleet.now + 9.0)
     pushed(fleet, 2)
@@ -658,7 +701,7 @@
         fleet.push(body_of(number))
         fleet.run(fleet.now + 3.0)
     fleet.restart("n5")
-    fleet.run(fleet.now + 10.0)
+    fleet.run(fleet.now + 5.0)
 
 
 def killed_while_writing(fleet: World) -> None:
--- a/thistleshore/rig/world.py
+++ b/thistleshore/rig/world.py
@@ -107,6 +107,8 @@
 def convert(found: object) -> World:
     """The world of tables that were read."""
     world = typed.convert(found, World, WorldError)
+    if world.configuration and not world.voters:
+        raise WorldError("configuration: voters have to agree on it")
     known = {*world.names, *world.worker_names, "load"}
     for n, fault in enumerate(world.fault):
         if strange := sorted({*fault.who, *fault.to} - known):
