Page of capacity: time to in force between processes is the worst of all scenarios

Cause: the kept result of the runs with whole processes has a list of scenarios, and the page wanted one spread. Change: the worst, the sum of changes and of those not in force are taken.

--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -17,6 +17,7 @@
 SECONDS_A_DAY = 86_400.0
 DESCRIPTORS_A_TASK = 2  # its client's connection and its worker's
 DESCRIPTORS = 20_000  # that the system of these runs grants a process
+WHOLE_PROCESSES = 9  # that `benchmarks.distribution_real --latency` starts
 
 
 class Row(msgspec.Struct, frozen=True):
@@ -63,11 +64,35 @@
     days: dict[str, _Day] = {}  # noqa: RUF012 - msgspec copies it
 
 
+class _Times(msgspec.Struct, frozen=True):
+    worst: float
+    failed: int
+
+
+class _Scenario(msgspec.Struct, frozen=True):
+    """One kind of fault between whole processes, as `benchmarks.distribution_real --latency` keeps it."""
+
+    changes: int
+    spreading: _Times
+
+
+class _Processes(msgspec.Struct, frozen=True):
+    latency: tuple[_Scenario, ...] = ()
+
+    def spread(self) -> Spread | None:
+        """The worst of all scenarios."""
+        if not self.latency:
+            return None
+        changes = sum(found.changes for found in self.latency)
+        worst = max(found.spreading.worst for found in self.latency)
+        return Spread(WHOLE_PROCESSES, changes, worst, sum(found.spreading.failed for found in self.latency))
+
+
 class _Distribution(msgspec.Struct, frozen=True):
     """The file `benchmarks/results/distribution.json`; keys beside these are its own."""
 
     virtual: _Virtual = _Virtual()
-    processes: Spread | None = None
+    processes: _Processes = _Processes()
 
 
 def distribution(file: Path = DISTRIBUTION) -> dict[str, Spread]:
@@ -76,7 +101,9 @@
         return {}
     found = msgspec.json.decode(file.read_bytes(), type=_Distribution)
     days = [spread for day in found.virtual.days.values() if (spread := day.spread()) is not None]
-    spreads = {} if found.processes is None else {"processes": found.processes}
+    spreads = {}
+    if (processes := found.processes.spread()) is not None:
+        spreads["processes"] = processes
     if days:
         spreads["virtual"] = max(days, key=lambda spread: (spread.instances, spread.changes))
     return spreads
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -110,3 +110,13 @@
     }
     file.write_text(json.dumps({"virtual": {"bound": 18.0, "days": days}}))
     assert rows.distribution(file) == {"virtual": rows.Spread(60, 2900, 0.5, 0)}
+
+
+def test_the_time_to_in_force_between_processes_is_the_worst_of_all_scenarios(tmp_path: Path) -> None:
+    file = tmp_path / "distribution.json"
+    latency = [
+        {"scenario": name, "changes": changes, "spreading": {"p50": 0.2, "worst": worst, "failed": failed}}
+        for name, changes, worst, failed in (("quiet", 10, 0.4, 0), ("loss", 6, 2.5, 1))
+    ]
+    file.write_text(json.dumps({"processes": {"drawn": {"runs": 3}, "latency": latency}}))
+    assert rows.distribution(file) == {"processes": rows.Spread(9, 16, 2.5, 1)}
