One Address for the spread of configuration and the rig's relays

Cause: on the second reading, distribution/model.py and rig/relay.py still had an alias of their own for what addresses.py defines. Change: they and all who took it from them import it from thistleshore.addresses.

--- a/benchmarks/distribution_baselines.py
+++ b/benchmarks/distribution_baselines.py
@@ -21,7 +21,8 @@
 import msgspec
 
 from benchmarks.distribution_fleet import Fleet
-from thistleshore.distribution.model import NO_VERSION, Action, Address, Apply, Peer, Send, Stamp, Terms
+from thistleshore.addresses import Address
+from thistleshore.distribution.model import NO_VERSION, Action, Apply, Peer, Send, Stamp, Terms
 
 ASK_EVERY = 1.0  # s
 PART_BYTES = 1100  # of a body in one datagram
--- a/benchmarks/distribution_cost.py
+++ b/benchmarks/distribution_cost.py
@@ -20,7 +20,8 @@
 from benchmarks.distribution_fleet import Fleet, Traffic
 from benchmarks.distribution_plan import CHANGES, DAY
 from thistleshore.distribution.machine import Distributor
-from thistleshore.distribution.model import Action, Address, Peer, Stamp
+from thistleshore.addresses import Address
+from thistleshore.distribution.model import Action, Peer, Stamp
 
 SECONDS = 120.0  # of each row
 WARM_UP = 10.0
--- a/benchmarks/distribution_deaths.py
+++ b/benchmarks/distribution_deaths.py
@@ -13,7 +13,8 @@
 from benchmarks.distribution_fleet import Fleet
 from thistleshore.distribution import wire
 from thistleshore.distribution.machine import Distributor
-from thistleshore.distribution.model import Action, Address, Apply, Send, Stamp
+from thistleshore.addresses import Address
+from thistleshore.distribution.model import Action, Apply, Send, Stamp
 
 
 class Step(Enum):
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -18,12 +18,12 @@
 from thistleshore.distribution import wire
 from thistleshore.distribution.bodies import Bodies, Mismatch, decode, encode
 from thistleshore.distribution.machine import Distributor
+from thistleshore.addresses import Address
 from thistleshore.distribution.model import (
     BODY_MOST,
     NO_VERSION,
     RELAYS,
     Action,
-    Address,
     Apply,
     Peer,
     Row,
--- a/thistleshore/configuration/carrier.py
+++ b/thistleshore/configuration/carrier.py
@@ -13,7 +13,8 @@
 from thistleshore.configuration import agreement
 from thistleshore.configuration.applying import Applier, NotApplied, NotDurable
 from thistleshore.distribution.machine import Distributor
-from thistleshore.distribution.model import Action, Address, Apply, Peer, Send, Spread, Stamp, Terms, digest_of
+from thistleshore.addresses import Address
+from thistleshore.distribution.model import Action, Apply, Peer, Send, Spread, Stamp, Terms, digest_of
 from thistleshore.fleet.model import Record, State
 from thistleshore.listening import Aside
 from thistleshore.releases.model import Value
--- a/thistleshore/distribution/machine.py
+++ b/thistleshore/distribution/machine.py
@@ -22,13 +22,13 @@
 
 from thistleshore.distribution import wire
 from thistleshore.distribution.bodies import Bodies, Mismatch, decode, fits
+from thistleshore.addresses import Address
 from thistleshore.distribution.model import (
     BODY_MOST,
     FORMAT,
     NO_VERSION,
     REASON_MOST,
     Action,
-    Address,
     Apply,
     Noted,
     Peer,
--- a/thistleshore/distribution/model.py
+++ b/thistleshore/distribution/model.py
@@ -14,14 +14,14 @@
 
 import msgspec
 
+from thistleshore.addresses import Address
+
 BODY_MOST = 256 * 1024  # bytes of a body
 REASON_MOST = 200  # characters of why an instance could not apply a version
 FORMAT = 1  # of bodies; an instance keeps the version before one whose format it does not know
 RELAYS = 2  # living members of a zone, and of a region, that pass versions on
 DIGEST_BYTES = 16
 
-Address = tuple[str, int]
-
 
 class Stamp(msgspec.Struct, frozen=True, array_like=True):
     """One agreed version, without its body."""
--- a/thistleshore/distribution/transfer.py
+++ b/thistleshore/distribution/transfer.py
@@ -13,7 +13,8 @@
 
 from thistleshore.distribution import wire
 from thistleshore.distribution.bodies import Bodies, Encoding, encoded_most
-from thistleshore.distribution.model import NO_VERSION, Address, Stamp, Terms
+from thistleshore.addresses import Address
+from thistleshore.distribution.model import NO_VERSION, Stamp, Terms
 
 SILENT_ANSWERS = 2.0  # answer times without a word of a source, after which another is asked
 PATIENCE_TRIPS = 2.5  # round trips after which a part is asked for again
--- a/thistleshore/rig/relay.py
+++ b/thistleshore/rig/relay.py
@@ -15,7 +15,8 @@
 
 import trio
 
-Address = tuple[str, int]
+from thistleshore.addresses import Address
+
 RECEIVE = 65536
 HELD_MOST = 2000  # datagrams on their way in one link
 REORDERED = 0.05  # s by which one that is overtaken is late
--- a/thistleshore/rig/rig.py
+++ b/thistleshore/rig/rig.py
@@ -16,7 +16,8 @@
 from thistleshore.load.plan import convert as load_plan
 from thistleshore.load.run import Sender
 from thistleshore.rig.processes import PROGRAM, Kept, Process, free_ports, reaper
-from thistleshore.rig.relay import Address, Links, carry_connections, carry_datagrams
+from thistleshore.addresses import Address
+from thistleshore.rig.relay import Links, carry_connections, carry_datagrams
 from thistleshore.rig.truth import Row, Truth
 from thistleshore.rig.workers import Bay, Worker
 from thistleshore.rig.world import LINK, WORKER, Fault, World
