Ports of a process's own for tests and rigs; links whole again after faults

Its port was drawn from the system's range, which is also that of the near ends of connections: one of those keeps a port for a minute after its end. Rigs drew by chance from one range, so that two of them could draw the same port before either was bound. A link keeps the amounts of the faults under way and sums them anew.

--- a/benchmarks/capacity/files.py
+++ b/benchmarks/capacity/files.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from thistleshore.rig.hollow import Part
-from thistleshore.rig.processes import free_ports
+from thistleshore.rig.ports import free_ports
 
 REGIONS, ZONES = 5, 15
 VOTERS = 5
--- a/tests/support.py
+++ b/tests/support.py
@@ -21,6 +21,7 @@
 from hypothesis import HealthCheck, settings, strategies as st
 
 from thistleshore import config
+from thistleshore.rig.ports import free_ports
 
 ROOT = Path(__file__).parent.parent
 GARBAGE = st.binary(max_size=400)
@@ -70,9 +71,8 @@
 
 
 def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    """One that nobody has now; the next one drawn is another."""
+    return free_ports(1)[0]
 
 
 def socket_pair() -> tuple[trio.SocketStream, trio.SocketStream]:
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -18,6 +18,7 @@
 from tests.support import ROOT
 from thistleshore.rig import checks
 from thistleshore.rig.processes import PROGRAM
+from thistleshore.rig.relay import DISTURBANCES, Link
 from thistleshore.rig.rig import STARTED, Rig, open_rig
 from thistleshore.rig.run import play
 from thistleshore.rig.truth import of
@@ -357,6 +358,18 @@
             os.kill(child, signal.SIGKILL)
 
 
+def test_a_link_on_which_all_faults_have_ended_is_as_it_was() -> None:
+    """The sums of amounts that come and go are off by a little; a delay of less than nothing cannot be waited for."""
+    link, amounts = Link(), (0.1, 0.7, 0.2)
+    for kind in DISTURBANCES:
+        for amount in amounts:
+            link.begin(kind, amount)
+        assert getattr(link, kind) == pytest.approx(1.0)
+        for amount in amounts:
+            link.end(kind, amount)
+    assert (link.loss, link.delay, link.jitter, link.repeat, link.reorder) == (0.0,) * 5
+
+
 def test_a_seed_is_a_timeline_and_faulty_worlds_are_named() -> None:
     worlds = [read(file) for file in sorted((ROOT / "thistleshore" / "rig" / "worlds").glob("*.toml"))]
     assert {world.name for world in worlds} >= {"crash", "halves", "thirds", "stopped", "lossy", "workers", "compound"}
--- a/thistleshore/rig/processes.py
+++ b/thistleshore/rig/processes.py
@@ -4,9 +4,7 @@
 
 import ctypes
 import os
-import random
 import signal
-import socket
 import subprocess
 import sys
 from collections.abc import Sequence
@@ -18,7 +16,6 @@
 from thistleshore.releases import keeping
 from thistleshore.releases.keeper import Child
 
-PORTS = (20000, 32000)  # below those that the system gives to whoever connects
 PROGRAM = (sys.executable, "-O", "-m", "thistleshore")
 DIES_WITH_PARENT = 1  # PR_SET_PDEATHSIG
 HOG = "import sys, time\nend = time.monotonic() + float(sys.argv[1])\nwhile time.monotonic() < end: pass\n"
@@ -30,28 +27,6 @@
     _libc.prctl(DIES_WITH_PARENT, signal.SIGKILL)
 
 
-def free_ports(count: int) -> list[int]:
-    """Ports on loopback that nobody has now, for UDP and TCP; of no seed, as two rigs of one seed must not meet."""
-    chance = random.SystemRandom()
-    found: list[int] = []
-    held: list[socket.socket] = []
-    try:
-        while len(found) < count:
-            port = chance.randrange(*PORTS)
-            pair = (socket.socket(socket.AF_INET, socket.SOCK_STREAM), socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
-            held += pair
-            try:
-                for made in pair:
-                    made.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            found.append(port)
-    finally:
-        for made in held:
-            made.close()
-    return found
-
-
 class Process:
     """One process of the program, through all its lives.  Must be started by the main thread: the system ends a child
     with the thread that started it."""
--- a/thistleshore/rig/relay.py
+++ b/thistleshore/rig/relay.py
@@ -12,6 +12,7 @@
 from collections import Counter
 from collections.abc import Mapping
 from contextlib import suppress
+from typing import Literal, get_args
 
 import trio
 
@@ -22,13 +23,18 @@
 REORDERED = 0.05  # s by which one that is overtaken is late
 SENT_AGAIN = 0.2  # s after which TCP sends again what was lost
 LINGER = struct.pack("ii", 1, 0)  # closing sends a reset
+JITTER_OF_DELAY = 0.5
+
+Disturbance = Literal["loss", "delay", "repeat", "reorder"]
+DISTURBANCES: tuple[Disturbance, ...] = get_args(Disturbance)
 
 
 class Link:
     """One direction between two; what is set here holds for what comes from now on."""
 
     def __init__(self) -> None:
-        self.loss = self.delay = self.jitter = self.repeat = self.reorder = 0.0
+        # By kind, the amount of each fault under way: what several came to and went by would not sum up to exactly 0.
+        self._amounts: dict[Disturbance, list[float]] = {kind: [] for kind in DISTURBANCES}
         self.cuts = 0  # how many faults cut it
         self.silent = 0  # TCP: connections stay and carry nothing
         self.whole = trio.Event()
@@ -37,6 +43,39 @@
         self.counts: Counter[str] = Counter()
         self.held = 0
 
+    def begin(self, kind: Disturbance, amount: float) -> None:
+        """One fault more of that kind."""
+        self._amounts[kind].append(amount)
+
+    def end(self, kind: Disturbance, amount: float) -> None:
+        """A fault that has begun with that amount is over."""
+        self._amounts[kind].remove(amount)
+
+    @property
+    def loss(self) -> float:
+        """The share that is lost."""
+        return sum(self._amounts["loss"])
+
+    @property
+    def delay(self) -> float:
+        """s by which all is late."""
+        return sum(self._amounts["delay"])
+
+    @property
+    def jitter(self) -> float:
+        """s by which some is later still."""
+        return JITTER_OF_DELAY * self.delay
+
+    @property
+    def repeat(self) -> float:
+        """The share that comes twice."""
+        return sum(self._amounts["repeat"])
+
+    @property
+    def reorder(self) -> float:
+        """The share that is overtaken."""
+        return sum(self._amounts["reorder"])
+
     def stop(self, silent: bool = False) -> None:
         if silent:
             self.silent += 1
--- a/thistleshore/rig/rig.py
+++ b/thistleshore/rig/rig.py
@@ -15,7 +15,8 @@
 from thistleshore.fleet.model import Terms
 from thistleshore.load.plan import convert as load_plan
 from thistleshore.load.run import Sender
-from thistleshore.rig.processes import PROGRAM, Kept, Process, free_ports, reaper
+from thistleshore.rig.ports import free_ports
+from thistleshore.rig.processes import PROGRAM, Kept, Process, reaper
 from thistleshore.addresses import Address
 from thistleshore.rig.relay import Links, carry_connections, carry_datagrams
 from thistleshore.rig.truth import Row, Truth
@@ -453,15 +454,8 @@
             match fault.kind:
                 case "cut" | "silence":
                     link.stop(fault.kind == "silence")
-                case "loss":
-                    link.loss += fault.amount
-                case "delay":
-                    link.delay += fault.amount
-                    link.jitter += fault.amount / 2
-                case "repeat":
-                    link.repeat += fault.amount
-                case "reorder":
-                    link.reorder += fault.amount
+                case "loss" | "delay" | "repeat" | "reorder":
+                    link.begin(fault.kind, fault.amount)
                 case "reset":
                     link.reset()
 
@@ -491,15 +485,8 @@
             match fault.kind:
                 case "cut" | "silence":
                     link.heal(fault.kind == "silence")
-                case "loss":
-                    link.loss -= fault.amount
-                case "delay":
-                    link.delay -= fault.amount
-                    link.jitter -= fault.amount / 2
-                case "repeat":
-                    link.repeat -= fault.amount
-                case "reorder":
-                    link.reorder -= fault.amount
+                case "loss" | "delay" | "repeat" | "reorder":
+                    link.end(fault.kind, fault.amount)
 
     def _pairs(self, fault: Fault) -> list[tuple[str, str]]:
         if fault.kind not in LINK:
