--- a/benchmarks/check_configuration.py
+++ b/benchmarks/check_configuration.py
@@ -18,18 +18,16 @@
 
 from __future__ import annotations
 
-import argparse
-import json
 import sys
-import time
 from collections import Counter
 from typing import Any
 
 
+from benchmarks.check_command import FLAWED, Findings, run
 from benchmarks.check_register import VOTERS, Story, explore, walk
 from thistleshore.configuration import agreement
 from thistleshore.distribution.model import digest_of
-from thistleshore.releases.carrier import Deposit
+from thistleshore.releases.messages import Deposit
 from thistleshore.releases.model import Value
 from thistleshore.releases.register import Round
 
@@ -162,23 +160,18 @@
         return super().shape(), contents, bodies, tuple(self.deposited), proposed, self.lost_disks
 
 
-def main() -> int:
-    parser = argparse.ArgumentParser(description=(__doc__ or "").split("\n")[0])
-    parser.add_argument("--states", type=int, default=30000)
-    parser.add_argument("--walks", type=int, default=20000)
-    parser.add_argument("--json", action="store_true")
-    asked = parser.parse_args()
-    begun = time.monotonic()
-    told: dict[str, Any] = {
-        "explored": explore("", asked.states, ConfigurationStory),
-        "walked": walk("", asked.walks, 1, kind=ConfigurationStory),
-        "impatient": walk(IMPATIENT, asked.walks, 1, kind=ConfigurationStory),
-        "flawed": {flaw: walk(flaw, asked.walks, 2, kind=ConfigurationStory)["broken"] for flaw in FLAWS},
+def check(states: int, walks: int) -> Findings:
+    """The sound form, one whose proposers do not wait, and each flawed one."""
+    return {
+        "explored": explore("", states, ConfigurationStory),
+        "walked": walk("", walks, 1, kind=ConfigurationStory),
+        "impatient": walk(IMPATIENT, walks, 1, kind=ConfigurationStory),
+        FLAWED: {flaw: walk(flaw, walks, 2, kind=ConfigurationStory)["broken"] for flaw in FLAWS},
     }
-    told["seconds"] = round(time.monotonic() - begun, 1)
-    print(json.dumps(told) if asked.json else json.dumps(told, indent=1))
-    sound = not any(told[part]["broken"] for part in ("explored", "walked", "impatient"))
-    return 0 if sound and all(told["flawed"].values()) else 1
+
+
+def main() -> int:
+    return run(__doc__, check, states=30_000, walks=20_000)
 
 
 if __name__ == "__main__":
--- a/benchmarks/check_fleet.py
+++ b/benchmarks/check_fleet.py
@@ -17,18 +17,16 @@
 
 from __future__ import annotations
 
-import argparse
 import copy
-import json
 import random
 import sys
-import time
 from collections import deque
 from collections.abc import Iterator
 from typing import Any
 
 import msgspec
 
+from benchmarks.check_command import FLAWED, Findings, run
 from thistleshore.fleet import Fleet, Record, Service, State, Terms
 from thistleshore.fleet.model import Seen
 
@@ -228,23 +226,18 @@
     return {"walks": walks, "steps": walks * length, "broken": ""}
 
 
-def main() -> int:
-    parser = argparse.ArgumentParser(description=(__doc__ or "").split("\n")[0])
-    parser.add_argument("--states", type=int, default=20000)
-    parser.add_argument("--walks", type=int, default=100)
-    parser.add_argument("--json", action="store_true")
-    asked = parser.parse_args()
-    begun = time.monotonic()
-    told: dict[str, Any] = {"explored": explore(Fleet, asked.states), "walked": walk(Fleet, asked.walks, 1)}
+def check(states: int, walks: int) -> Findings:
+    """The sound form, again with one life and one refutation, and each flawed one."""
+    findings: Findings = {"explored": explore(Fleet, states), "walked": walk(Fleet, walks, 1)}
     BOUNDS.update(incarnations=1, lives=1)
-    told["one life, one refutation"] = explore(Fleet, 4 * asked.states)
+    findings["one life, one refutation"] = explore(Fleet, 4 * states)
     BOUNDS.update(incarnations=2, lives=2)
-    told["flawed"] = {kind.__name__: explore(kind, asked.states)["broken"] for kind in (Stubborn, Gullible, Hasty)}
-    told["seconds"] = round(time.monotonic() - begun, 1)
-    print(json.dumps(told) if asked.json else json.dumps(told, indent=1))
-    fine = not any(told[part]["broken"] for part in ("explored", "one life, one refutation"))
-    fine = fine and not told["walked"]["broken"] and all(told["flawed"].values())
-    return 0 if fine else 1
+    findings[FLAWED] = {kind.__name__: explore(kind, states)["broken"] for kind in (Stubborn, Gullible, Hasty)}
+    return findings
+
+
+def main() -> int:
+    return run(__doc__, check, states=20_000, walks=100)
 
 
 if __name__ == "__main__":
--- a/benchmarks/check_register.py
+++ b/benchmarks/check_register.py
@@ -16,18 +16,16 @@
 
 from __future__ import annotations
 
-import argparse
 import copy
-import json
 import random
 import sys
-import time
 from collections import deque
 from collections.abc import Iterator
 from typing import Any
 
 import msgspec
 
+from benchmarks.check_command import FLAWED, Findings, run
 from thistleshore.releases import places
 from thistleshore.releases.model import Limits, Refusal, Standing, Value
 from thistleshore.releases.register import Accept, Acceptor, Held, Prepare, Round
@@ -214,19 +212,17 @@
 FLAWS = ("vote before the write", "a lost disk votes", "freed by time", "new voters alone")
 
 
+def check(states: int, walks: int) -> Findings:
+    """The sound form and each flawed one."""
+    return {
+        "explored": explore("", states),
+        "walked": walk("", walks, 1),
+        FLAWED: {flaw: walk(flaw, walks, 2)["broken"] for flaw in FLAWS},
+    }
+
+
 def main() -> int:
-    parser = argparse.ArgumentParser(description=(__doc__ or "").split("\n")[0])
-    parser.add_argument("--states", type=int, default=30000)
-    parser.add_argument("--walks", type=int, default=20000)
-    parser.add_argument("--json", action="store_true")
-    asked = parser.parse_args()
-    begun = time.monotonic()
-    told: dict[str, Any] = {"explored": explore("", asked.states), "walked": walk("", asked.walks, 1)}
-    told["flawed"] = {flaw: walk(flaw, asked.walks, 2)["broken"] for flaw in FLAWS}
-    told["seconds"] = round(time.monotonic() - begun, 1)
-    print(json.dumps(told) if asked.json else json.dumps(told, indent=1))
-    sound = not told["explored"]["broken"] and not told["walked"]["broken"]
-    return 0 if sound and all(told["flawed"].values()) else 1
+    return run(__doc__, check, states=30_000, walks=20_000)
 
 
 if __name__ == "__main__":
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -153,7 +153,8 @@
 
 def uncounted_bodies() -> None:
     """A version counts before its body is on a majority, and only its pusher has it: `kept`."""
-    from thistleshore.releases.carrier import Releases, Voter
+    from thistleshore.releases.carrier import Releases
+    from thistleshore.releases.voter import Voter
 
     async def deposit(self: Any, body: bytes) -> int:
         return 0
--- a/tests/test_configuration_agreement.py
+++ b/tests/test_configuration_agreement.py
@@ -4,7 +4,7 @@
 
 import errno
 import os
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -15,17 +15,18 @@
 
 from benchmarks import check_configuration as checker
 from benchmarks.check_register import explore, walk
-from tests.support import play, steady
-from thistleshore.releases.plan import ReleasesPlan
+from tests.support import steady
+from tests.tier import NAMES, Tier, on_tier
 from thistleshore.configuration import agreement, store
 from thistleshore.distribution.model import BODY_MOST, NO_VERSION, Stamp, digest_of
-from thistleshore.releases import places
-from thistleshore.releases.carrier import Body, Deposit, Deposited, FetchBody, Install, NoMajority, Releases, Voter
+from thistleshore.releases import messages, places
+from thistleshore.releases.calls import ReleaseCalls
+from thistleshore.releases.carrier import NoMajority, Releases
+from thistleshore.releases.messages import Body, Deposit, Deposited, FetchBody, Install
 from thistleshore.releases.model import CONFIGURATIONS_MOST, Configuration, Limits, Refusal, Value
 from thistleshore.releases.register import Accept, Accepted, Acceptor, Held, Prepare, Promise, Round, Unable
 from thistleshore.releases.store import FILE
 
-NAMES = ("a", "b", "c")
 VALUE = Value(1, NAMES, Limits())
 ONE, TWO, THREE = b"# one", b"# two", b"# three"
 
@@ -189,63 +190,11 @@
     return call
 
 
-class Tier:
-    """Three voters with disks in one process, and instances that reach them without sockets."""
-
-    def __init__(self, folder: Path, without: tuple[str, ...] = ()) -> None:
-        self.folder = folder
-        self.deaf: set[str] = set()
-        self.voters = {name: self.voter(name, name not in without) for name in NAMES}
-
-    def voter(self, name: str, with_bodies: bool = True) -> Voter:
-        folder = self.folder / name
-        bodies = store.FileBodyStore(folder / store.BODY_FOLDER) if with_bodies else None
-        return Voter(name, folder, bodies)
-
-    def instance(self, name: str) -> Releases:
-        plan = ReleasesPlan(dict.fromkeys(NAMES, ("127.0.0.1", 1)), Limits())
-        nothing: Any = None
-        this = Releases(plan, name, 1, nothing, nothing, nothing, nothing, nothing, nothing, lambda: nothing, nothing)
-
-        async def ask(voter: str, question: Any) -> Any:
-            await trio.sleep(0.01)
-            if voter in self.deaf:
-                await trio.sleep(0.3)
-                return None
-            return self.voters[voter].answer(question, trio.current_time())
-
-        this._ask = ask  # type: ignore[method-assign]
-        return this
-
-    async def begin(self) -> Releases:
-        for voter in self.voters.values():
-            await voter.open()
-        this = self.instance("x")
-        assert (await this.on_call("begin", ()))["status"] == "done"
-        return this
-
-    def holders(self, body: bytes) -> set[str]:
-        asked = FetchBody(digest_of(body))
-        return {name for name, voter in self.voters.items() if isinstance(voter.answer(asked, 0.0), Body)}
-
-
 async def push_at(this: Releases, body: bytes, against: int | None, reason: str = "") -> Value | Refusal:
     await this.deposit(body)
     return await this.change(lambda value: push(value, body, against, this.name, reason))
 
 
-def on_tier(scenario: Callable[[Tier], Awaitable[None]], tmp_path: Path, without: tuple[str, ...] = ()) -> None:
-    async def run() -> None:
-        tier = Tier(tmp_path, without)
-        try:
-            await scenario(tier)
-        finally:
-            for voter in tier.voters.values():
-                voter.close()
-
-    play(run)
-
-
 def test_a_pushed_version_is_agreed_told_and_its_body_can_be_fetched(tmp_path: Path) -> None:
     async def scenario(tier: Tier) -> None:
         this = await tier.begin()
@@ -394,7 +343,7 @@
         tier.voters["c"] = tier.voter("c")
         await tier.voters["c"].open()
         assert tier.holders(ONE) == {"a", "b"}
-        assert (await this.on_call("voters", ("c",)))["status"] == "done"
+        assert (await ReleaseCalls(this).on_call("voters", ("c",)))["status"] == "done"
         assert tier.holders(ONE) == set(NAMES)
         tier.deaf = {"b"}  # its vote is needed
         await push_at(this, TWO, 1)
@@ -411,7 +360,7 @@
         tier.voters["c"].close()
         tier.voters["c"] = tier.voter("c", with_bodies=False)
         await tier.voters["c"].open()
-        found = await this.on_call("voters", ("c",))
+        found = await ReleaseCalls(this).on_call("voters", ("c",))
         assert found["status"] == "refused" and "it keeps no bodies of configuration" in found["told"]
         assert this.agreed is not None and this.agreed.voters == ("a", "b")
 
@@ -426,7 +375,7 @@
         tier.deaf = set()
         assert tier.holders(ONE) == {"a", "b"}
         at_c = tier.instance("c")
-        await at_c._look()
+        await at_c.look()
         with trio.move_on_after(10.0):
             await at_c._keep_current_body(tier.voters["c"])
         assert tier.holders(ONE) == set(NAMES)
@@ -435,17 +384,15 @@
 
 
 def test_questions_and_answers_about_bodies_pass_the_wire() -> None:
-    from thistleshore.releases import carrier
-
     for question in (Deposit(digest_of(ONE), ONE), FetchBody(digest_of(ONE))):
-        assert carrier._questions.decode(msgspec.msgpack.encode(question)) == question
+        assert messages.questions.decode(msgspec.msgpack.encode(question)) == question
     for answer in (Deposited(digest_of(ONE)), Body(digest_of(ONE), ONE), Unable("why")):
-        assert carrier._answers.decode(msgspec.msgpack.encode(answer)) == answer
+        assert messages.answers.decode(msgspec.msgpack.encode(answer)) == answer
     largest = msgspec.msgpack.encode(Body(digest_of(ONE), b"#" * BODY_MOST))
-    assert len(largest) < carrier.FRAME_MOST
-    assert carrier._questions.decode(msgspec.msgpack.encode(Prepare(7, (2, "x")))) == Prepare(7, (2, "x"))
+    assert len(largest) < messages.FRAME_MOST
+    assert messages.questions.decode(msgspec.msgpack.encode(Prepare(7, (2, "x")))) == Prepare(7, (2, "x"))
     begun = Install(Held(7, "a", (1, ""), (1, ""), taken(push(VALUE, ONE)), 1), False)
-    assert carrier._questions.decode(msgspec.msgpack.encode(begun)) == begun
+    assert messages.questions.decode(msgspec.msgpack.encode(begun)) == begun
 
 
 # -- the model checking
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -18,12 +18,15 @@
 from tests.support import ROOT, play, refused, steady
 from thistleshore import config
 from thistleshore.releases import places
-from thistleshore.releases.carrier import Install, Releases, Voter
+from thistleshore.releases.calls import ReleaseCalls
+from thistleshore.releases.carrier import Releases
 from thistleshore.releases.gate import Gate, Tally, Terms as GateTerms, Verdict
+from thistleshore.releases.messages import Install
 from thistleshore.releases.model import Limits, Refusal, Standing, Value
 from thistleshore.releases.plan import ReleasesPlan
 from thistleshore.releases.register import Accept, Acceptor, Held, Prepare, Promise, Round, Unable
 from thistleshore.releases.store import FILE, Store, Unusable
+from thistleshore.releases.voter import Voter
 from thistleshore.rig import checks
 from thistleshore.rig.rig import STARTED, Rig, open_rig
 from thistleshore.rig.truth import of
@@ -332,20 +335,20 @@
     async def ask(name: str, question: Any) -> Any:
         return None if name in deaf and isinstance(question, Install) else voters[name].answer(question, 0.0)
 
-    asker._ask = ask  # type: ignore[method-assign]
-    found = await asker.on_call("begin", ())
+    asker.ask = ask  # type: ignore[method-assign]
+    found = await ReleaseCalls(asker).on_call("begin", ())
     assert found["status"] == "no-majority" and "c: no answer" in found["told"]
     deaf.clear()
-    assert (await asker.on_call("begin", ()))["status"] == "done"
+    assert (await ReleaseCalls(asker).on_call("begin", ()))["status"] == "done"
     assert len({voter.acceptor.held.register for voter in voters.values() if voter.acceptor is not None}) == 1
-    assert (await asker.on_call("begin", ()))["status"] == "refused"
+    assert (await ReleaseCalls(asker).on_call("begin", ()))["status"] == "refused"
     assert isinstance(await asker.change(lambda v: places.limit(v, Limits(2), "x", 0.0)), Value)
     # One that has lost its file does not become a new beginning: something was agreed since.
     voters["c"].close()
     (tmp_path / "c" / FILE).unlink()
     voters["c"] = Voter("c", tmp_path / "c")
     await voters["c"].open()
-    assert (await asker.on_call("begin", ()))["status"] == "refused"
+    assert (await ReleaseCalls(asker).on_call("begin", ()))["status"] == "refused"
 
 
 def test_a_register_that_was_begun_at_some_voters_is_begun_at_the_rest_and_only_then(tmp_path: Path) -> None:
--- a/thistleshore/configuration/calls.py
+++ b/thistleshore/configuration/calls.py
@@ -208,7 +208,7 @@
         )
 
     def _agreed(self) -> bool:
-        return self.releases.known is not None and trio.current_time() <= self.releases.fresh_until
+        return self.releases.known is not None and self.releases.agreed_lately
 
     def _configuration(self) -> Configuration:
         """As it is known here."""
--- /dev/null
+++ b/thistleshore/releases/calls.py
@@ -0,0 +1,283 @@
+"""What operators, and the keeper of this dispatcher, ask of one member about places, releases and the register.
+
+Each answer is a table for JSON; its `status` is done, refused or no-majority.
+"""
+
+from __future__ import annotations
+
+import os
+import random
+import time
+from collections.abc import Sequence
+from typing import Any, cast
+
+import msgspec
+
+from thistleshore.releases import places, waves
+from thistleshore.releases.carrier import NoMajority, Releases
+from thistleshore.releases.messages import Deposit, Deposited, Install, Known, Learn
+from thistleshore.releases.model import Kind, Limits, Refusal, Value
+from thistleshore.releases.register import NONE, Accepted, Change, Held, Unable
+
+Answer = dict[str, Any]
+TURNS = {"halt": "halted", "undo": "undoing", "resume": "resume"}  # calls, and the state that they ask for
+
+
+class ReleaseCalls:
+    """Answers the calls of one instance."""
+
+    def __init__(self, releases: Releases) -> None:
+        self.releases = releases
+
+    async def on_call(self, name: str, words: Sequence[str]) -> Answer:
+        """The answer to one call."""
+        try:
+            return await self._answer(name, words)
+        except NoMajority as problem:
+            return {"status": "no-majority", "told": str(problem), "known": self.told()}
+
+    async def _answer(self, name: str, words: Sequence[str]) -> Answer:
+        match name:
+            case "out":
+                return {"status": "done", **self.told()}
+            case "release":
+                return {"status": "done", **self.told_release()}
+            case "order":
+                return self._order()
+            case "begin":
+                return await self._begin()
+            case "voters":
+                return await self._take_in(words[0])
+            case "drain" | "return":
+                return await self._turn_place(name, words)
+            case _:
+                return await self._agree(self._change(name, words))
+
+    # -- changes of the value --------------------------------------------------------------------
+
+    async def _agree(self, change: Change) -> Answer:
+        return _outcome(await self.releases.change(change))
+
+    def _change(self, name: str, words: Sequence[str]) -> Change:
+        """What a call changes, where that is all that it does."""
+        now, me = time.time(), self.releases.name
+        match name:
+            case "limits":
+                limits = msgspec.json.decode(words[0], type=Limits)
+                return lambda value: places.limit(value, limits, me, now)
+            case "start":
+                plan = waves.read(msgspec.json.decode(" ".join(words)))
+                zones = self.releases.zones(plan.service)
+                return lambda value: waves.start(value, plan, zones, me, now)
+            case "takes":
+                return self._begin_place("dispatcher", me, int(words[0]), now)
+            case "host-takes":
+                return self._begin_place("host", words[0], int(words[1]), now)
+            case "arrived" | "failed":
+                return self._ended("dispatcher", me, name == "arrived", words, now)
+            case "host-arrived" | "host-failed":
+                return self._ended("host", words[0], name == "host-arrived", words[1:], now)
+            case _:
+                return self._turn_release(TURNS[name], " ".join(words), now)
+
+    def _begin_place(self, kind: Kind, name: str, number: int, now: float) -> Change:
+        return lambda value: places.begin(value, kind, name, number, self.releases.name, now)
+
+    def _ended(self, kind: Kind, name: str, arrived: bool, words: Sequence[str], now: float) -> Change:
+        """One that was to change runs that version now; it failed to, with a reason, unless it has arrived."""
+        version, told, me = words[0].removeprefix("-"), " ".join(words[1:]), self.releases.name
+        if arrived:
+            return lambda value: waves.arrived(value, name, version, me, now, kind)
+        return lambda value: waves.failed(value, name, version, told, me, now, kind)
+
+    def _turn_release(self, state: str, told: str, now: float) -> Change:
+        """Of the release that the register holds by then, whatever is known here."""
+
+        def change(value: Value) -> Value | Refusal:
+            number = value.release.number if value.release is not None else 0
+            return waves.turn(value, number, state, told, self.releases.name, now)
+
+        return change
+
+    async def _turn_place(self, name: str, words: Sequence[str]) -> Answer:
+        """A place for a dispatcher or host to be out, or back."""
+        if words[0] not in ("dispatcher", "host"):
+            return {"status": "refused", "told": "dispatcher or host is wanted"}
+        kind, which, reason = cast(Kind, words[0]), words[1], " ".join(words[2:])
+        now, me, seen = time.time(), self.releases.name, self.releases.standing()
+
+        def change(value: Value) -> Value | Refusal:
+            if name == "drain":
+                return places.ask(value, kind, which, reason, me, seen, now)
+            return places.free(value, kind, which, reason, me, now)
+
+        found = await self.releases.change(change)
+        if isinstance(found, Value):
+            await self.releases.act()
+        return {**_outcome(found), **self.state(kind, which)}
+
+    # -- the register itself -----------------------------------------------------------------------
+
+    async def _begin(self) -> Answer:
+        """Begin the register, where none of its voters holds one."""
+        plan = self.releases.plan
+        voters = tuple(sorted(plan.voters))
+        found = await self.releases.ask_all(dict.fromkeys(voters, Learn()))
+        if missing := [name for name, reply in found.items() if not isinstance(reply, Known)]:
+            raise NoMajority(f"all voters are needed to begin: no answer from {', '.join(missing)}")
+        holds = {name: reply for name, reply in found.items() if isinstance(reply, Known) and reply.value is not None}
+        begun = {(reply.register, reply.writes) for reply in holds.values()}
+        if len(begun) > 1 or begun and (len(holds) == len(voters) or next(iter(begun))[1] > 1):
+            return {"status": "refused", "told": f"{', '.join(holds)} hold a register already"}
+        # One that was begun at some, and of which nothing has been promised or accepted since, is begun at the rest.
+        register = next(iter(begun))[0] if begun else random.SystemRandom().getrandbits(62) + 1
+        value = next((reply.value for reply in holds.values()), None) or Value(1, voters, plan.limits)
+        installs = {
+            name: Install(Held(register, name, (1, ""), (1, ""), value, 1), begin=True)
+            for name in voters
+            if name not in holds
+        }
+        replies = await self.releases.ask_all(installs)
+        if failed := {name: reply for name, reply in replies.items() if not isinstance(reply, Accepted)}:
+            told = "; ".join(f"{voter}: {_why(reply)}" for voter, reply in failed.items())
+            return {"status": "no-majority", "told": f"begin again, for {told}"}
+        await self.releases.look()
+        return {"status": "done", "number": 1}
+
+    async def _take_in(self, name: str) -> Answer:
+        """Take a voter in again whose file was lost: out of the voters, its state anew, and in again."""
+        if name not in self.releases.plan.voters:
+            return {"status": "refused", "told": f"no voter of that name is in this instance's file: {name}"}
+        now, me = time.time(), self.releases.name
+        found = await self.releases.change(lambda value: places.change_voter(value, name, False, me, now))
+        if isinstance(found, Refusal):
+            return _outcome(found)
+        writes = self.releases.seen.get(name, 0) + 1
+        held = Held(self.releases.register, name, NONE, NONE, None, writes)
+        reply = await self.releases.ask(name, Install(held, begin=False))
+        problem = _why(reply) if not isinstance(reply, Accepted) else await self._hand_body(name, found)
+        if problem:
+            return {"status": "refused", "told": f"{name} is no voter now, and could not be taken in: {problem}"}
+        return await self._agree(lambda value: places.change_voter(value, name, True, me, now))
+
+    async def _hand_body(self, name: str, value: Value) -> str:
+        """Have a voter that is taken in hold the body of the version in force; why it does not, "" where it does."""
+        entry = value.configuration.current
+        if entry is None:
+            return ""
+        body = await self.releases.fetch_body(entry.digest)
+        if body is None:
+            return f"no voter gave the body of version {entry.number}"
+        reply = await self.releases.ask(name, Deposit(entry.digest, body))
+        return "" if isinstance(reply, Deposited) else _why(reply)
+
+    # -- what is known here --------------------------------------------------------------------------
+
+    def _order(self) -> Answer:
+        """What the keeper of this dispatcher is to do."""
+        value = self.releases.known
+        if value is None or not self.releases.agreed_lately:
+            return {"status": "no-majority", "told": "nothing is agreed now", "pid": os.getpid()}
+        found = waves.order(value, self.releases.name)
+        version = None if found.version is None else msgspec.to_builtins(found.version)
+        return {
+            "status": "done",
+            "pid": os.getpid(),
+            "place": found.place,
+            "begun": found.begun,
+            "version": version,
+        }
+
+    def told_release(self) -> Answer:
+        """The release as it is known here, who runs what, and why nothing goes on."""
+        value, agreed = self.releases.known, self.releases.agreed_lately
+        if value is None or value.release is None:
+            return {"agreed": value is not None and agreed, "release": None}
+        release, driver = value.release, self.releases.driver
+        down = self.releases.standing().dispatchers_down
+        live = sorted(name for name in self.releases.reports if name not in down)
+        return {
+            "agreed": agreed,
+            "release": msgspec.to_builtins(release),
+            "runs": {name: value.version_of(release.kind, name) for name in sorted(release.former)},
+            "hosts": self._told_hosts(value),
+            "left": list(waves.todo(value)),
+            "held": driver.held,
+            "carried_on_by": live[0] if live else "",
+            "gate": self._told_gate(),
+            "out": [place.name for place in value.places if place.kind == release.kind],
+            "history": [msgspec.to_builtins(act) for act in value.history],
+        }
+
+    def _told_hosts(self, value: Value) -> list[Answer]:
+        """Hosts that a release changes now."""
+        return [
+            {
+                "host": place.name,
+                "place": place.number,
+                "begun": place.begun,
+                "service": place.service,
+                "version": waves.target(value, place.name, "host"),
+                **self.state("host", place.name),
+            }
+            for place in value.places
+            if place.kind == "host" and place.release
+        ]
+
+    def _told_gate(self) -> Answer | None:
+        gate = self.releases.driver.told
+        if gate is None:
+            return None
+        return {**gate._asdict(), "verdict": gate.verdict.name.lower(), "told": gate.verdict.value}
+
+    def state(self, kind: str, name: str) -> Answer:
+        """How far one that goes out is: `out` only once all that live have said that they send nothing there."""
+        value, seen = self.releases.known, self.releases.standing()
+        place = value.place(kind, name) if value is not None else None
+        if place is None:
+            return {"state": "back", "waiting_for": []}
+        live = [member for member in seen.dispatchers if member not in seen.dispatchers_down]
+        if kind == "dispatcher":
+            if place.begun and name not in live:
+                return {"state": "out", "waiting_for": []}
+            return {"state": "begun" if place.begun else "given", "waiting_for": [name]}
+        late = [member for member in sorted(live) if not self._is_clear(member, name, place.number)]
+        return {"state": "begun" if late else "out", "waiting_for": late}
+
+    def _is_clear(self, member: str, host: str, number: int) -> bool:
+        """Whether a member has acted on that change, and has nothing left at the host."""
+        releases = self.releases
+        report = releases.report() if member == releases.name else releases.reports.get(member)
+        return report is not None and report.applied >= number and host in report.clear
+
+    def told(self) -> Answer:
+        """The value as it is known here, marked where no majority has said so lately."""
+        value, voter = self.releases.known, self.releases.voter
+        if value is None:
+            return {"number": 0, "agreed": False, "places": [], "voters": []}
+        return {
+            "number": value.number,
+            "agreed": self.releases.agreed_lately,
+            "voters": list(value.voters),
+            "limits": msgspec.to_builtins(value.limits),
+            "votes_here": None if voter is None else voter.why or "yes",
+            "places": [{**msgspec.to_builtins(place), **self.state(place.kind, place.name)} for place in value.places],
+            "history": [msgspec.to_builtins(act) for act in value.history],
+        }
+
+
+def _outcome(found: Value | Refusal) -> Answer:
+    if isinstance(found, Refusal):
+        return {
+            "status": "refused",
+            "limit": found.limit,
+            "allowed": found.allowed,
+            "out": list(found.out),
+            "told": found.told,
+        }
+    return {"status": "done", "number": found.number}
+
+
+def _why(reply: object) -> str:
+    """Why a voter did not do what it was asked."""
+    return reply.why if isinstance(reply, Unable) else "no answer"
--- a/thistleshore/releases/carrier.py
+++ b/thistleshore/releases/carrier.py
@@ -1,47 +1,66 @@
 """The register over TCP: a voter's listener, the proposer that any instance is, and the task that follows the value.
 
-A message is four bytes of length and MessagePack; one question and one answer a connection.
+One question and one answer a connection.
 """
 
 from __future__ import annotations
 
 import logging
-import os
 import random
-import struct
 import time
-from collections.abc import Awaitable, Callable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Mapping
 from pathlib import Path
-from typing import Any
+from math import inf
+from typing import NamedTuple
 
 import msgspec
 import trio
 
 from thistleshore.addresses import Address
 from thistleshore.distribution.model import digest_of
-from thistleshore.listening import TAKEN_PAUSE, Aside, patiently
-from thistleshore.releases import places, waves
+from thistleshore.listening import Aside, patiently
+from thistleshore.releases import messages, places, waves
 from thistleshore.releases.driver import Driver, Figures, Seen
-from thistleshore.releases.model import Limits, Refusal, Standing, Value
+from thistleshore.releases.faults import point
+from thistleshore.releases.messages import (
+    Answer,
+    Body,
+    Deposit,
+    Deposited,
+    FetchBody,
+    Install,
+    Known,
+    Learn,
+    Question,
+    Report,
+)
+from thistleshore.releases.model import Refusal, Standing, Value
 from thistleshore.releases.plan import ReleasesPlan
 from thistleshore.releases.register import (
-    NONE, Accept, Acceptor, Ballot, Change, Held, Outcome, Prepare, Accepted, Reply, Round, Unable, merged,
-)  # fmt: skip
-from thistleshore.releases.faults import point
-from thistleshore.releases.store import BodyStore, Busy, Store, Unusable
+    NONE,
+    Accept,
+    Ballot,
+    Change,
+    Outcome,
+    Prepare,
+    Reply,
+    Round,
+    Unable,
+    merged,
+)
+from thistleshore.releases.store import BodyStore
+from thistleshore.releases.voter import Voter
 
 log = logging.getLogger("thistleshore")
 
 ANSWER = 0.5  # s for a voter's answer
 CHANGE = 3.0  # s for a change, with all its rounds
 AGAIN = (0.01, 0.08)  # s before a round that met another is made again, doubled each time
-LOOK = 0.25  # s between two looks at the value
+LOOK = 0.25  # s between two looks at the value, by a voter, and by all while anything is under way
+IDLE_LOOK = 1.0  # s between two looks of an instance without a vote while nothing is under way
+REPORT_EVERY = 1.0  # s between two reports while nobody needs them; voters keep one for longer (REPORT_KEPT)
 BODY_LOOK = 1.0  # s between two looks whether this voter holds the body of the version in force
-FRESH = 1.0  # s for which what a majority said counts as now
-REPORT_KEPT = 3.0  # s for which a voter tells what an instance reported
-SET_BACK = "its file was set back to an older copy"
-FRAME = struct.Struct("!I")
-FRAME_MOST = 1 << 20
+FRESH = 2.0  # s for which what a majority said counts as now: more than from one idle look to the next, with its answer
 SERVED_MOST = 64  # connections at a time
 
 
@@ -49,210 +68,12 @@
     """No majority of the voters answered in time; the text names who did not, and why."""
 
 
-class Report(msgspec.Struct, frozen=True):
-    """What an instance says of itself with each look: up to which change it has acted, and where it sends no more."""
-
-    name: str
-    life: int
-    applied: int
-    clear: tuple[str, ...] = ()  # hosts that are out and at which nothing of it is left
-    figures: Figures | None = None
-
-
-class Learn(msgspec.Struct, frozen=True, tag=True):
-    """What do you hold?  With a report, where the asker is an instance that follows."""
-
-    report: Report | None = None
-    seen: dict[str, int] = {}  # noqa: RUF012 - how many writes of each voter the asker knows of
-
-
-class Known(msgspec.Struct, frozen=True, tag=True):
-    """What a voter holds, whether it votes, and what instances reported to it lately."""
-
-    accepted: Ballot
-    value: Value | None
-    register: int
-    writes: int
-    why: str  # "" where it votes
-    reports: tuple[Report, ...] = ()
-    seen: dict[str, int] = {}  # noqa: RUF012 - how many writes of each voter this one knows of
-
-
-class Install(msgspec.Struct, frozen=True, tag=True):
-    """Begin the register, or take a voter in again: all that it is to hold."""
-
-    held: Held
-    begin: bool  # only where nothing ever was
-
-
-class Deposit(msgspec.Struct, frozen=True, tag=True):
-    """Keep this body of configuration; answered by Deposited, or by Unable."""
+class Latest(NamedTuple):
+    """The value of the highest ballot that a voter has told of, with what tells it apart from any other."""
 
-    digest: str
-    body: bytes
-
-
-class Deposited(msgspec.Struct, frozen=True, tag=True):
-    """The body is durable at this voter."""
-
-    digest: str
-
-
-class FetchBody(msgspec.Struct, frozen=True, tag=True):
-    """Give the body of that digest; answered by Body, or by Unable."""
-
-    digest: str
-
-
-class Body(msgspec.Struct, frozen=True, tag=True):
-    """A body of configuration as a voter holds it."""
-
-    digest: str
-    body: bytes
-
-
-Question = Prepare | Accept | Learn | Install | Deposit | FetchBody
-Answer = Reply | Known | Deposited | Body
-_questions = msgspec.msgpack.Decoder(Question)
-_answers: msgspec.msgpack.Decoder[Answer] = msgspec.msgpack.Decoder(Answer)
-
-
-class Voter:
-    """This instance's vote, where it has one: nothing is answered before it is on the disk."""
-
-    def __init__(self, name: str, folder: Path, bodies: BodyStore | None = None) -> None:
-        self.name, self.folder, self.why = name, folder, "it does not run yet"
-        self.bodies = bodies  # None: it keeps none, and accepts no value with a configuration
-        self.store: Store | None = None
-        self.acceptor: Acceptor | None = None
-        self.reports: dict[str, tuple[float, Report]] = {}
-        self.seen: dict[str, int] = {}  # writes of each voter that were told of
-        self._checked: set[str] = set()  # voters that have said what they know of this one, since the file was read
-
-    async def open(self) -> None:
-        """Have the file, once no other process holds it: in a hot restart the one before does, until it steps aside."""
-        while True:
-            try:
-                self.store = Store(self.folder)
-                break
-            except Busy as problem:
-                if self.why != str(problem):
-                    self.why = str(problem)
-                    log.warning("register: no vote here: %s", self.why)
-                await trio.sleep(TAKEN_PAUSE)
-            except Unusable as problem:
-                self.why = str(problem)
-                log.warning("register: no vote here: %s", self.why)
-                return
-        self._read(self.store)
-
-    def close(self) -> None:
-        """Vote no more, and leave the file to another process."""
-        if self.store is not None:
-            self.store.close()
-        self.store = self.acceptor = None
-        self._checked.clear()
-        self.why = "the next process votes"
-
-    def on_known(self, voter: str, seen: Mapping[str, int], voters: Sequence[str]) -> None:
-        """What another voter knows of this one's writes.  A file is believed only once a majority was heard: one that
-        was set back would else make up, by votes that are none, for the writes it has lost."""
-        if self.acceptor is None or self.name in self._checked:
-            return
-        if seen.get(self.name, 0) > self.acceptor.held.writes:
-            self.acceptor, self.why = None, SET_BACK
-            log.warning("register: no vote here: %s", self.why)
-            return
-        self._checked.add(voter)
-        if 2 * (len(self._checked & set(voters)) + 1) > len(voters):
-            self._checked.add(self.name)
-
-    def _read(self, store: Store) -> None:
-        self.why = ""
-        try:
-            held = store.read()
-            if held is None:
-                self.why = "it holds nothing yet, or its file was lost"
-            elif held.voter != self.name:
-                self.why = f"its file is that of {held.voter}"
-            else:
-                self.acceptor = Acceptor(held, self._holds)
-        except Unusable as problem:
-            self.why = str(problem)
-        if self.why:
-            log.warning("register: no vote here: %s", self.why)
-
-    def _holds(self, digest: str) -> bool:
-        return self.bodies is not None and self.bodies.read(digest) is not None
-
-    def answer(self, asked: Question, now: float) -> Answer:
-        """What to answer; the state it speaks of is durable by then."""
-        if isinstance(asked, Learn):
-            self.seen = merged(self.seen, asked.seen)
-            return self._known(asked.report, now)
-        if isinstance(asked, Install):
-            return self._install(asked)
-        if isinstance(asked, Deposit):
-            return self._deposit(asked)
-        if isinstance(asked, FetchBody):
-            return self._fetch_body(asked)
-        if self.acceptor is None or self.store is None:
-            return Unable(self.why)
-        value = self.acceptor.held.value
-        if self.name not in self._checked and (value is None or value.voters != (self.name,)):
-            return Unable("it has not heard yet what the others know of it")
-        after, reply = self.acceptor.on_prepare(asked) if isinstance(asked, Prepare) else self.acceptor.on_accept(asked)
-        if after is not None:
-            try:
-                self.store.write(after)
-            except Unusable as problem:
-                return Unable(str(problem))
-            self.acceptor.held = after
-        return reply
-
-    def _deposit(self, asked: Deposit) -> Deposited | Unable:
-        if self.bodies is None:
-            return Unable("it keeps no bodies of configuration")
-        if self.store is None:
-            return Unable(self.why)
-        value = self.acceptor.held.value if self.acceptor is not None else None
-        history = value.configuration.history if value is not None else ()
-        try:
-            self.bodies.keep(asked.digest, asked.body, {entry.digest for entry in history})
-        except Unusable as problem:
-            return Unable(str(problem))
-        return Deposited(asked.digest)
-
-    def _fetch_body(self, asked: FetchBody) -> Body | Unable:
-        body = self.bodies.read(asked.digest) if self.bodies is not None else None
-        return Unable("it does not hold that body") if body is None else Body(asked.digest, body)
-
-    def _known(self, report: Report | None, now: float) -> Known:
-        if report is not None:
-            self.reports[report.name] = now, report
-        held = self.acceptor.held if self.acceptor is not None else Held(0, self.name)
-        fresh = tuple(report for at, report in self.reports.values() if now - at <= REPORT_KEPT)
-        return Known(
-            held.accepted, held.value, held.register, held.writes, self.why, fresh, merged(held.seen, self.seen)
-        )
-
-    def _install(self, asked: Install) -> Reply:
-        if self.store is None or asked.held.voter != self.name:
-            return Unable(self.why or "that is another voter's state")
-        if self.acceptor is not None and (asked.begin or asked.held.register != self.acceptor.held.register):
-            return Unable("it holds a register already")
-        try:
-            if asked.begin and self.store.read() is not None:
-                return Unable("it holds a register already")
-            if not asked.begin:
-                self.store.set_aside()
-            self.store.write(asked.held)
-        except Unusable as problem:
-            return Unable(str(problem))
-        self.acceptor, self.why = Acceptor(asked.held, self._holds), ""
-        self._checked.add(self.name)
-        log.info("register: this instance votes")
-        return Accepted(asked.held.accepted, asked.held.writes)
+    register: int = 0
+    ballot: Ballot = NONE
+    value: Value | None = None
 
 
 class Releases:
@@ -276,8 +97,10 @@
         self.applied = 0
         self.reports: dict[str, Report] = {}
         self.out: set[str] = set()  # hosts that are out here by the register
-        self._number, self._seen = 0, dict[str, int]()
+        self._number, self.seen = 0, dict[str, int]()
         self._register = 0
+        self._latest = Latest()
+        self._reported_at = -inf
         self._unsure = NONE  # a ballot that was accepted by some, when last looked
         self._random = random.Random()
         self._aside = Aside()
@@ -317,9 +140,9 @@
             with trio.move_on_after(2 * ANSWER):
                 try:
                     async with room:
-                        asked = _questions.decode(await _read(stream))
+                        asked = messages.questions.decode(await messages.read(stream))
                         # One at a time: the disk is written in here, and this task does not wait meanwhile.
-                        await _write(stream, self.voter.answer(asked, trio.current_time()))
+                        await messages.write(stream, self.voter.answer(asked, trio.current_time()))
                 except (OSError, EOFError, trio.BrokenResourceError, trio.ClosedResourceError, msgspec.MsgspecError):
                     pass
                 except Exception:
@@ -329,7 +152,7 @@
 
         await trio.serve_listeners(serve, [listener])
 
-    async def _ask(self, voter: str, question: Question) -> Answer | None:
+    async def ask(self, voter: str, question: Question) -> Answer | None:
         """A voter's answer; None where none came in time."""
         if voter == self.name and self.voter is not None:
             return self.voter.answer(question, trio.current_time())
@@ -340,17 +163,17 @@
         with trio.move_on_after(CHANGE if isinstance(question, Install | Deposit) else ANSWER):
             try:
                 async with await trio.open_tcp_stream(*address) as stream:
-                    await _write(stream, question)
-                    return _answers.decode(await _read(stream))
+                    await messages.write(stream, question)
+                    return messages.answers.decode(await messages.read(stream))
             except (OSError, EOFError, trio.BrokenResourceError, trio.ClosedResourceError, msgspec.MsgspecError):
                 return None
         return None
 
-    async def _ask_all(self, questions: Mapping[str, Question]) -> dict[str, Answer | None]:
+    async def ask_all(self, questions: Mapping[str, Question]) -> dict[str, Answer | None]:
         found: dict[str, Answer | None] = {}
 
         async def one(voter: str, question: Question) -> None:
-            found[voter] = await self._ask(voter, question)
+            found[voter] = await self.ask(voter, question)
 
         async with trio.open_nursery() as nursery:
             for voter, question in questions.items():
@@ -382,18 +205,18 @@
 
     async def _round(self, voters: tuple[str, ...], change: Change) -> Outcome:
         if not self._register:
-            await self._look()
+            await self.look()
             if not self._register:
                 return Outcome("lost", told="no voter holds the register; has it been begun?")
         self._number += 1
         # Two processes never use one ballot: its second part names the life as well.
         ballot = (self._number, f"{self.name}.{self.life}")
-        this = Round(self._register, voters, ballot, change, self._seen)
+        this = Round(self._register, voters, ballot, change, self.seen)
         send, receive = trio.open_memory_channel[tuple[str, Reply | None]](64)
         async with trio.open_nursery() as nursery:
 
             async def one(voter: str, question: Question) -> None:
-                reply = await self._ask(voter, question)
+                reply = await self.ask(voter, question)
                 await send.send((voter, None if isinstance(reply, Known | Deposited | Body) else reply))
 
             def ask(questions: Mapping[str, Prepare | Accept]) -> int:
@@ -406,7 +229,7 @@
                 voter, reply = await receive.receive()
                 waiting += ask(this.on_reply(voter, reply)) - 1
             nursery.cancel_scope.cancel()
-        self._seen = merged(self._seen, this.seen)
+        self.seen = merged(self.seen, this.seen)
         return this.outcome or Outcome("lost", told="; ".join(f"{n}: {why}" for n, why in sorted(this.unable.items())))
 
     # -- bodies of the configuration ---------------------------------------------------------------------------
@@ -426,7 +249,7 @@
         held, failed = set[str](), dict.fromkeys(voters, "no answer")
 
         async def one(voter: str) -> None:
-            match await self._ask(voter, question):
+            match await self.ask(voter, question):
                 case Deposited(digest=digest) if digest == question.digest:
                     held.add(voter)
                     del failed[voter]
@@ -448,7 +271,7 @@
         others = [voter for voter in await self._voters() if voter != self.name]
         self._random.shuffle(others)
         for voter in (self.name, *others) if self.voter is not None else others:
-            found = await self._ask(voter, FetchBody(digest))
+            found = await self.ask(voter, FetchBody(digest))
             if isinstance(found, Body) and digest_of(found.body) == digest:
                 return found.body
         return None
@@ -456,7 +279,7 @@
     async def _voters(self) -> tuple[str, ...]:
         """Those of the latest value that is known; those of the file where none can be had."""
         if self.known is None:
-            await self._look()
+            await self.look()
         return self.known.voters if self.known is not None else tuple(self.plan.voters)
 
     async def _keep_current_body(self, voter: Voter) -> None:
@@ -470,6 +293,11 @@
             if body is not None:
                 voter.answer(Deposit(entry.digest, body), trio.current_time())
 
+    @property
+    def agreed_lately(self) -> bool:
+        """Whether a majority has said that what is known here is what it holds."""
+        return trio.current_time() <= self.fresh_until
+
     # -- following -----------------------------------------------------------------------------------------
 
     def _learned(self, value: Value, agreed: bool) -> None:
@@ -482,24 +310,53 @@
             if agreed:
                 self.fresh_until = trio.current_time() + FRESH
 
-    def _report(self) -> Report:
+    def _under_way(self) -> bool:
+        """Whether anybody is out, or a release is not over: then it matters how far the others are."""
+        value = self.known
+        if value is None:
+            return False
+        return bool(value.places) or (value.release is not None and value.release.state not in waves.OVER)
+
+    def _question(self) -> Learn:
+        """What this instance has and wants; with its own report, where one is due."""
+        now, wanted = trio.current_time(), self._under_way()
+        report = None
+        if wanted or now >= self._reported_at + REPORT_EVERY:
+            report, self._reported_at = self.report(), now
+        latest = self._latest
+        return Learn(report, self.seen, latest.register, latest.ballot, wanted)
+
+    def _look_pause(self) -> float:
+        """Seconds to the next look: voters have to hear of a change at once, as they tell the fleet of it."""
+        value = self.known
+        idle = value is not None and value == self.agreed and self.applied == value.number and not self._under_way()
+        pause = IDLE_LOOK if idle and self.voter is None else LOOK
+        return pause * self._random.uniform(0.75, 1.25)
+
+    def report(self) -> Report:
+        """How far this instance is, as voters are told."""
         clear = tuple(host for host in sorted(self.out) if self.clear(host))
         return Report(self.name, self.life, self.applied, clear, self.figures())
 
-    async def _look(self) -> None:
+    async def look(self) -> None:
         """Ask all voters what they hold, and tell them how far this instance is."""
         voters = self.known.voters if self.known is not None else tuple(self.plan.voters)
-        found = await self._ask_all(dict.fromkeys({*voters, *self.plan.voters}, Learn(self._report(), self._seen)))
-        held = {voter: reply for voter, reply in found.items() if isinstance(reply, Known)}
+        before = self._latest
+        found = await self.ask_all(dict.fromkeys({*voters, *self.plan.voters}, self._question()))
+        held = {
+            voter: msgspec.structs.replace(reply, value=before.value) if reply.unchanged else reply
+            for voter, reply in found.items()
+            if isinstance(reply, Known)
+        }
         for voter, reply in held.items():
-            self._seen = merged(self._seen, reply.seen, {voter: reply.writes} if not reply.why else {})
+            self.seen = merged(self.seen, reply.seen, {voter: reply.writes} if not reply.why else {})
             if self.voter is not None and voter != self.name:
                 self.voter.on_known(voter, reply.seen, voters)
         self.reports = {}
         for reply in held.values():
             for report in reply.reports:
-                before = self.reports.get(report.name)
-                if before is None or (report.life, report.applied) >= (before.life, before.applied):
+                other = self.reports.get(report.name)
+                if other is None or (report.life, report.applied) >= (other.life, other.applied):
                     self.reports[report.name] = report
         voting = {voter: reply for voter, reply in held.items() if not reply.why and reply.value is not None}
         if not voting:
@@ -507,6 +364,7 @@
         self._register = next(iter(voting.values())).register
         latest = max(voting.values(), key=lambda reply: reply.accepted)
         assert latest.value is not None
+        self._latest = Latest(latest.register, latest.accepted, latest.value)
         same = [voter for voter, reply in voting.items()
                 if reply.accepted == latest.accepted and voter in latest.value.voters]  # fmt: skip
         agreed = 2 * len(same) > len(latest.value.voters)
@@ -525,15 +383,15 @@
 
     async def _follow(self) -> None:
         while True:
-            await self._look()
+            await self.look()
             try:
-                await self._act()
+                await self.act()
                 await self._drive()
             except NoMajority as problem:
                 log.warning("register: %s", problem)
-            await trio.sleep(LOOK * self._random.uniform(0.75, 1.25))
+            await trio.sleep(self._look_pause())
 
-    async def _act(self) -> None:
+    async def act(self) -> None:
         """Do here what the value says."""
         value = self.known
         if value is None:
@@ -545,14 +403,16 @@
         self.out = wanted
         self.applied = value.number
         place = value.place("dispatcher", self.name)
-        if place is None or trio.current_time() > self.fresh_until:
+        if place is None or not self.agreed_lately:
             return  # without a majority that says so now, nobody begins
+        if place.release:
+            return  # its keeper takes it, and says what became of the change: until then nobody else may go out
         if place.begun or place.life != self.life:
             if place.life != self.life and self.ready():
                 # Its holder serves again: what was a place to be out is of no use any more.
                 back = "serves again"
                 await self.change(lambda v: places.free(v, "dispatcher", self.name, back, self.name, time.time()))
-        elif not place.release and not self.drain.is_set():  # by a place of a release it is the keeper who acts
+        elif not self.drain.is_set():
             begun = await self.change(
                 lambda v: places.begin(v, "dispatcher", self.name, place.number, self.name, time.time())
             )
@@ -570,7 +430,7 @@
 
     async def _drive(self) -> None:
         now = trio.current_time()
-        if self.known is None or now > self.fresh_until:
+        if self.known is None or not self.agreed_lately:
             return
         seen = self.standing()
         figures = [report.figures for report in self.reports.values() if report.figures is not None]
@@ -582,206 +442,3 @@
         point("driver-after")
         if isinstance(found, Value):
             log.info("release: %s", step.told)
-
-    async def _release(self, name: str, words: tuple[str, ...]) -> dict[str, Any]:
-        """Calls of operators and of this dispatcher's keeper."""
-        now, value, me = time.time(), self.known, self.name
-        if name == "release":
-            return {"status": "done", **self.told_release()}
-        if name == "order":
-            if value is None or trio.current_time() > self.fresh_until:
-                return {"status": "no-majority", "told": "nothing is agreed now", "pid": os.getpid()}
-            found = waves.order(value, me)
-            return {"status": "done", "pid": os.getpid(), "place": found.place, "begun": found.begun,
-                    "version": None if found.version is None else msgspec.to_builtins(found.version)}  # fmt: skip
-        if name == "start":
-            plan = waves.read(msgspec.json.decode(" ".join(words)))
-            zones = self.zones(plan.service)
-            return self._outcome(await self.change(lambda v: waves.start(v, plan, zones, me, now)))
-        if name == "takes":
-            number = int(words[0])
-            return self._outcome(await self.change(lambda v: places.begin(v, "dispatcher", me, number, me, now)))
-        if name in ("host-takes", "host-arrived", "host-failed"):
-            host, word, why = words[0], words[1], " ".join(words[2:])
-            if name == "host-takes":
-                return self._outcome(await self.change(lambda v: places.begin(v, "host", host, int(word), me, now)))
-            version = word.removeprefix("-")
-            if name == "host-arrived":
-                return self._outcome(await self.change(lambda v: waves.arrived(v, host, version, me, now, "host")))
-            return self._outcome(await self.change(lambda v: waves.failed(v, host, version, why, me, now, "host")))
-        if name in ("arrived", "failed"):
-            version, told = words[0].removeprefix("-"), " ".join(words[1:])
-            if name == "arrived":
-                return self._outcome(await self.change(lambda v: waves.arrived(v, me, version, me, now)))
-            return self._outcome(await self.change(lambda v: waves.failed(v, me, version, told, me, now)))
-        told, state = " ".join(words), {"halt": "halted", "undo": "undoing", "resume": "resume"}[name]
-        # Of the release that the register holds by now, whatever is known here.
-        return self._outcome(
-            await self.change(
-                lambda v: waves.turn(v, v.release.number if v.release is not None else 0, state, told, me, now)
-            )
-        )
-
-    def told_release(self) -> dict[str, Any]:
-        """The release as it is known here, who runs what, and why nothing goes on."""
-        value = self.known
-        if value is None or value.release is None:
-            return {"agreed": value is not None and trio.current_time() <= self.fresh_until, "release": None}
-        gate = self.driver.told
-        seen = self.standing()
-        live = sorted(name for name in self.reports if name not in seen.dispatchers_down)
-        return {
-            "agreed": trio.current_time() <= self.fresh_until, "release": msgspec.to_builtins(value.release),
-            "runs": {name: value.version_of(value.release.kind, name) for name in sorted(value.release.former)},
-            "hosts": [{"host": place.name, "place": place.number, "begun": place.begun, "service": place.service,
-                       "version": waves.target(value, place.name, "host"), **self.state("host", place.name)}
-                      for place in value.places if place.kind == "host" and place.release],
-            "left": list(waves.todo(value)), "held": self.driver.held, "carried_on_by": live[0] if live else "",
-            "gate": None if gate is None else {**gate._asdict(), "verdict": gate.verdict.name.lower(),
-                                               "told": gate.verdict.value},
-            "out": [place.name for place in value.places if place.kind == value.release.kind],
-            "history": [msgspec.to_builtins(act) for act in value.history],
-        }  # fmt: skip
-
-    # -- what operators ask -----------------------------------------------------------------------------------
-
-    async def on_call(self, name: str, arguments: tuple[str, ...]) -> dict[str, Any]:
-        """One call; `status` is done, refused, no-majority or begun."""
-        try:
-            return await self._call(name, arguments)
-        except NoMajority as problem:
-            return {"status": "no-majority", "told": str(problem), "known": self.told()}
-
-    async def _call(self, name: str, arguments: tuple[str, ...]) -> dict[str, Any]:
-        now = time.time()
-        if name not in ("out", "begin", "voters", "limits", "drain", "return"):
-            return await self._release(name, arguments)
-        if name == "out":
-            return {"status": "done", **self.told()}
-        if name == "begin":
-            return await self._begin()
-        if name == "voters":
-            return await self._replace(arguments[0])
-        if name == "limits":
-            limits = msgspec.json.decode(arguments[0], type=Limits)
-            return self._outcome(await self.change(lambda value: places.limit(value, limits, self.name, now)))
-        kind, which, reason = arguments[0], arguments[1], " ".join(arguments[2:])
-        if kind not in ("dispatcher", "host"):
-            return {"status": "refused", "told": "dispatcher or host is wanted"}
-        known: Any = kind
-        if name == "drain":
-            seen = self.standing()
-            found = await self.change(lambda value: places.ask(value, known, which, reason, self.name, seen, now))
-        else:
-            found = await self.change(lambda value: places.free(value, known, which, reason, self.name, now))
-        if isinstance(found, Value):
-            await self._act()
-        return {**self._outcome(found), **self.state(kind, which)}
-
-    @staticmethod
-    def _outcome(found: Value | Refusal) -> dict[str, Any]:
-        if isinstance(found, Refusal):
-            return {"status": "refused", "limit": found.limit, "allowed": found.allowed, "out": list(found.out),
-                    "told": found.told}  # fmt: skip
-        return {"status": "done", "number": found.number}
-
-    def state(self, kind: str, name: str) -> dict[str, Any]:
-        """How far one that goes out is: `out` only once all that live have said that they send nothing there."""
-        value, seen = self.known, self.standing()
-        place = value.place(kind, name) if value is not None else None
-        if place is None:
-            return {"state": "back", "waiting_for": []}
-        live = [member for member in seen.dispatchers if member not in seen.dispatchers_down]
-        if kind == "dispatcher":
-            if place.begun and name not in live:
-                return {"state": "out", "waiting_for": []}
-            return {"state": "begun" if place.begun else "given", "waiting_for": [name]}
-        late = [member for member in sorted(live) if not self._clear(member, name, place.number)]
-        return {"state": "begun" if late else "out", "waiting_for": late}
-
-    def _clear(self, member: str, host: str, number: int) -> bool:
-        report = self._report() if member == self.name else self.reports.get(member)
-        return report is not None and report.applied >= number and host in report.clear
-
-    def told(self) -> dict[str, Any]:
-        """The value as it is known here, marked where no majority has said so lately."""
-        value = self.known
-        if value is None:
-            return {"number": 0, "agreed": False, "places": [], "voters": []}
-        return {
-            "number": value.number, "agreed": trio.current_time() <= self.fresh_until, "voters": list(value.voters),
-            "limits": msgspec.to_builtins(value.limits),
-            "votes_here": None if self.voter is None else self.voter.why or "yes",
-            "places": [{**msgspec.to_builtins(place), **self.state(place.kind, place.name)} for place in value.places],
-            "history": [msgspec.to_builtins(act) for act in value.history],
-        }  # fmt: skip
-
-    async def _begin(self) -> dict[str, Any]:
-        """Begin the register, where none of its voters holds one."""
-        voters = tuple(sorted(self.plan.voters))
-        found = await self._ask_all(dict.fromkeys(voters, Learn()))
-        if missing := [name for name, reply in found.items() if not isinstance(reply, Known)]:
-            raise NoMajority(f"all voters are needed to begin: no answer from {', '.join(missing)}")
-        holds = {name: reply for name, reply in found.items() if isinstance(reply, Known) and reply.value is not None}
-        begun = {(reply.register, reply.writes) for reply in holds.values()}
-        if len(begun) > 1 or begun and (len(holds) == len(voters) or next(iter(begun))[1] > 1):
-            return {"status": "refused", "told": f"{', '.join(holds)} hold a register already"}
-        # One that was begun at some, and of which nothing has been promised or accepted since, is begun at the rest.
-        register = next(iter(begun))[0] if begun else random.SystemRandom().getrandbits(62) + 1
-        value = next((reply.value for reply in holds.values()), None) or Value(1, voters, self.plan.limits)
-        installs = {name: Install(Held(register, name, (1, ""), (1, ""), value, 1), True)
-                    for name in voters if name not in holds}  # fmt: skip
-        replies = await self._ask_all(installs)
-        if failed := {name: reply for name, reply in replies.items() if not isinstance(reply, Accepted)}:
-            told = "; ".join(f"{n}: {r.why if isinstance(r, Unable) else 'no answer'}" for n, r in failed.items())
-            return {"status": "no-majority", "told": f"begin again, for {told}"}
-        await self._look()
-        return {"status": "done", "number": 1}
-
-    async def _replace(self, name: str) -> dict[str, Any]:
-        """Take a voter in again whose file was lost: out of the voters, its state anew, and in again."""
-        if name not in self.plan.voters:
-            return {"status": "refused", "told": f"no voter of that name is in this instance's file: {name}"}
-        now = time.time()
-        found = await self.change(lambda value: places.change_voter(value, name, False, self.name, now))
-        if isinstance(found, Refusal):
-            return self._outcome(found)
-        writes = self._seen.get(name, 0) + 1
-        held = Held(self._register, name, NONE, NONE, None, writes)
-        reply = await self._ask(name, Install(held, False))
-        if not isinstance(reply, Accepted):
-            told = f"{name} is no voter now, and could not be taken in: "
-            return {"status": "refused", "told": told + (reply.why if isinstance(reply, Unable) else "no answer")}
-        if problem := await self._hand_body(name, found):
-            return {"status": "refused", "told": f"{name} is no voter now, and could not be taken in: {problem}"}
-        return self._outcome(await self.change(lambda value: places.change_voter(value, name, True, self.name, now)))
-
-    async def _hand_body(self, name: str, value: Value) -> str:
-        """Have a voter that is taken in hold the body of the version in force; why it does not, "" where it does."""
-        entry = value.configuration.current
-        if entry is None:
-            return ""
-        body = await self.fetch_body(entry.digest)
-        if body is None:
-            return f"no voter gave the body of version {entry.number}"
-        reply = await self._ask(name, Deposit(entry.digest, body))
-        if isinstance(reply, Deposited):
-            return ""
-        return reply.why if isinstance(reply, Unable) else "no answer"
-
-
-async def _read(stream: trio.SocketStream) -> bytes:
-    data = b""
-    while len(data) < FRAME.size or len(data) < FRAME.size + FRAME.unpack_from(data)[0]:
-        if len(data) >= FRAME.size and FRAME.unpack_from(data)[0] > FRAME_MOST:
-            raise EOFError
-        part = await stream.receive_some(65536)
-        if not part:
-            raise EOFError
-        data += part
-    return data[FRAME.size :]
-
-
-async def _write(stream: trio.SocketStream, message: object) -> None:
-    data = msgspec.msgpack.encode(message)
-    await stream.send_all(FRAME.pack(len(data)) + data)
--- a/thistleshore/releases/waves.py
+++ b/thistleshore/releases/waves.py
@@ -23,6 +23,7 @@
 )
 
 LIVE = ("going", "undoing")
+OVER = ("done", "undone")
 
 
 class Plan(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/thistleshore/rig/hollow.py
+++ b/thistleshore/rig/hollow.py
@@ -77,7 +77,7 @@
     def follows(self) -> bool:
         """Whether a majority of the voters has answered it lately."""
         releases = self.releases
-        return releases is not None and trio.current_time() <= releases.fresh_until
+        return releases is not None and releases.agreed_lately
 
     @property
     def configuration(self) -> int:
--- a/thistleshore/wiring/releases.py
+++ b/thistleshore/wiring/releases.py
@@ -13,6 +13,7 @@
 from thistleshore.core.model import BanAsked
 from thistleshore.configuration.store import BODY_FOLDER, FileBodyStore
 from thistleshore.fleet.machine import Fleet
+from thistleshore.releases.calls import ReleaseCalls
 from thistleshore.releases.carrier import Releases
 from thistleshore.releases.figures import Counter
 from thistleshore.releases.standing import standing
@@ -73,7 +74,7 @@
         # Kept by each voter, whether or not it follows the configuration itself: what the others agree on needs it.
         bodies=FileBodyStore(Path(plan.releases.folder) / BODY_FOLDER) if plan.releases.listen is not None else None,
     )
-    fleet.register_call = releases.on_call
+    fleet.register_call = ReleaseCalls(releases).on_call
     if components.handover is not None:
         components.handover.releases = releases
     components.start_as_member(releases.run)
