--- a/benchmarks/capacity/counted.py
+++ b/benchmarks/capacity/counted.py
@@ -1,4 +1,4 @@
-"""Counts the bytes that a process sends, in memory that another process can read.
+"""Counts the bytes that a process sends, in memory that another process can read; and loses some on its word.
 
 python -O -m benchmarks.capacity.counted COUNTS MODULE [ARGUMENT ...]     # that module's program, counted
 """
@@ -6,13 +6,16 @@
 from __future__ import annotations
 
 import mmap
+import random
 import runpy
 import socket
 import sys
 from pathlib import Path
 from typing import Any, NamedTuple
 
-FIELDS = 6
+FIELDS = 7  # the counts, and the share of datagrams to lose
+LOSS_FIELD = 6
+MILLIONTHS = 1_000_000
 DISTRIBUTION = b"tC"  # how datagrams begin that are of the distribution of configuration
 BYTES_EACH = 8
 
@@ -37,7 +40,14 @@
 
 
 def read(file: Path) -> Sent:
-    return Sent(*memoryview(file.read_bytes()).cast("Q"))
+    return Sent(*memoryview(file.read_bytes()).cast("Q")[:LOSS_FIELD])
+
+
+def lose(file: Path, share: float) -> None:
+    """Have the process that counts there lose this share of its datagrams from now on."""
+    with file.open("r+b") as opened:
+        opened.seek(LOSS_FIELD * BYTES_EACH)
+        opened.write(round(share * MILLIONTHS).to_bytes(BYTES_EACH, sys.byteorder))
 
 
 def install(file: Path) -> None:
@@ -53,7 +63,8 @@
         return sent
 
     def sendto(self: socket.socket, *arguments: Any) -> int:
-        sent = plain_sendto(self, *arguments)
+        lost = counts[LOSS_FIELD] and random.randrange(MILLIONTHS) < counts[LOSS_FIELD]
+        sent = len(arguments[0]) if lost else plain_sendto(self, *arguments)
         counts[0] += sent
         counts[1] += 1
         if arguments[0][:2] == DISTRIBUTION:
