Let few own attempts wait where nobody tells what is out at the workers

Change: Brain._place and Jobs.queue; only without telling, with more than seven dispatchers, and where workers tell starts.

--- a/oxbowarch/brain.py
+++ b/oxbowarch/brain.py
@@ -12,8 +12,8 @@
 from oxbowarch.interface import NEVER_RAN, Action, Cancel, Effect, Entry, Fail, Group, ListKind
 from oxbowarch.interface import Log, Note, Outcome, Places, Refuse, Report, Request, Send, Settings
 from oxbowarch.interface import State, Status, Tell, Timer, Watch, WorkerId
-from oxbowarch.records import Attempt, Decayed, Homes, Job, KeyRing, MeanTable, RateTable, Smoothed, Window
-from oxbowarch.records import Worker
+from oxbowarch.records import Attempt, Decayed, Homes, Job, Jobs, KeyRing, MeanTable, RateTable, Smoothed
+from oxbowarch.records import Window, Worker
 
 HALF_LIFE = 10.0  # s; the source's own value: long enough to remember, short enough to forgive
 DECAY = log(2) / HALF_LIFE
@@ -41,7 +41,7 @@
 SLOW_FADE, SLOW_STEEP = 1 / 3.0, 3.0  # 1/s; power of a worker's slowness by which its weight falls
 ANYWHERE: Places = (None, None)  # the places of a class that is bound to none
 NOTE_AGE, NOTE_AGAIN, NOTE_EVERY = 3.0, 1.0, 1.0  # s one counts, is repeated after, is told all after
-DEAF, FEW = (1.5, 12.0), 7  # s without a note of any: a cut, then all are gone; of so few one may be left
+DEAF, FEW, WAITING = (1.5, 12.0), 7, 0.5  # s with no note: cut, all gone; few; own waiting for each running
 HOME_OF, AWAY_LEFT = 4.0, 2.0  # dispatchers at home at a worker; slots left to them where all are busy
 COLD_MORE, COUNT_EVERY, COUNT_EACH = 1.5, 0.1, 0.0005  # of a cold one's budget; s between counts, a worker
 DEADLINE, HOLD, NOTES, LIST = range(4)  # what a timer is for: the low bits of its token
@@ -58,13 +58,11 @@
         self.near, self.away = Smoothed(now, PRESSURE_FADE), Smoothed(now, PRESSURE_FADE)
         self.workers: dict[WorkerId, Worker] = {}
         self.banned: set[WorkerId] = set()  # taken out by hand, listed or not
-        self.jobs: dict[int, Job] = {}
-        self.held: OrderedDict[int, Job] = OrderedDict()
+        self.jobs, self.held = Jobs(), OrderedDict[int, Job]()
         self.rates, self.keys = RateTable(NAMES_KEPT), RateTable(NAMES_KEPT)  # N and T of tenants and of keys
         self.offered, self.admitted = Decayed(now), Decayed(now)  # N and T of all jobs; of admitted ones
         self.taken, self.further, self.mine = Window(), Window(), Smoothed(now, DECAY)  # mine out
-        self.late, self.full = Smoothed(now, PRESSURE_FADE), Smoothed(now, PRESSURE_FADE)  # shares of answers
-        self.failing = Smoothed(now, PRESSURE_FADE)  # share of attempts
+        self.late, self.full, self.failing = (Smoothed(now, PRESSURE_FADE) for _ in range(3))  # shares
         self.usual = MeanTable(now, PRESSURE_FADE)  # free slots that a kind of machine reports
         self.runs = MeanTable(now, DECAY)  # logged run time of a class, where workers tell starts
         self.most, self.counted_at = 1.0 + self.telling, now  # most free slots seen on a worker; last count
@@ -231,8 +229,10 @@
 
     def _place(self, job: Job, now: float) -> bool:
         deaf, busy = DEAF[0] < now - self.heard_at < DEAF[1], self.busy[job.rule.places]
-        if deaf and len(self.jobs) - len(self.held) > max(1.0, self.mine.mean() / max(0.05, busy.mean())):
-            return False  # what others have out is there unseen: keep to a part
+        queue = not self.telling and self.set.balancers > FEW and self.jobs.queue(WAITING)
+        part = max(1.0, self.mine.mean() / max(0.05, busy.mean()))
+        if queue or deaf and len(self.jobs) - len(self.held) > part:
+            return False  # what others have out is there unseen
         worker = self._by_key(job, now) if job.ask.key else None
         # A fetch anywhere else costs more than a short wait for room where the key's data is.
         if worker is None and not (job.ask.key and now - job.since < KEY_PATIENCE * job.rule.aim):
--- a/oxbowarch/records.py
+++ b/oxbowarch/records.py
@@ -229,6 +229,16 @@
         return next((attempt for attempt in self.attempts if attempt.may_have_run), None)
 
 
+class Jobs(dict[int, Job]):
+    """The jobs that a dispatcher owes an answer, by their ids."""
+
+    def queue(self, part: float) -> bool:
+        """Do more attempts wait at workers than one, and this part of those that run?"""
+        out = [attempt for job in self.values() for attempt in job.attempts if attempt.out]
+        waiting = sum(attempt.waits for attempt in out)
+        return waiting > 1 + part * (len(out) - waiting)
+
+
 class KeyRing:
     """Consistent hashing: each worker owns points on a ring, so a change of the list moves few keys."""
 
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -364,6 +364,30 @@
     assert Fail(1) in actions and not sent(actions)
 
 
+def asked(brain: Brain, count: int, first: int = 1) -> list[Send]:
+    return [send for n in range(count) for send in sent(brain.on_request(Request(first + n, 0, 5.0), 0.0))]
+
+
+def test_where_nobody_tells_what_is_out_few_of_ones_own_wait_for_each_that_runs() -> None:
+    """Two hundred that each leave one waiting at every worker make queues that none of them sees."""
+    brain = make(count=30, balancers=200, tells_start=True)
+    waiting = asked(brain, 20)
+    assert len(waiting) == 2 and len(brain.held) == 18  # one, and one more before it is seen that it waits
+    for send in waiting:
+        brain.on_started(send.id, 0, 0.0)
+    assert len(asked(brain, 20, 100)) == 3  # two run, for which one may wait beside the one
+    held = len(brain.held)
+    assert len(brain.jobs) == held + 5
+    brain.on_outcome(ended(waiting[0], Status.OK), 0.1)
+    assert len(brain.jobs) == held + 4
+
+
+@pytest.mark.parametrize("more", [{"balancers": 200, "can_tell": True}, {"balancers": 7}, {"tells_start": False}])
+def test_elsewhere_as_many_wait_as_there_are_workers(more: dict[str, object]) -> None:
+    brain = make(count=30, **{"balancers": 200, "tells_start": True, **more})
+    assert len(asked(brain, 20)) > 10
+
+
 def test_size_of_the_module() -> None:
     lines = Path(module.__file__).read_text().splitlines()
     assert sum(1 for line in lines if line.strip()) <= 560
