Log single hosts: starts with what was sent there before, failures, reasons of refusals

Cause: the log counted hosts and outcomes, never which host, when its start was learned, nor what it had been sent by then. Change: core/host_log.py writes a line for each change of a host's state, for each start (its age and the attempts begun there since), for what it got in the span of its slow-start budget, and each ten seconds the hosts with failures. Refusals are counted by reason, in the figures line and on the metrics page with attempts by status, starts and the slow-start peak. Why it works: attempts are counted by the carrier, apart from the decision module's own books.

--- a/oxbowarch/brain.py
+++ b/oxbowarch/brain.py
@@ -5,15 +5,18 @@
 limit; what is admitted goes to a worker drawn by free slots.  docs/design/decisions.md: what was changed.
 """
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from math import exp, inf, log, sqrt
 from random import Random
 
 from oxbowarch.interface import NEVER_RAN, Action, Cancel, Effect, Entry, Fail, Group, ListKind
-from oxbowarch.interface import Log, Note, Outcome, Places, Refuse, Report, Request, Send, Settings
-from oxbowarch.interface import State, Status, Tell, Timer, Watch, WorkerId
+from oxbowarch.interface import Log, Note, Outcome, Places, RefusalReason, Refuse, Report, Request, Send
+from oxbowarch.interface import Settings, State, Status, Tell, Timer, Watch, WorkerId
+from oxbowarch.pace import SLOW_FADE, slowness
 from oxbowarch.records import Attempt, Decayed, Homes, Job, Jobs, KeyRing, MeanTable, RateTable, Smoothed
 from oxbowarch.records import Window, Worker
+from oxbowarch.refusal import reason_of
+from oxbowarch.slow_start import warmth
 
 HALF_LIFE = 10.0  # s; the source's own value: long enough to remember, short enough to forgive
 DECAY = log(2) / HALF_LIFE
@@ -38,7 +41,7 @@
 COPY_SHARE, COPY_MOST, COPY_WON = 0.02, 6.0, 2.0  # copies earned by a job, at most, and by a faster one
 LONG_RUN, COPY_FADE = 1.2, 1 / 10.0  # logged excess of a run that calls for one; 1/s
 COPY_ROOM = 0.75  # share of slots busy from which a copy would take the place of another job
-SLOW_FADE, SLOW_STEEP = 1 / 3.0, 3.0  # 1/s; power of a worker's slowness by which its weight falls
+SLOW_STEEP = 3.0  # power of a worker's slowness by which its weight falls
 ANYWHERE: Places = (None, None)  # the places of a class that is bound to none
 NOTE_AGE, NOTE_AGAIN, NOTE_EVERY = 3.0, 1.0, 1.0  # s one counts, is repeated after, is told all after
 DEAF, FEW, WAITING = (1.5, 12.0), 7, 0.5  # s with no note: cut, all gone; few; own waiting for each running
@@ -69,6 +72,7 @@
         self.pressed, self.watching, self.watch_wait, self.do = False, False, WATCH_BACKOFF, list[Action]()
         self.heard_at = inf if self.telling and settings.balancers <= FEW else -inf  # the last note
         self.news: dict[WorkerId, Note] = {}  # what the others are to be told next
+        self.refusals: Counter[RefusalReason] = Counter()  # requests refused or failed, by reason
         self.copy_credit, self.won = COPY_MOST, Smoothed(now, COPY_FADE)  # and the share that were faster
         self.on_settings(settings, now)
 
@@ -184,10 +188,13 @@
         part = 1.0 - self._yield(ask.job_class, late) / best if best else 0.0
         early = part * (SHED_LATE if late else SHED_EARLY)
         if ask.spare < (SPARE_LEFT if not early else 1.0):
-            return self._refuse(ask)  # held, it would take the last means by which any client is answered
+            # Held, it would take the last means by which any client is answered.
+            return self._refuse(ask, RefusalReason.DRAINING)
         overload = self._between(places, OVERLOAD[0] - early, OVERLOAD[1] - early)
         passed = (1.0 - pressure * excess) * (1.0 - overload)
-        return ask.beyond is None and self.random.random() >= passed and self._refuse(ask, excess)
+        if ask.beyond is None and self.random.random() >= passed:
+            return self._refuse(ask, RefusalReason.BEYOND_LIMIT, excess)
+        return False
 
     def _late(self, ask: Request) -> bool:
         """Is it a repeat of what has waited past its aim?  It would take the room of what is in time."""
@@ -199,8 +206,9 @@
         rule = self.set.classes[job_class]
         return rule.worth * (rule.late_share if late else 1.0) / exp(self.runs[job_class].mean())
 
-    def _refuse(self, ask: Request, excess: float = 0.0) -> bool:
+    def _refuse(self, ask: Request, reason: RefusalReason, excess: float = 0.0) -> bool:
         """Tell the client when to come back: once overload can have faded, and its tenant's estimate."""
+        self.refusals[reason] += 1
         places = self.set.classes[ask.job_class].places
         fades = log(max(1.0, self.busy[places].mean() / OVERLOAD[0])) / PRESSURE_FADE
         wait = inf if self._shut(places) else max(HOLD_STEP, fades, -log(1.0 + 1e-9 - excess) / DECAY)
@@ -336,7 +344,9 @@
         """End the job with a refusal, which promises that a repeat is harmless, else as failed."""
         dropped = job.rule.effect is Effect.KEYED and job.rule.group is Group.ALL
         harmless = dropped or job.rule.effect is Effect.SAFE or job.ran_first() is None
-        self._refuse(job.ask) if harmless else self.do.append(Fail(job.id))
+        reason = reason_of(job, self._shut(job.rule.places))
+        self.refusals[reason] += not harmless
+        self._refuse(job.ask, reason) if harmless else self.do.append(Fail(job.id))
         self._end(job)
 
     def _end(self, job: Job) -> None:
@@ -352,19 +362,7 @@
 
     def _warmth(self, worker: Worker, now: float) -> float:
         """Present share of capacity, guessed low: a cold worker looks empty to everyone at once."""
-        started, rules = max(worker.entry.started_at, worker.back_at), self.set
-        if not started or (age := now - started) >= rules.warm_up:
-            return 1.0
-        return rules.cold_from + (1.0 - rules.cold_from) * max(0.0, age) / rules.warm_up
-
-    def _slowness(self, worker: Worker, now: float) -> float:
-        """Logged, how much longer than usual jobs lately ran there, or run now; its slots look free."""
-        total, seen = worker.pace.read(SLOW_FADE, now), 1.0 + worker.paces.read(SLOW_FADE, now)
-        for attempt in worker.running:
-            over = log(max(1e-3, now - attempt.started)) - self.runs[attempt.job_class].mean()
-            if over > 0.0:
-                total, seen = total + over, seen + 1.0
-        return max(0.0, total / seen)
+        return warmth(self.set, max(worker.entry.started_at, worker.back_at), now)
 
     def _weight(self, job: Job, worker: Worker, now: float, queue: float = 0.0) -> float:
         """Reported free slots plus one, less own sends, strikes and shut doors; 0 is never drawn."""
@@ -382,19 +380,19 @@
         if free is not None and free < 0.5 - queue:
             if job.ask.beyond is not None or now < worker.no_room_until or self.telling:
                 return 0.0  # by contract it had better wait here, where who goes next can still be chosen
-        if (warmth := self._warmth(worker, now)) < 1.0 and self.telling and not home:
+        if (share := self._warmth(worker, now)) < 1.0 and self.telling and not home:
             return 0.0  # all would meet there, at its start and whenever it is warm enough for more
-        if warmth < (1.0 / self.cold_more if (hears := now - self.heard_at < DEAF[0] / 3) else 1.0):
+        if share < (1.0 / self.cold_more if (hears := now - self.heard_at < DEAF[0] / 3) else 1.0):
             # Fail back safely: a cold one's part of what a warm one gets, shared among those that send there.
             # The first credit is random, so that dispatchers of little traffic share it too.
             senders = 1 + len(self.homes.others(worker, self.set.me)) if self.telling else self.set.balancers
             rate = self.admitted.count * DECAY / max(1, len(self._pool(ANYWHERE, -1)))
             rate *= self.set.balancers / senders * (self.cold_more if hears else self.cold_more / COLD_MORE)
-            if worker.earn(rate * warmth, now) < 1.0:
+            if worker.earn(rate * share, now) < 1.0:
                 return 0.0
         # A worker may turn one class or tenant away though it has room: that is no news of the worker.
         shut = worker.strikes + sum(worker.turned.read(door, DECAY, now) for door in job.doors)
-        shut += SLOW_STEEP / log(2) * self._slowness(worker, now)
+        shut += SLOW_STEEP / log(2) * slowness(worker, self.runs, now)
         # Without news of room it counts as its kind does; a thin dispatcher must not double up there.
         free = self.usual[worker.entry.kind].mean() if free is None else max(0.0, free)
         # Reports are late, own attempts out are known: two must not meet by a stale report.
--- a/oxbowarch/interface.py
+++ b/oxbowarch/interface.py
@@ -30,6 +30,16 @@
     UNSAFE = "unsafe"  # only when no earlier attempt can have run
 
 
+class RefusalReason(Enum):
+    """Why a request was refused or failed without a result."""
+
+    BEYOND_LIMIT = "beyond_limit"  # beyond its tenant's limit, or within it where all is overloaded
+    DRAINING = "draining"  # few means to answer clients are left
+    OUT_OF_TIME = "out_of_time"  # held for a free worker, up to its aim or its deadline
+    ATTEMPTS_SPENT = "attempts_spent"  # no further attempt may go out
+    NO_WORKER = "no_worker"  # an operator has taken out all there is
+
+
 class Group(Enum):
     """Which workers drop each other's repeats of a keyed request."""
 
@@ -132,6 +142,7 @@
     cold_from: float = 1.0  # a started worker has at least this share of its capacity
     warm_up: float = 0.0
     cold_factor: float = 4.0  # times its present capacity that a cold worker may be sent, of all balancers together
+    cold_span: float = 2.0  # s for which it bears that
     budget: AttemptBudget | None = None  # None: further attempts are not rationed
     full_proves: bool = True  # an attempt answered 'full' never ran
 
@@ -149,6 +160,8 @@
             raise ValueError("settings: cold_from must be above 0 and at most 1")
         if not (isfinite(self.cold_factor) and self.cold_factor > 0):
             raise ValueError("settings: cold_factor must be a finite number above 0")
+        if not (isfinite(self.cold_span) and self.cold_span > 0):
+            raise ValueError("settings: cold_span must be a finite number above 0")
         if self.budget is not None:
             for name, value in self.budget._asdict().items():
                 if not (isfinite(value) and (value > 0 if name == "span" else value >= 0)):
--- a/oxbowarch/wire.py
+++ b/oxbowarch/wire.py
@@ -414,6 +414,7 @@
         cold_from=float(rules.get("coldFrom", 1.0)),
         warm_up=float(rules.get("warmUp", 0.0)),
         cold_factor=float(rules.get("overloadFactor", 4.0)),
+        cold_span=float(rules.get("overloadFor", 2.0)),
         budget=attempt_budget(rules),
         full_proves=not flag(rules, "fullUnproven"),
     )
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -14,6 +14,7 @@
     Cancel, Effect, Entry, Fail, Group, JobClass, ListKind, Outcome, Refuse, Report, Reports,
     Request, Send, Settings, State, Status, Timer, Watch,
 )  # fmt: skip
+from oxbowarch.pace import slowness
 from oxbowarch.records import Worker
 
 FULL_PRESSURE = (module.PRESSURE[1] + module.OVERLOAD[0]) / 2 + 0.005
@@ -679,9 +680,9 @@
     brain.on_request(Request(1000, 0, 50.0), 40.0)
     brain.on_started(1000, 0, 40.0)
     worker = brain.workers[name(0)]
-    assert brain._slowness(worker, 40.1) < 0.1 < 0.4 < brain._slowness(worker, 42.0)
+    assert slowness(worker, brain.runs, 40.1) < 0.1 < 0.4 < slowness(worker, brain.runs, 42.0)
     brain.on_list(ListKind.FULL, (Entry(name(0), State.READY, started_at=42.0),), 42.0)
-    assert brain._slowness(worker, 50.0) == 0.0  # a new process
+    assert slowness(worker, brain.runs, 50.0) == 0.0  # a new process
 
 
 def test_the_class_that_earns_most_by_a_slot_takes_room_first_and_gives_way_last() -> None:
--- /dev/null
+++ b/tests/test_host_log.py
@@ -0,0 +1,41 @@
+"""What the log says of single hosts: their states, their starts and how attempts there ended."""
+
+from __future__ import annotations
+
+import logging
+
+import pytest
+
+from oxbowarch.interface import Entry, State, Status
+from thistleshore.core.host_log import LINES_MOST, HostLog
+from thistleshore.core.model import UpstreamHost
+
+
+def host(name: bytes, started_at: float = 0.0, state: State = State.READY) -> UpstreamHost:
+    return UpstreamHost(name, None, Entry(name, state, started_at=started_at))
+
+
+def test_a_start_that_is_told_late_names_what_was_sent_there_before_the_news(caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level(logging.INFO)
+    log = HostLog(2.0)
+    for at in (8.0, 9.5, 10.2):
+        log.on_begun(b"s-1", at)
+    log.on_hosts({b"s-1": ("ready", 0.0)}, [host(b"s-1", 9.0)], 10.4)
+    log.on_ended(b"s-1", Status.RESET)
+    log.look(10.9)
+    assert "started 1.400 s ago; 2 attempts begun there since" in caplog.text and "in its first" not in caplog.text
+    log.look(11.0)
+    assert "host s-1: 2 attempts in its first 2.0 s; ended: reset=1" in caplog.text and log.peak == 2
+
+
+def test_a_list_that_changes_every_host_writes_a_bounded_number_of_lines(caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level(logging.INFO)
+    HostLog(2.0).on_hosts({}, [host(b"s-%d" % n) for n in range(300)], 1.0)
+    assert len(caplog.records) == LINES_MOST + 1 and "280 further changes" in caplog.text
+
+
+def test_hosts_with_failures_are_named_once_an_interval_the_worst_first() -> None:
+    log = HostLog(2.0)
+    for name, status in ((b"a", Status.OK), (b"b", Status.RESET), (b"c", Status.FULL), (b"c", Status.FULL)):
+        log.on_ended(name, status)
+    assert log.interval() == "c full=2; b reset=1" and log.interval() == ""
--- a/thistleshore/config/platform.py
+++ b/thistleshore/config/platform.py
@@ -267,7 +267,7 @@
             if key == "lanes" and not number(item, "giveUp", f"settings.lanes[{n}]", 1.0):
                 raise ConfigError(f"settings.lanes[{n}].giveUp: a number above 0 is wanted")
     number(table(raw, "limits", "settings.limits"), "maxAttempts", "settings.limits", 1.0, 1.0)
-    for key, figures in (("rules", ("askWithin", "coldFrom", "warmUp")), ("limits", ("maxRetryAfter",))):
+    for key, figures in (("rules", ("askWithin", "coldFrom", "warmUp", "overloadFor")), ("limits", ("maxRetryAfter",))):
         for figure in figures:
             number(table(raw, key, f"settings.{key}"), figure, f"settings.{key}", 0.0)
     for figure in ("balancers", "quantum", "locality"):
--- a/thistleshore/core/broker.py
+++ b/thistleshore/core/broker.py
@@ -18,6 +18,7 @@
 from oxbowarch.notes import Notebook
 from thistleshore.core import model
 from thistleshore.core.figures import Figures
+from thistleshore.core.host_log import HostLog
 from thistleshore.invariants import invariant
 
 if TYPE_CHECKING:  # an operator's; the platform has no contracts
@@ -55,6 +56,7 @@
         self.version: int | None = None  # of discovery's list that these are
         self.listed = trio.Event()  # a list of upstream hosts is in the module
         self.figures: Counter[str] = Counter()
+        self.host_log = HostLog(brain.set.cold_span)
         self._streams: dict[int, model.Stream] = {}
         self._out: dict[int, list[model.UpstreamRequest]] = {}  # every upstream request of a stream, by number
         self._left: Counter[int] = Counter()  # upstream requests of a stream that have not ended
@@ -121,11 +123,18 @@
             heappush(self._timers, (now + FIGURES_EVERY, FIGURES))
             open_now = sum(not stream.over for stream in self._streams.values())
             invariant(self.record.outstanding == open_now, "streams that are open are counted")
-            figures = self.figures + self.notebook.counts
-            log.info("figures: open=%d %s", len(self._streams), " ".join(f"{k}={n}" for k, n in figures.items()))
+            self._log_figures()
             return []
         return self.brain.on_timer(token, now)
 
+    def _log_figures(self) -> None:
+        self.host_log.look(trio.current_time())
+        figures = self.figures + self.notebook.counts
+        figures.update({f"refused_{reason.value}": n for reason, n in self.brain.refusals.items()})
+        log.info("figures: open=%d %s", len(self._streams), " ".join(f"{k}={n}" for k, n in figures.items()))
+        if failing := self.host_log.interval():
+            log.info("attempts at hosts that failed some: %s", failing)
+
     def _rescue(self, event: model.Event | None) -> None:
         """A stream whose event met a fault may never be named again: its downstream must not wait for that."""
         if isinstance(event, model.StreamOpened | model.UpstreamEnded):
@@ -158,6 +167,7 @@
             return self._ban(event, now)
         if isinstance(event, model.SettingsTold):
             self.name_classes(event.names)
+            self.host_log.window = event.settings.cold_span
             return self.brain.on_settings(event.settings, now)
         return self._update_hosts(event, now)
 
@@ -236,6 +246,7 @@
         stream = request.stream
         self._left[stream.id] -= 1
         self.figures[outcome.status.value] += 1
+        self.host_log.on_ended(request.host.id, outcome.status)
         if self.on_attempt is not None:
             self.on_attempt(request, outcome.status, event.took)
         if self.ledger is not None:
@@ -286,6 +297,7 @@
 
     def _update_hosts(self, event: model.HostsTold, now: float) -> list[Action]:
         named = {line.entry.worker for line in event.lines}
+        before = {host.id: (host.entry.state.value, host.entry.started_at) for host in self.hosts.values()}
         self.version = event.version if event.version is not None else self.version
         if event.kind is not ListKind.CHANGES:
             for host in self.hosts.values():
@@ -311,6 +323,8 @@
             ready = sum(host.ready for host in self.hosts.values())
             log.info("hosts told: %s list, %d hosts, %d ready", event.kind.value, len(states), ready)
         self._states = states
+        self.host_log.look(now)
+        self.host_log.on_hosts(before, self.hosts.values(), now)
         entries = tuple(line.entry for line in event.lines)
         self.notebook.list_names(entries, event.kind is not ListKind.CHANGES)
         actions = self.brain.on_list(event.kind, entries, now)
@@ -358,6 +372,7 @@
             deadline = min(deadline, now + action.timeout)
         request = model.UpstreamRequest(stream, len(self._out[stream.id]), host, deadline)
         self._out[stream.id].append(request)
+        self.host_log.on_begun(host.id, now)
         self._left[stream.id] += 1
         if self.ledger is not None:
             self.ledger.on_sent(stream.id, now)
--- a/thistleshore/metrics.py
+++ b/thistleshore/metrics.py
@@ -14,11 +14,13 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 from prometheus_client.registry import Collector
 
+from oxbowarch.interface import RefusalReason, Status
 from thistleshore.contracts.model import ShareFigures
 from thistleshore.listening import patiently
 from thistleshore.platform.messages import Peer
 
 if TYPE_CHECKING:
+    from thistleshore.core.broker import Broker
     from thistleshore.distribution.machine import Distributor
 
 log = logging.getLogger("thistleshore")
@@ -82,6 +84,28 @@
         yield files
 
 
+class Attempts(Collector):
+    """Attempts at upstream hosts by how they ended, refusals by reason, and what hosts got after a start."""
+
+    def __init__(self, broker: Broker) -> None:
+        self.broker = broker
+
+    def collect(self) -> Iterator[Metric]:
+        ends = CounterMetricFamily("thistleshore_attempts", "attempts at upstream hosts", labels=("status",))
+        for status in Status:
+            ends.add_metric((status.value,), self.broker.figures[status.value])
+        yield ends
+        refusals = CounterMetricFamily("thistleshore_refusals", "streams without a result", labels=("reason",))
+        for reason in RefusalReason:
+            refusals.add_metric((reason.value,), self.broker.brain.refusals[reason])
+        yield refusals
+        yield CounterMetricFamily("thistleshore_host_starts", "starts of upstream hosts that lists told of",
+                                  self.broker.host_log.starts)  # fmt: skip
+        yield GaugeMetricFamily("thistleshore_slow_start_peak",
+                                "most attempts that one host got in the first window after its start",
+                                self.broker.host_log.peak)  # fmt: skip
+
+
 class View(Collector):
     """The view of the fleet, as this member has it."""
 
--- a/thistleshore/wiring/metrics.py
+++ b/thistleshore/wiring/metrics.py
@@ -9,7 +9,7 @@
 
 from thistleshore.contracts import Ledger
 from thistleshore.core.broker import Broker
-from thistleshore.metrics import Configuration, Contracts, Page, Results, View
+from thistleshore.metrics import Attempts, Configuration, Contracts, Page, Results, View
 from thistleshore.wiring.components import Components
 
 if TYPE_CHECKING:
@@ -20,7 +20,7 @@
     """Start the page with what there is to tell of."""
     plan, broker, fleet = components.plan, components.broker, components.fleet
     assert plan.metrics is not None
-    collectors: list[Collector] = [Results(broker.told_figures)]
+    collectors: list[Collector] = [Results(broker.told_figures), Attempts(broker)]
     if fleet is not None:
         collectors.append(View(fleet.members, fleet.status))
     if broker.ledger is not None:
