--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -29,7 +29,8 @@
     return int(found.ret), found.stdout.str() + found.stderr.str()
 
 
-BAD, GOOD = "test_a.py::test_bad; its cause; issue 1\n", "test_a.py::test_good; its cause; issue 1\n"
+BAD = "test_a.py::test_bad; pytest test_a.py; what was seen; issue 1\n"
+GOOD = BAD.replace("bad", "good")
 
 
 @pytest.mark.parametrize(
@@ -40,7 +41,9 @@
     assert (found := played(pytester, red))[0] == status and says in found[1], found
 
 
-@pytest.mark.parametrize(("red", "says"), [(BAD * 4, "3 at most"), ("test_a.py::x\n", "form"), ("a;;b", "form")])
+@pytest.mark.parametrize(
+    ("red", "says"), [(BAD * 4, "3 at most"), ("test_a.py::x\n", "form"), ("a;;b;c", "form"), ("a;b;c", "form")]
+)
 def test_more_than_three_and_half_a_line_fail_the_run(red: str, says: str) -> None:
     with pytest.raises(pytest.UsageError, match=says):
         known_red.read(red)
