Failures in a row shun a worker also where many calls fail everywhere

Cause: _strike took shunning off altogether once a quarter of all calls failed, as what befalls all is no news of one worker. Tries at servers that are down count among the failures: four dead servers of twelve kept the share up, and so the shunning off. Evidence: virtual time, two dispatchers, five servers down: 766 refused connections for 587 requests, 248 at one server in 7 s. Real processes, resets after a restart, others down: up to 29.3 calls over the budget, first over it 0.10 to 1.16 s after the start. Why it works: the share still excuses a first failure where failures are common, and no longer a fifth in a row at one worker.

--- a/oxbowarch/brain.py
+++ b/oxbowarch/brain.py
@@ -16,6 +16,7 @@
 from oxbowarch.records import Attempt, Decayed, Homes, Job, Jobs, KeyRing, MeanTable, RateTable, Smoothed
 from oxbowarch.records import Window, Worker
 from oxbowarch.refusal import reason_of
+from oxbowarch.shunning import STRIKES_MOST, after_failure
 from oxbowarch.slow_start import total_rate, warmth
 
 HALF_LIFE = 10.0  # s; the source's own value: long enough to remember, short enough to forgive
@@ -32,8 +33,7 @@
 NO_ROOM_PART, FULL_PART = 0.5, 5.0  # part of that for which no room counts, and more for each attempt full
 DRAWS = 12  # tries of the rejection draw before the best one seen is taken
 KEY_PATIENCE, KEY_QUEUE, KEY_PLACES = 0.5, 0.25, 8  # of the aim, of slots, to wait for a home; servers noted
-FAILURES, COMMON_FAILURE = (Status.ERROR, Status.RESET, Status.TIMEOUT, Status.CONNECT_FAILED), 4.0
-STRIKES_MOST, SHUN_BASE = 6, 0.25  # each strike halves the weight and doubles the s without sends
+FAILURES = (Status.ERROR, Status.RESET, Status.TIMEOUT, Status.CONNECT_FAILED)
 WATCH_BACKOFF = 0.5  # s, first wait after a failed call; doubled up to ask_within
 ZONE_SLACK, LOAD_MOST = 0.1, 3.0  # load, in slots' worth, by which the own zone may exceed others; cap of it
 HOLD_STEP, HOLD_MORE = 0.05, 0.7  # s between two looks for a held job; part of a usual run's grace it waits
@@ -528,9 +528,7 @@
     def _strike(self, worker: Worker, now: float) -> None:
         """A fast failer must not attract work; a silent one must lose weight and be retried gently."""
         worker.strikes = min(STRIKES_MOST, worker.strikes + 1)
-        # What befalls attempts everywhere is no news of this worker: shunning each would leave none.
-        alone = max(0.0, 1.0 - COMMON_FAILURE * self.failing.mean())
-        worker.shunned_until = now + SHUN_BASE * 2**worker.strikes * (0.5 + self.random.random()) * alone
+        worker.shunned_until = now + after_failure(worker.strikes, self.failing.mean(), self.random.random())
 
     def on_outcome(self, event: Outcome, now: float) -> list[Action]:
         self.do = []
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -16,6 +16,7 @@
 )  # fmt: skip
 from oxbowarch.pace import slowness
 from oxbowarch.records import Worker
+from oxbowarch.shunning import COMMON_FAILURE
 
 FULL_PRESSURE = (module.PRESSURE[1] + module.OVERLOAD[0]) / 2 + 0.005
 SAFE = JobClass(Effect.SAFE, aim=1.0, give_up=5.0)
@@ -770,7 +771,7 @@
             brain.failing.see(share, 0.0)
         brain._strike(brain.workers[name(0)], 0.0)
         shunned.append(brain.workers[name(0)].shunned_until)
-    assert shunned[1] == pytest.approx(shunned[0] * (1 - module.COMMON_FAILURE * 0.2), abs=0.03)
+    assert shunned[1] == pytest.approx(shunned[0] * (1 - COMMON_FAILURE * 0.2), abs=0.03)
 
 
 def test_the_last_means_to_answer_are_left_to_the_class_that_earns_most() -> None:
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -5,13 +5,15 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from math import inf, sqrt
 from random import Random
 from typing import NamedTuple
 
 import pytest
 
-from oxbowarch.interface import Entry, ListKind, State, Status
+from oxbowarch.shunning import STRIKES_MOST
+from oxbowarch.interface import Entry, ListKind, Report, State, Status
 from tests.test_fleet import SLOTS, Fleet, worker_name
 
 SPAN, MEAN, COLD_FROM, WARM_UP, FACTOR = 2.0, 0.65, 0.12, 24.0, 4.0
@@ -114,3 +116,20 @@
     case = QUIET._replace(dispatchers=dispatchers, late=0.0, ending=ending, share=share, down=4)
     found = [Ledger(case, seed).played().excess() for seed in (1, 2)]
     assert max(found) <= 0.0, found
+
+
+@pytest.mark.parametrize("dispatchers", [1, 2, 8])
+def test_servers_that_refuse_connections_are_not_tried_for_every_job_where_many_do(dispatchers: int) -> None:
+    """Each strike doubles the wait before the next try, so that a few seconds hold one try a strike."""
+    fleet = Ledger(QUIET._replace(dispatchers=dispatchers, down=4), 1)
+    refused = Counter[bytes]()
+    end = fleet.end
+
+    def count_end(n: int, job: int, attempt: int, status: Status, report: Report | None = None,
+                  worker: bytes = b"") -> None:  # fmt: skip
+        refused[worker] += status is Status.CONNECT_FAILED
+        end(n, job, attempt, status, report, worker)
+
+    fleet.end = count_end  # type: ignore[method-assign]
+    fleet.played()
+    assert max(refused.values()) <= dispatchers * (STRIKES_MOST + 1), refused
