News of a start keeps what was sent to the new process before it

Cause: Worker.forget at a new start time set own attempts out, those that wait and what peers told to zero, and drew fresh credit. What had been sent since the start runs in the new process: its slots were filled, and its budget spent, a second time; outcomes of attempts that had gone to the process before were then taken off the new one's count. Change: Worker.restart keeps own attempts out that began after the start, what peers tell, and pays the tokens of what was sent since; an attempt that went to the process before changes no count of the new one. Why it works: the books after the news are those of a dispatcher that had known of the start at once.

--- a/oxbowarch/brain.py
+++ b/oxbowarch/brain.py
@@ -128,7 +128,9 @@
             if worker is None:
                 worker = self.workers[entry.worker] = Worker(entry, self.random.random(), now)
             elif worker.entry.started_at != entry.started_at > worker.back_at:
-                worker.forget(self.random.random(), now)
+                worker.entry = entry
+                out = (attempt for job in self.jobs.values() for attempt in job.attempts if attempt.out)
+                worker.restart(self.random.random(), (a for a in out if a.worker is worker), now)
             worker.entry = entry
         if moved:
             self._repool()
@@ -259,6 +261,7 @@
         job.out += 1
         worker.count_out(1, REPORT_FADE, now)
         worker.slow_start.pay()
+        worker.sent.append(now)
         self.do.append(Send(job.id, worker.id))
         self._note(worker, now)
         if self.set.second_copies and self.set.tells_start and len(job.attempts) == 1:
@@ -547,7 +550,7 @@
     def _judge(self, job: Job, attempt: Attempt, event: Outcome, now: float) -> None:
         """What an attempt's end tells of the worker."""
         worker, full, pace = attempt.worker, event.status is Status.FULL, None
-        worker.count_out(-1, REPORT_FADE, now)
+        worker.count_out(-attempt.counts, REPORT_FADE, now)
         self.full.see(float(full), now)
         if event.status is not Status.CANCELLED:
             self.failing.see(float(event.status in FAILURES), now)
--- a/oxbowarch/records.py
+++ b/oxbowarch/records.py
@@ -4,7 +4,7 @@
 
 from bisect import bisect_left
 from collections import OrderedDict, deque
-from collections.abc import Hashable
+from collections.abc import Hashable, Iterable
 from math import ceil, exp, inf
 from zlib import crc32
 
@@ -12,6 +12,7 @@
 from oxbowarch.slow_start import SlowStartBudget
 
 
+SENDS_KEPT = 64  # times of attempts at one worker
 DOORS_KEPT = 256  # classes and tenants remembered for one worker
 
 
@@ -95,22 +96,39 @@
 
     __slots__ = ("id", "entry", "room", "size", "report_until", "no_room_until", "waiting", "turned", "lag_out",
                  "lag_at", "out", "running", "pace", "paces", "strikes", "rejections",
-                 "shunned_until",
-                 "slow_start", "others", "told_at", "back_at")  # fmt: skip
+                 "shunned_until", "slow_start", "others", "told_at", "back_at", "sent", "since")  # fmt: skip
 
     def __init__(self, entry: Entry, tokens: float, now: float) -> None:
         self.id = entry.worker
         self.entry = entry
         self.back_at = 0.0  # when an operator called it back; 0: never taken out
+        self.sent: deque[float] = deque(maxlen=SENDS_KEPT)  # times of own attempts
+        self.running: list[Attempt] = []  # own attempts that have started, where workers tell that
+        self.since = -inf  # start of the process that the counts below are about, where it is known
+        self.others: dict[int, tuple[int, float]] = {}  # attempts out of others, and until when that counts
         self.forget(tokens, now)
 
+    def restart(self, tokens: float, attempts: Iterable[Attempt], now: float) -> None:
+        """A list tells that the process started at the entry's time: what was sent since then is in the new one.
+
+        `attempts`: own ones that are out at this worker.  What others have out was told lately, and stands.
+        """
+        started_at = min(self.entry.started_at, now)
+        others = self.others
+        here = [attempt for attempt in attempts if attempt.at >= started_at]
+        self.forget(tokens, now, len(here))
+        self.since, self.others = started_at, others
+        self.running = [attempt for attempt in here if attempt.started]
+        self.waiting = sum(attempt.waits for attempt in here)
+        self.slow_start = SlowStartBudget(tokens - sum(at >= started_at for at in self.sent), started_at)
+
     def forget(self, tokens: float, now: float, out: int = 0) -> None:
         """A new process: nothing learned of the old one holds, but for own attempts that may still be out there."""
         self.room = 0.0  # free slots by the latest report, counted before own sends that are out
         self.size = 0.0  # slots, as far as seen
         self.report_until = -inf  # until then the report is good
         self.out = out  # own attempts out
-        self.running: list[Attempt] = []  # own attempts that have started, where workers tell that
+        self.running = []
         self.pace, self.paces = Decayed(now), Decayed(now)  # sum and number of its logged run times over the usual
         self.waiting = 0  # own attempts there that have not started, where workers tell that
         self.no_room_until = -inf  # until then a report of no room shuts it out
@@ -121,7 +139,7 @@
         self.shunned_until = -inf
         self.slow_start = SlowStartBudget(tokens, now)
         self.told_at = -inf  # when the others were last told of it
-        self.others: dict[int, tuple[int, float]] = {}  # attempts out of others, and until when that counts
+        self.others = {}
 
     def count_out(self, change: int, fade: float, now: float) -> float:
         """Change the number of own attempts out; returns how many were out a moment ago."""
@@ -182,13 +200,18 @@
         self.waits = tells_start  # counted as waiting at its worker
         worker.waiting += tells_start
 
+    @property
+    def counts(self) -> bool:
+        """Did it go to the process that its worker's counts are about?"""
+        return self.at >= self.worker.since
+
     def _no_longer_waits(self) -> None:
         if self.waits:
             self.waits = False
-            self.worker.waiting = max(0, self.worker.waiting - 1)  # 0 after a restart of the worker
+            self.worker.waiting = max(0, self.worker.waiting - self.counts)
 
     def start(self, now: float) -> None:
-        if self.out and not self.started:
+        if self.out and not self.started and self.counts:
             self.worker.running.append(self)
         self.started = self.started or now
         self._no_longer_waits()
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -13,8 +13,9 @@
 import pytest
 
 from oxbowarch.shunning import STRIKES_MOST
-from oxbowarch.interface import Entry, ListKind, Report, State, Status
-from tests.test_fleet import SLOTS, Fleet, worker_name
+from oxbowarch.brain import Brain
+from oxbowarch.interface import Entry, ListKind, Outcome, Report, Request, Settings, State, Status
+from tests.test_fleet import SEARCH, SLOTS, Fleet, worker_name
 
 SPAN, MEAN, COLD_FROM, WARM_UP, FACTOR = 2.0, 0.65, 0.12, 24.0, 4.0
 BACK_AT, LOOK, SERVERS = 5.0, 5.0, 12
@@ -144,3 +145,21 @@
     case = QUIET._replace(dispatchers=dispatchers, late=late, ending=ending, share=share, down=4)
     found = [Ledger(case, seed).played().excess() for seed in (1, 2)]
     assert max(found) <= 0.0, found
+
+
+def test_what_was_sent_between_a_start_and_its_news_still_counts_after_the_news() -> None:
+    settings = Settings(1, 0, (SEARCH,), can_cancel=True, tells_start=True, cold_from=0.12, warm_up=24.0)
+    brain = Brain(settings, 1, 0.0)
+    brain.on_list(ListKind.FULL, (Entry(b"a", State.READY),), 0.0)
+    brain.on_request(Request(1, 0, 10.0), 1.0)
+    brain.on_started(1, 0, 1.1)
+    for number in (2, 3):  # these go to the process that starts at 2.0
+        brain.on_request(Request(number, 0, 10.0), 2.0 + number / 10)
+        brain.on_started(number, 0, 2.05 + number / 10)
+    worker = brain.workers[b"a"]
+    brain.on_list(ListKind.CHANGES, (Entry(b"a", State.READY, started_at=2.0),), 2.4)
+    assert worker.out == 2 and len(worker.running) == 2 and worker.slow_start.tokens <= -1.0
+    brain.on_outcome(Outcome(1, 0, b"a", Status.RESET, 1.0, False), 2.4)
+    assert worker.out == 2  # the first one was lost with the process before
+    brain.on_outcome(Outcome(2, 0, b"a", Status.OK, 1.0, True), 2.5)
+    assert worker.out == 1 and len(worker.running) == 1
