A list's line without a start no longer makes a cold server warm, or new again

Cause: any other start time than the last line's was taken for a new process, also one that is absent: of a host that has left, of a line that can't be read. The next good line then drew a fresh budget and forgot what was out; a ready line without a start made a cold server warm. Change: a worker's start only moves forward (Worker.started_at); an older or absent one changes nothing. Why it works: one process is counted as started once, whatever lists say in between.

--- a/oxbowarch/brain.py
+++ b/oxbowarch/brain.py
@@ -127,8 +127,8 @@
             moved = moved or worker is None or worker.entry[1:5] != entry[1:5]
             if worker is None:
                 worker = self.workers[entry.worker] = Worker(entry, self.random.random(), now)
-            elif worker.entry.started_at != entry.started_at > worker.back_at:
-                worker.entry = entry
+            elif entry.started_at > max(worker.started_at, worker.back_at):
+                worker.entry, worker.started_at = entry, entry.started_at
                 out = (attempt for job in self.jobs.values() for attempt in job.attempts if attempt.out)
                 worker.restart(self.random.random(), (a for a in out if a.worker is worker), now)
             worker.entry = entry
@@ -360,7 +360,7 @@
 
     def _warmth(self, worker: Worker, now: float) -> float:
         """Present share of capacity, guessed low: a cold worker looks empty to everyone at once."""
-        return warmth(self.set, max(worker.entry.started_at, worker.back_at), now)
+        return warmth(self.set, max(worker.started_at, worker.back_at), now)
 
     def _weight(self, job: Job, worker: Worker, now: float, queue: float = 0.0) -> float:
         """Reported free slots plus one, less own sends, strikes and shut doors; 0 is never drawn."""
--- a/oxbowarch/records.py
+++ b/oxbowarch/records.py
@@ -96,11 +96,13 @@
 
     __slots__ = ("id", "entry", "room", "size", "report_until", "no_room_until", "waiting", "turned", "lag_out",
                  "lag_at", "out", "running", "pace", "paces", "strikes", "rejections",
-                 "shunned_until", "slow_start", "others", "told_at", "back_at", "sent", "since")  # fmt: skip
+                 "shunned_until", "slow_start", "others", "told_at", "back_at", "sent", "since",
+                 "started_at")  # fmt: skip
 
     def __init__(self, entry: Entry, tokens: float, now: float) -> None:
         self.id = entry.worker
         self.entry = entry
+        self.started_at = entry.started_at  # the latest that a list has told of; 0: long ago
         self.back_at = 0.0  # when an operator called it back; 0: never taken out
         self.sent: deque[float] = deque(maxlen=SENDS_KEPT)  # times of own attempts
         self.running: list[Attempt] = []  # own attempts that have started, where workers tell that
@@ -113,7 +115,7 @@
 
         `attempts`: own ones that are out at this worker.  What others have out was told lately, and stands.
         """
-        started_at = min(self.entry.started_at, now)
+        started_at = min(self.started_at, now)
         others = self.others
         here = [attempt for attempt in attempts if attempt.at >= started_at]
         self.forget(tokens, now, len(here))
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -163,3 +163,21 @@
     assert worker.out == 2  # the first one was lost with the process before
     brain.on_outcome(Outcome(2, 0, b"a", Status.OK, 1.0, True), 2.5)
     assert worker.out == 1 and len(worker.running) == 1
+
+
+@pytest.mark.parametrize("between", [State.GONE, State.DRAINING])
+def test_a_line_without_a_start_does_not_make_the_same_start_new_again(between: State) -> None:
+    """Lines of hosts that have left, and lines that cannot be read, tell no start."""
+    brain = Brain(Settings(1, 0, (SEARCH,), cold_from=0.12, warm_up=24.0), 1, 0.0)
+    brain.on_list(ListKind.FULL, (Entry(b"a", State.READY, started_at=1.0),), 1.5)
+    brain.workers[b"a"].slow_start.tokens, brain.workers[b"a"].out = -3.0, 2
+    brain.on_list(ListKind.CHANGES, (Entry(b"a", between),), 2.0)
+    brain.on_list(ListKind.CHANGES, (Entry(b"a", State.READY, started_at=1.0),), 2.1)
+    assert brain.workers[b"a"].slow_start.tokens < 0.0 and brain.workers[b"a"].out == 2
+
+
+def test_a_ready_line_without_a_start_does_not_make_a_cold_server_warm() -> None:
+    brain = Brain(Settings(1, 0, (SEARCH,), cold_from=0.12, warm_up=24.0), 1, 0.0)
+    brain.on_list(ListKind.FULL, (Entry(b"a", State.READY, started_at=1.0),), 1.5)
+    brain.on_list(ListKind.CHANGES, (Entry(b"a", State.READY),), 2.0)
+    assert brain._warmth(brain.workers[b"a"], 2.0) < 0.2
