A cold server's rate is capped by what a warm one's slots can run

Cause: the slow-start budget took a warm worker's rate from jobs admitted; those that are held for room and refused later count among them, so that under overload the rate was overstated by as much as the load exceeded the capacity. Change: the rate is at most slots over the usual run time (slow_start.capacity), where run times are known; sender_rate has the sum in one place. Why it works: no warm worker takes more than its slots can run, however many ask.

--- a/oxbowarch/brain.py
+++ b/oxbowarch/brain.py
@@ -18,7 +18,7 @@
 from oxbowarch.records import Window, Worker
 from oxbowarch.refusal import reason_of
 from oxbowarch.shunning import STRIKES_MOST, after_failure, after_rejections
-from oxbowarch.slow_start import total_rate, warmth
+from oxbowarch.slow_start import capacity, sender_rate, warmth
 
 HALF_LIFE = 10.0  # s; the source's own value: long enough to remember, short enough to forgive
 DECAY = log(2) / HALF_LIFE
@@ -392,11 +392,11 @@
 
     def _slow_start_rate(self, worker: Worker, share: float, now: float) -> float:
         """Calls a second that a worker with this share of its capacity may get from here."""
-        warm_rate = self.admitted.count * DECAY / max(1, len(self._pool(ANYWHERE, -1))) * self.set.balancers
-        if not self.telling:
-            return warm_rate * share / self.set.balancers
-        senders = 1 + len(self.homes.others(worker, self.set.me))
-        return total_rate(self.set, warm_rate, share, now - self.heard_at < DEAF[0] / 3) / senders
+        asked = self.admitted.count * DECAY / max(1, len(self._pool(ANYWHERE, -1))) * self.set.balancers
+        # Under overload more is admitted than is served: a warm one gets no more than its slots can run.
+        warm_rate = min(asked, capacity(worker.size or self.most, self.runs.values()))
+        senders = 1 + len(self.homes.others(worker, self.set.me)) if self.telling else None
+        return sender_rate(self.set, warm_rate, share, senders, now - self.heard_at < DEAF[0] / 3)
 
     def _draw(self, job: Job, now: float) -> Worker | None:
         """Rejection draw by weight among ready workers: own zone first, then all."""
--- a/oxbowarch/slow_start.py
+++ b/oxbowarch/slow_start.py
@@ -6,10 +6,15 @@
 
 from __future__ import annotations
 
-from math import sqrt
+from collections.abc import Iterable
+from math import exp, inf, sqrt
+from typing import TYPE_CHECKING
 
 from oxbowarch.interface import Settings
 
+if TYPE_CHECKING:
+    from oxbowarch.records import Smoothed
+
 TOKENS_MOST = 1.0  # calls that one dispatcher may save up for one worker
 
 
@@ -21,14 +26,25 @@
     return settings.cold_from + (1.0 - settings.cold_from) * max(0.0, age) / settings.warm_up
 
 
-def total_rate(settings: Settings, warm_rate: float, share: float, peers_heard: bool) -> float:
-    """Calls a second that all dispatchers together may send to a worker that has this share of its capacity.
+def capacity(slots: float, runs: Iterable[Smoothed]) -> float:
+    """Calls a second that so many slots can run; inf where `runs`, the logged run times of classes, has none."""
+    seen = [(run.seen.count, exp(run.mean())) for run in runs if run.seen.count]
+    calls = sum(count for count, _ in seen)
+    seconds = sum(count * mean for count, mean in seen)
+    return slots * calls / seconds if seconds else inf
+
+
+def sender_rate(settings: Settings, warm_rate: float, share: float, senders: int | None, peers_heard: bool) -> float:
+    """Calls a second that one dispatcher may send to a worker that has this share of its capacity.
 
-    `warm_rate`: calls a second that a warm one gets.  The terms leave some calls to chance: where dispatchers hear one
-    another, the root of those allowed in the settings' span is spent, a third of that slack at most.
+    `warm_rate`: calls a second that a warm one gets, of all.  `senders`: how many send to this worker; None where
+    dispatchers tell one another nothing, and each keeps to its part of what the worker can do.  The terms leave some
+    calls to chance: where peers are heard, the root of those allowed in the span is spent, a third of that slack.
     """
+    if senders is None:
+        return warm_rate * share / settings.balancers
     allowed = warm_rate * share * settings.cold_factor * settings.cold_span
-    return (allowed + (sqrt(allowed) if peers_heard else 0.0)) / settings.cold_span
+    return (allowed + (sqrt(allowed) if peers_heard else 0.0)) / settings.cold_span / senders
 
 
 class SlowStartBudget:
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from math import inf, sqrt
+from math import inf, log, sqrt
 from random import Random
 from typing import NamedTuple
 
@@ -181,3 +181,17 @@
     brain.on_list(ListKind.FULL, (Entry(b"a", State.READY, started_at=1.0),), 1.5)
     brain.on_list(ListKind.CHANGES, (Entry(b"a", State.READY),), 2.0)
     assert brain._warmth(brain.workers[b"a"], 2.0) < 0.2
+
+
+def test_jobs_that_are_admitted_and_then_refused_do_not_raise_the_rate_of_a_cold_server() -> None:
+    """Held for room and refused later they were counted as if each worker had taken its part of them."""
+    settings = Settings(2, 0, (SEARCH,), can_tell=True, tells_start=True, cold_from=0.12, warm_up=24.0)
+    brain = Brain(settings, 1, 0.0)
+    brain.on_list(ListKind.FULL, (Entry(b"a", State.READY), Entry(b"cold", State.READY, started_at=9.0)), 9.0)
+    for _ in range(200):
+        brain.runs[0].see(log(MEAN), 9.0)
+    brain.workers[b"cold"].size = float(SLOTS)
+    brain.admitted.add(10_000.0, 0.07, 9.0)
+    allowed = FACTOR * COLD_FROM * SLOTS / MEAN * SPAN
+    both = 2 * brain._slow_start_rate(brain.workers[b"cold"], COLD_FROM, 9.0) * SPAN
+    assert both == pytest.approx(allowed + sqrt(allowed), rel=0.02)
