--- a/benchmarks/soak/servers.py
+++ b/benchmarks/soak/servers.py
@@ -34,7 +34,7 @@
         self.runs = False
         self.reset_share = self.full_share = 0.0  # of the requests, by chance
         self.reset_after = 0.003  # s
-        self.accept_late = 0.0  # s by which new connections are read later
+        self.accept_late = 0.0  # s by which the first request of a connection is taken up later
         self.speed = 1.0  # of its cores, apart from its warmth
         self._running = self._waiting = 0
         self._scope = trio.CancelScope()
@@ -65,8 +65,7 @@
         node = int(stream.socket.getsockname()[0].rpartition(".")[2]) - 1
         data = b""
         try:
-            if self.accept_late:
-                await trio.sleep(self.accept_late * self.random.random())
+            late = self.accept_late * self.random.random()
             while True:
                 while b"\r\n\r\n" not in data:
                     data += await _more(stream)
@@ -77,17 +76,20 @@
                 while len(data) < size:
                     data += await _more(stream)
                 data = data[size:]
-                await self._request(stream, node, headers[b"x-txn"].decode(), int(headers[b"x-remaining-ms"]) / 1000)
+                txn, remaining = headers[b"x-txn"].decode(), int(headers[b"x-remaining-ms"]) / 1000
+                await self._request(stream, node, txn, remaining, late)
+                late = 0.0
         except GONE:
             pass
         finally:
             with suppress(OSError):
                 stream.socket.close()
 
-    async def _request(self, stream: trio.SocketStream, node: int, txn: str, remaining: float) -> None:
+    async def _request(self, stream: trio.SocketStream, node: int, txn: str, remaining: float, late: float) -> None:
         work = WORK_FIXED + Random(txn).expovariate(1 / WORK_MEAN)
         arrival = Arrival(trio.current_time(), self.name, node, txn, remaining, work)
         self.record.arrivals.append(arrival)
+        await trio.sleep(late)
         chance = self.random.random()
         if chance < self.reset_share:
             await trio.sleep(self.reset_after)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -33,8 +33,19 @@
     assert not findings, "\n".join(findings)
 
 
+async def _seeds(seeds: tuple[int, ...], folder: Path) -> None:
+    """Play these seeds of the soak."""
+    findings: list[str] = []
+    for seed in seeds:
+        await _play(["--seed", str(seed)], findings)
+    assert not findings, "\n".join(findings)
+
+
 STORIES: dict[str, Callable[[Path], Awaitable[None]]] = {
     "rejections_after_a_restart_overload_the_server": partial(_scenario, "rejections", ((1, 2), (2, 2), (1, 3))),
+    "resets_after_a_restart_overload_the_server": partial(_scenario, "fast-endings", ((1, 2), (2, 2), (1, 3))),
+    "drawn_faults_break_a_term_at_few_dispatchers": partial(_seeds, (5, 6, 8)),
+    "drawn_faults_break_a_term_at_one_and_at_twelve_dispatchers": partial(_seeds, (2, 12)),
 }
 
 
