--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -135,6 +135,6 @@
         for arrival in record.arrivals:
             told = drain.told.get(arrival.node, inf)
             late = arrival.at - told - terms.drain_within - DRAIN_SLACK
-            if arrival.server == drain.server and arrival.at < drain.over and late - record.lag(told, arrival.at) > 0.0:
+            if arrival.server == drain.server and late - record.lag(told, arrival.at) > 0.0:
                 found.append(Violation("drain", arrival.at, f"{arrival.txn} went to {drain.server} {late:.3f} s late"))
     return found
--- a/benchmarks/soak/plan.py
+++ b/benchmarks/soak/plan.py
@@ -7,8 +7,6 @@
 
 from benchmarks.soak.terms import Terms
 
-KINDS = ("restart", "replace", "resets", "rejects", "late", "down", "terminate", "kill", "stall", "reread", "silent",
-         "cut", "crowd", "drain")  # fmt: skip
 WARM = 3.0  # s before the first fault
 
 
--- a/benchmarks/soak/record.py
+++ b/benchmarks/soak/record.py
@@ -19,7 +19,6 @@
     txn: str
     remaining: float  # s, as the dispatcher told the server
     work: float  # s on one core
-    ended: float = inf
     ran: bool = False  # it was not turned away unseen
 
 
@@ -38,7 +37,6 @@
 
     server: str
     told: dict[int, float] = field(default_factory=dict)
-    over: float = inf  # when it counted as ready again
 
 
 @dataclass(slots=True)
--- a/benchmarks/soak/servers.py
+++ b/benchmarks/soak/servers.py
@@ -35,7 +35,6 @@
         self.reset_share = self.full_share = 0.0  # of the requests, by chance
         self.reset_after = 0.003  # s
         self.accept_late = 0.0  # s by which the first request of a connection is taken up later
-        self.speed = 1.0  # of its cores, apart from its warmth
         self._running = self._waiting = 0
         self._scope = trio.CancelScope()
 
@@ -111,7 +110,6 @@
             await self._work(work)
         finally:
             self._running -= 1
-            arrival.ended = trio.current_time()
         load = {"x0": SLOTS - self._running, "rif": self._running + self._waiting, "fail_rate": 0}
         await _line(stream, {"id": txn, "state": "done", "result": txn, "load": load})
         await stream.send_all(b"0\r\n\r\n")
@@ -122,7 +120,7 @@
             await trio.sleep(min(STEP, left))
             now = trio.current_time()
             warmth = self.terms.warmth(now - self.started_at) if self.started_at else 1.0
-            left -= (now - before) * min(1.0, CORES * warmth / max(1, self._running)) * self.speed
+            left -= (now - before) * min(1.0, CORES * warmth / max(1, self._running))
             before = now
 
 
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from benchmarks.soak.terms import Terms
 from oxbowarch.shunning import STRIKES_MOST
 from oxbowarch.brain import Brain
 from oxbowarch.interface import Entry, ListKind, Outcome, Report, Request, Settings, State, Status
@@ -20,6 +21,7 @@
 SPAN, MEAN, COLD_FROM, WARM_UP, FACTOR = 2.0, 0.65, 0.12, 24.0, 4.0
 BACK_AT, LOOK, SERVERS = 5.0, 5.0, 12
 FAST = 0.003  # s after which a call is reset or turned away
+TERMS = Terms(1, COLD_FROM, WARM_UP, FACTOR, SPAN)
 UNDER_TEST = worker_name(3)
 
 
@@ -98,10 +100,7 @@
         times = [at for at in self.calls if at >= since]
         worst = -inf
         for n, at in enumerate(times):
-            warmth = COLD_FROM + (1 - COLD_FROM) * max(0.0, at - SPAN - BACK_AT) / WARM_UP
-            allowed = FACTOR * SLOTS / MEAN * SPAN * warmth
-            slack = 3 * sqrt(allowed) + 3 if allowed < 30 else 2 * sqrt(allowed) + 2
-            worst = max(worst, sum(other > at - SPAN for other in times[: n + 1]) - allowed - slack)
+            worst = max(worst, sum(other > at - SPAN for other in times[: n + 1]) - TERMS.budget(at - SPAN - BACK_AT))
         return worst
 
 
