--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -8,7 +8,7 @@
 from collections import Counter
 from math import inf, log, sqrt
 from random import Random
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import pytest
 
@@ -194,3 +194,13 @@
     allowed = FACTOR * COLD_FROM * SLOTS / MEAN * SPAN
     both = 2 * brain._slow_start_rate(brain.workers[b"cold"], COLD_FROM, 9.0) * SPAN
     assert both == pytest.approx(allowed + sqrt(allowed), rel=0.02)
+
+
+@pytest.mark.parametrize("trouble", [{"skew": 0.7}, {"lost": 1.0}, {"flaps": True}], ids=["uneven", "unheard", "flaps"])
+@pytest.mark.parametrize("ending", [Status.RESET, Status.FULL])
+@pytest.mark.parametrize("dispatchers", [2, 30])
+def test_uneven_traffic_peers_unheard_and_lists_that_flap_keep_the_slow_start_budget(
+    dispatchers: int, ending: Status, trouble: dict[str, Any]
+) -> None:
+    case = QUIET._replace(dispatchers=dispatchers, ending=ending, share=0.9, down=4, **trouble)
+    assert Ledger(case, 1).played().excess() <= 0.0
