Lists are read with the mapping of starts, in place of undoing the epoch afterwards

Read again: read_hosts placed each start by the epoch of the process's start, and Discovery took that off again, rounded it, and placed it anew. The mapping is read_hosts' argument now: StartTimes.started_at in discovery, at_epoch where one offset is all there is (the file's list, a hand-over). Behaviour is as before; the parser tests call at_epoch with the same figures.

--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -24,6 +24,7 @@
 from thistleshore.core import model
 from thistleshore.platform import messages
 from thistleshore.platform.downstream import Downstream
+from thistleshore.platform.start_times import at_epoch
 from thistleshore.platform.upstream import Upstreams, Ways
 from tests.support import CUTS, GARBAGE, PAUSE, commands, pieces, play, socket_pair, steady, talk
 
@@ -99,7 +100,7 @@
     with pytest.raises(messages.Malformed):
         messages.read_line(data, "id")
     with pytest.raises(messages.Malformed):
-        messages.read_hosts(data, NAMES, 0.0)
+        messages.read_hosts(data, NAMES, at_epoch(0.0))
     assert isinstance(messages.read_pressure(data.decode("latin-1")), Report | None)
 
 
@@ -135,14 +136,14 @@
         "share": 0.5,
         "born_ms": 2000,
     }
-    seq, kind, (line,) = messages.read_hosts({"seq": 4, "whole": False, "hosts": [host]}, NAMES, 10.0)
+    seq, kind, (line,) = messages.read_hosts({"seq": 4, "whole": False, "hosts": [host]}, NAMES, at_epoch(10.0))
     assert (seq, kind, line.dial) == (4, ListKind.CHANGES, ("127.0.0.1", 5))
     assert line.entry[:6] == (b"s-1", State.DRAINING, 1, 0, 3, 12.0)
     for health, state in (("odd", State.DRAINING), ("left", State.GONE)):
         body = json.dumps({"seq": 4, "whole": False, "hosts": [{**host, "health": health}]}).encode()
-        assert messages.read_hosts(body, NAMES, 10.0)[2][0].entry.state is state
+        assert messages.read_hosts(body, NAMES, at_epoch(10.0))[2][0].entry.state is state
     lost = {"host": "s-1", "health": "left"}
-    assert messages.read_hosts({"seq": 4, "whole": False, "hosts": [lost]}, NAMES, 0.0)[2][0].dial is None
+    assert messages.read_hosts({"seq": 4, "whole": False, "hosts": [lost]}, NAMES, at_epoch(0.0))[2][0].dial is None
 
 
 # -- the downstream side
--- a/thistleshore/config/platform.py
+++ b/thistleshore/config/platform.py
@@ -19,6 +19,7 @@
 from thistleshore.config.errors import ConfigError
 from thistleshore.core.model import HostLine
 from thistleshore.platform.messages import ListNames, Malformed, Routes, read_address, read_hosts
+from thistleshore.platform.start_times import at_epoch
 
 if TYPE_CHECKING:  # the platform imports none of it
     from thistleshore.beanstalkd.model import HostSeat
@@ -205,7 +206,7 @@
     seq, known = 0, tuple[HostLine, ...]()
     if "known" in conf:
         try:
-            seq, _, known = read_hosts(conf["known"], names, epoch)
+            seq, _, known = read_hosts(conf["known"], names, at_epoch(epoch))
         except Malformed as problem:
             raise ConfigError(f"known: {problem}") from None
     peers = _peers(conf) if settings.can_tell else None
--- a/thistleshore/platform/discovery.py
+++ b/thistleshore/platform/discovery.py
@@ -10,7 +10,7 @@
 import trio
 
 from oxbowarch.interface import Settings
-from thistleshore.core.model import HostLine, HostsTold
+from thistleshore.core.model import HostsTold
 from thistleshore.platform.messages import ListNames, Malformed, Peer, read_hosts
 from thistleshore.platform.start_times import StartTimes
 from thistleshore.platform.watching import Call, Refused, Watch
@@ -19,7 +19,6 @@
 
 LIST_MOST = 2 * 1024 * 1024  # bytes of a list, some thousand hosts; more, or one without end, would fill the memory
 OVERBOOKED = (429, 503, 504)  # what discovery answers where it has too much to do
-BORN_DIGITS = 3  # lists give starts in whole milliseconds
 
 
 class NoList(Exception):
@@ -41,7 +40,7 @@
         seed: int = 0,
         listed: bool = False,
     ) -> None:
-        self.address, self.names, self.epoch = address, names, epoch
+        self.address, self.names = address, names
         self.starts = StartTimes(epoch)
         self.watch = Watch(settings, seed, trio.current_time(), seq, listed)
         self.asked = trio.Event()  # the first call has ended, with a list or without
@@ -133,24 +132,13 @@
                 event = await peer.event()
         if not isinstance(response, h11.Response) or response.status_code != 200:
             raise NoList(getattr(response, "status_code", None))
-        seq, kind, lines = read_hosts(bytes(body), self.names, self.epoch, faults)
-        lines = self._mapped(lines)
+        self.starts.on_clock(trio.current_time() - time.time())
+        seq, kind, lines = read_hosts(bytes(body), self.names, self._started_at, faults)
         if peer.reusable:
             peer.http.start_next_cycle()
         else:
             self._hang_up()
         return HostsTold(kind, lines, seq)
 
-    def _mapped(self, lines: tuple[HostLine, ...]) -> tuple[HostLine, ...]:
-        """The same with the starts of hosts where they are on the monotonic clock, whatever the wall clock does."""
-        now = trio.current_time()
-        self.starts.on_clock(now - time.time())
-        mapped = []
-        for line in lines:
-            entry = line.entry
-            if entry.started_at:
-                born = round(entry.started_at - self.epoch, BORN_DIGITS)
-                started_at = self.starts.started_at(entry.worker, born, now)
-                line = line._replace(entry=entry._replace(started_at=started_at))
-            mapped.append(line)
-        return tuple(mapped)
+    def _started_at(self, host: bytes, born: float) -> float:
+        return self.starts.started_at(host, born, trio.current_time())
--- a/thistleshore/platform/messages.py
+++ b/thistleshore/platform/messages.py
@@ -14,6 +14,7 @@
 
 from oxbowarch.interface import Entry, ListKind, Report, State, Status
 from thistleshore.core.model import HostLine
+from thistleshore.platform.start_times import StartOf
 
 if TYPE_CHECKING:  # the platform has no rules, and imports none of what they need
     from thistleshore.routing import Routed
@@ -261,17 +262,17 @@
 
 
 def read_hosts(
-    body: bytes | Mapping[str, Any], names: ListNames, epoch: float, faults: list[str] | None = None
+    body: bytes | Mapping[str, Any], names: ListNames, start_of: StartOf, faults: list[str] | None = None
 ) -> tuple[int, ListKind, tuple[HostLine, ...]]:
     """Discovery's list: its version, whether it is whole, and its lines; or Malformed.
 
-    `epoch` is what the caller's clock showed at Unix time 0.  Where `faults` are collected, a line that can't be read
-    costs that host alone: it gets nothing new.
+    `start_of` places the Unix time of a host's start on the caller's clock.  Where `faults` are collected, a line that
+    can't be read costs that host alone: it gets nothing new.
     """
     try:
         found = json.loads(body) if isinstance(body, bytes) else body
         seq, kind = int(found["seq"]), ListKind.FULL if found["whole"] else ListKind.CHANGES
-        lines = [_read_host(host, names, epoch, faults) for host in found["hosts"]]
+        lines = [_read_host(host, names, start_of, faults) for host in found["hosts"]]
     except NOT_AS_SAID as problem:
         raise Malformed(f"list of hosts: {type(problem).__name__}: {problem}") from None
     return seq, kind, tuple(line for line in lines if line is not None)
@@ -280,9 +281,9 @@
 NOT_AS_SAID = (ValueError, KeyError, TypeError, AttributeError, OverflowError, RecursionError)
 
 
-def _read_host(host: Any, names: ListNames, epoch: float, faults: list[str] | None) -> HostLine | None:
+def _read_host(host: Any, names: ListNames, start_of: StartOf, faults: list[str] | None) -> HostLine | None:
     try:
-        return _host_line(host, names, epoch)
+        return _host_line(host, names, start_of)
     except NOT_AS_SAID as problem:
         if faults is None:
             raise
@@ -293,7 +294,7 @@
         return HostLine(Entry(name.encode("utf-8", "replace"), State.DRAINING), None)
 
 
-def _host_line(host: Mapping[str, Any], names: ListNames, epoch: float) -> HostLine:
+def _host_line(host: Mapping[str, Any], names: ListNames, start_of: StartOf) -> HostLine:
     born, weight = float(host.get("born_ms", 0)), float(host.get("share", 1.0))
     if not (isfinite(born) and isfinite(weight)):
         raise ValueError("born_ms and share are finite")
@@ -301,13 +302,14 @@
         raise ValueError("a host has a name")
     # A health that is not known yet must not cost the whole list: such a host gets nothing new.
     state = STATES.get(host["health"], State.DRAINING)
+    name = host["host"].encode()
     entry = Entry(
-        worker=host["host"].encode(),
+        worker=name,
         state=state,
         zone=names.zones.get(host.get("site", ""), 0),
         kind=names.kinds.get(host.get("class", ""), 0),
         cell=int(host.get("block", 0)),
-        started_at=born / 1000 + epoch if born else 0.0,
+        started_at=start_of(name, born / 1000),
         weight=weight,
     )
     return HostLine(entry, None if state is State.GONE and "dial" not in host else read_address(host["dial"]))
--- a/thistleshore/platform/start_times.py
+++ b/thistleshore/platform/start_times.py
@@ -8,14 +8,22 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Callable
 from math import inf
 
+StartOf = Callable[[bytes, float], float]  # of a host and its Unix time of start: where it is on the monotonic clock
+
 OFFSETS_MOST = 8  # offsets of the wall clock that are remembered, the latest ones
 STEP_LEAST = 0.2  # s by which an offset differs from a known one where the wall clock was stepped, and not only slewed
 SKEW = 0.1  # s by which a start may seem to lie ahead, as clocks of two machines differ a little
 STARTS_MOST = 8192  # hosts whose start is remembered
 
 
+def at_epoch(epoch: float) -> StartOf:
+    """The mapping where the wall clock is as it was; `epoch`: what the monotonic clock showed at Unix time 0."""
+    return lambda host, born: born + epoch if born else 0.0
+
+
 class StartTimes:
     """Maps Unix times of starts to the monotonic clock."""
 
--- a/thistleshore/restart/handover_state.py
+++ b/thistleshore/restart/handover_state.py
@@ -20,6 +20,7 @@
 from thistleshore.platform.discovery import Discovery
 from thistleshore.platform.downstream import Downstream
 from thistleshore.platform.messages import STATES, ListNames, Malformed, read_hosts
+from thistleshore.platform.start_times import at_epoch
 from thistleshore.platform.peers import Peers
 from thistleshore.platform.upstream import Upstreams
 from thistleshore.restart.carrier import HandoverLinks, HasFile, Inherited, Link
@@ -65,7 +66,7 @@
     assert http is not None
     brain = Brain(plan.settings, plan.seed, now)
     try:
-        seq, _, lines = read_hosts(inherited.values["list"], http.names, plan.epoch)
+        seq, _, lines = read_hosts(inherited.values["list"], http.names, at_epoch(plan.epoch))
         brain.on_list(ListKind.CACHED, tuple(line.entry for line in lines), now)
         handover.give(brain, inherited.values["memory"], plan.class_names, http.routes.tenants or {}, now)
     except MALFORMED_STATE as problem:
