Log how long a drain serves, and the longest deadline of settings in force

Neither log nor metrics told whether a drain that goes on too long follows the settings of the start, the last reading of the file, or something else. One line now says how long a drain serves kept connections and when its last answer is due; the line on new settings says the longest deadline.

--- a/thistleshore/follower.py
+++ b/thistleshore/follower.py
@@ -105,7 +105,11 @@
             self.discovery.watch.on_settings(found.settings)
         if self.handover is not None:
             self.handover.plan = found
-        log.info("configuration reread: settings with %d classes in force", len(found.http.routes.classes))
+        log.info(
+            "configuration reread: settings with %d classes in force, longest deadline %.3g s",
+            len(found.http.routes.classes),
+            longest_deadline(found),
+        )
 
     async def _drop_old_classes(self, routes: Routes) -> None:
         """Know only the classes of these settings, unless newer ones have come."""
--- a/thistleshore/gate.py
+++ b/thistleshore/gate.py
@@ -138,6 +138,7 @@
         await self.draining.wait()
         told, serve_for = trio.current_time(), min(SERVE_FOR, self.longest)
         self.answer_by = told + serve_for + ANSWER_MORE
+        log.info("drain: kept connections served for %.3g s, answers due %.3g s later", serve_for, ANSWER_MORE)
         await trio.sleep(ACCEPT_FOR)  # the front before us goes on dealing connections out for a while
         accepting.cancel()
         await self._shut.wait()
