A class that new settings dropped no longer lengthens a drain

Cause: dropped classes keep their numbers in the settings, as open jobs name them (config/in_place.py), and the longest deadline was the maximum over all numbers (limits.py). The drain took requests and answered them by it.

Change: settings say which numbers are retired (Settings.retired_classes, from config/in_place.py), and the longest deadline is that of the current ones. For the same reason a file with an empty list of classes was taken by SIGHUP, and every request was answered 404; it is turned down by name now, as it is at a start.

The scenario of test_gate's drain test moved to the stand-ins unchanged, as both use it.

--- a/oxbowarch/interface.py
+++ b/oxbowarch/interface.py
@@ -153,6 +153,13 @@
     cold_span: float = 2.0  # seconds for which it bears that
     budget: AttemptBudget | None = None  # None: retries are not limited
     full_never_ran: bool = True  # a FULL response proves that the attempt never ran
+    # Numbers of classes that only earlier settings named: jobs of theirs end by their policy, and nothing else does.
+    retired_classes: frozenset[int] = frozenset()
+
+    @property
+    def current_classes(self) -> tuple[JobClass, ...]:
+        """The classes that new requests may have."""
+        return tuple(rule for number, rule in enumerate(self.classes) if number not in self.retired_classes)
 
     def __post_init__(self) -> None:
         for name, low in (("balancers", 1), ("zone", 0), ("max_attempts", 1), ("tick", 0), ("warm_up", 0)):
@@ -162,7 +169,7 @@
             raise ValueError(f"settings: balancers must be a number of at most {MAX_BALANCERS}")
         if not (isfinite(self.drain_within) and self.drain_within > 0):
             raise ValueError("settings: drain_within must be a finite number above 0")
-        if not self.classes:
+        if not self.current_classes:
             raise ValueError("settings: classes must name at least one request class")
         if not 0 < self.cold_from <= 1:
             raise ValueError("settings: cold_from must be above 0 and at most 1")
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -183,6 +183,21 @@
         kind = {b"200": "served", b"503": "refused"}.get(first.split()[1], "failed")
         return Told(kind, body if kind == "served" else b"", float(headers.get(b"retry-after", 0)))
 
+    async def ask_until_closed(self) -> list[tuple[float, bytes]]:
+        """Ask on a kept connection until it is closed; when each answer came, s from now on, and its first line."""
+        lines, begun = Lines(await trio.open_tcp_stream("127.0.0.1", self.port)), trio.current_time()
+        found = list[tuple[float, bytes]]()
+        while True:
+            head = b"POST /seat-search HTTP/1.1\r\nHost: s\r\nX-Txn: kept-%x\r\nContent-Length: 1\r\n\r\n"
+            try:
+                await lines.stream.send_all(head % len(found) + b"x")
+                first, headers = await lines.head()
+            except (EOFError, trio.BrokenResourceError):
+                return found
+            found.append((trio.current_time() - begun, first))
+            await lines.exactly(int(headers[b"content-length"]))
+            await trio.sleep(0.1)
+
 
 class Platform(Http):
     """The same by the platform's file, with an admin interface."""
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -117,20 +117,10 @@
     """SIGKILL comes 0.7 s after the longest deadline, or after 3 s where that is longer."""
 
     async def scenario(at: Http) -> tuple[list[tuple[float, bytes]], float]:
-        lines, begun = Lines(await trio.open_tcp_stream("127.0.0.1", at.port)), trio.current_time()
-        found = []
+        begun, found = trio.current_time(), list[tuple[float, bytes]]()
         with trio.move_on_after(9):
             at.drain.set()
-            while True:
-                head = b"POST /seat-search HTTP/1.1\r\nHost: s\r\nX-Txn: %x\r\nContent-Length: 1\r\n\r\n"
-                await lines.stream.send_all(head % len(found) + b"x")
-                try:
-                    first, headers = await lines.head()
-                except (EOFError, trio.BrokenResourceError):
-                    break
-                found.append((trio.current_time() - begun, first))
-                await lines.exactly(int(headers[b"content-length"]))
-                await trio.sleep(0.1)
+            found = await at.ask_until_closed()
         return found, trio.current_time() - begun
 
     at, served = Platform(), min(gate.SERVE_FOR, longest)
--- a/thistleshore/config/in_place.py
+++ b/thistleshore/config/in_place.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
 from typing import Any
 
 from thistleshore.config.errors import ConfigError
@@ -18,6 +19,14 @@
 Place = tuple[bool, int]  # whether in the new list, else in the old one, and where there
 
 
+@dataclass(frozen=True, slots=True)
+class Renumbered:
+    """Settings with the numbers of earlier ones, and which of these numbers they no longer name."""
+
+    settings: Mapping[str, Any]
+    retired_classes: frozenset[int] = frozenset()
+
+
 def check_whole(conf: Mapping[str, Any], before: Mapping[str, Any]) -> None:
     """ConfigError where a key is missing that the file in force has: a file that lost one is a broken file."""
     _no_less(conf, before, "", MAY_GO)
@@ -41,7 +50,7 @@
             raise ConfigError(f"{path}{key}: missing")
 
 
-def renumbered(given: Mapping[str, Any], before: Mapping[str, Any]) -> dict[str, Any]:
+def renumbered(given: Mapping[str, Any], before: Mapping[str, Any]) -> Renumbered:
     """The settings `given`, with the names of `before` at their places; what was dropped stays there as it was."""
     made, places = dict(given), dict[str, list[Place]]()
     for key in NAMED:
@@ -52,7 +61,11 @@
         new, old = (settings.get("familyInfo", {}).get(key, []) for settings in (given, before))
         if new or old:
             made["familyInfo"] = {**made.get("familyInfo", {}), key: _picked(places["lanes"], new, old, default)}
-    return made
+    return Renumbered(made, _retired(places["lanes"]))
+
+
+def _retired(places: Sequence[Place]) -> frozenset[int]:
+    return frozenset(number for number, (is_new, _) in enumerate(places) if not is_new)
 
 
 def _places(new: Sequence[Any], old: Sequence[Any]) -> list[Place]:
--- a/thistleshore/config/platform.py
+++ b/thistleshore/config/platform.py
@@ -191,14 +191,11 @@
                   before: Plan | None = None) -> Plan:  # fmt: skip
     given = table(conf, "settings", "settings")
     _check_figures(given)
-    raw = dict(given)
+    renumbered = in_place.Renumbered(given)
     if before is not None:
         in_place.check_whole(conf, before.told)
-        raw = in_place.renumbered(given, before.numbered)
-    try:
-        settings = wire.settings(raw)
-    except (ValueError, TypeError, AttributeError, KeyError, OverflowError) as problem:
-        raise ConfigError(f"settings: {str(problem).removeprefix('settings: ')}") from None
+        renumbered = in_place.renumbered(given, before.numbered)
+    raw, settings = renumbered.settings, _module_settings(renumbered)
     zones, kinds = (named(raw.get(key, []), f"settings.{key}") for key in ("localities", "kinds"))
     names = ListNames(zones, kinds)
     limits, rules = table(raw, "limits", "settings.limits"), table(conf, "limits", "limits")
@@ -247,6 +244,14 @@
     )
 
 
+def _module_settings(renumbered: in_place.Renumbered) -> Settings:
+    try:
+        found = wire.settings(dict(renumbered.settings))
+        return replace(found, retired_classes=renumbered.retired_classes)
+    except (ValueError, TypeError, AttributeError, KeyError, OverflowError) as problem:
+        raise ConfigError(f"settings: {str(problem).removeprefix('settings: ')}") from None
+
+
 def _peers(conf: Mapping[str, Any]) -> PeersPlan | None:
     """How the dispatchers of the tier reach one another; None where the platform names no such addresses."""
     if not (conf.get("peer_listen") and conf.get("peers_all") and isinstance(conf.get("peers"), list)):
--- a/thistleshore/limits.py
+++ b/thistleshore/limits.py
@@ -7,8 +7,8 @@
 
 
 def longest_deadline(plan: Plan) -> float:
-    """The longest deadline of any class, s."""
-    return max(job_class.give_up for job_class in plan.settings.classes)
+    """The longest deadline of any class that new requests may have, s."""
+    return max(job_class.give_up for job_class in plan.settings.current_classes)
 
 
 def upstream_limits(plan: Plan) -> Ways:
