New settings in a drain shorten it, and never lengthen it

What callers saw: SIGHUP with settings that drop the class of the longest deadline, and SIGTERM just behind it: the drain took the deadline at its first step, before the file was read, and went on by the old one.

Cause: Gate._drain read the longest deadline once.

Change: the gate keeps the start of the drain and the scope in which it serves, and a shorter deadline moves both ends. A longer one changes nothing in a drain: SIGKILL may come by either. What was taken before keeps its own deadline.

The two tests of the reverse (a drain does not get longer; a job of a dropped class keeps its time) passed before as well. Test files of settings in force, gate, restart, crossings, both fronts: 145 passed.

--- a/tests/test_settings_in_force.py
+++ b/tests/test_settings_in_force.py
@@ -8,7 +8,7 @@
 import pytest
 import trio
 
-from tests.standins import Platform
+from tests.standins import Platform, Told
 from tests.support import play
 from thistleshore import config, gate
 from thistleshore.config import ConfigError
@@ -37,6 +37,63 @@
     assert 0.7 < answered[-1][0] < 1.0 + gate.ANSWER_MORE
 
 
+def test_settings_that_come_with_sigterm_shorten_the_drain_that_has_begun() -> None:
+    """A SIGHUP just before SIGTERM is in force just after it: the drain went by the settings before."""
+
+    async def scenario(at: Platform) -> list[tuple[float, bytes]]:
+        before = at.plan()
+        del at.lanes[2]
+        at.drain.set()
+        await trio.sleep(0.05)
+        await at.reread(before)
+        return await at.ask_until_closed()
+
+    at = Platform()
+    with_deadlines(at, 1.0, 1.0, 3.0)
+    answered = play(at.run, scenario)
+    assert 0.7 < answered[-1][0] < 1.0 + gate.ANSWER_MORE
+
+
+def test_settings_that_come_in_a_drain_do_not_lengthen_it() -> None:
+    """SIGKILL may come by the shorter deadline that was in force at SIGTERM."""
+
+    async def scenario(at: Platform) -> list[tuple[float, bytes]]:
+        before = at.plan()
+        with_deadlines(at, 1.0, 1.0, 3.0)
+        at.drain.set()
+        await trio.sleep(0.05)
+        await at.reread(before)
+        return await at.ask_until_closed()
+
+    at = Platform()
+    with_deadlines(at, 1.0, 1.0, 1.0)
+    answered = play(at.run, scenario)
+    assert 0.7 < answered[-1][0] < 1.0 + gate.ANSWER_MORE
+
+
+def test_a_job_of_a_dropped_class_keeps_its_deadline_over_a_drain_by_shorter_ones() -> None:
+    """What was taken under the old settings is owed all of its time, however short the drain is by the new ones."""
+
+    async def scenario(at: Platform) -> tuple[Told, float]:
+        before, told, begun = at.plan(), list[Told](), trio.current_time()
+        async with trio.open_nursery() as nursery:
+
+            async def submit() -> None:
+                told.append(await at.submit("pay-out", b"long"))
+
+            nursery.start_soon(submit)
+            await trio.sleep(0.1)
+            with_deadlines(at, 0.2, 0.2, 3.0)
+            del at.lanes[2]
+            await at.reread(before)
+            at.drain.set()
+        return told[0], trio.current_time() - begun
+
+    at = Platform(["slow"])
+    told, took = play(at.run, scenario)
+    assert told == Told("served", b"Rlong") and took > 0.2 + gate.ANSWER_MORE + 0.2
+
+
 def test_a_class_that_is_back_counts_for_the_longest_deadline_again() -> None:
     """The other way round: a retired number must not stay retired once its name is there again."""
     at = Platform()
--- a/thistleshore/gate.py
+++ b/thistleshore/gate.py
@@ -60,7 +60,6 @@
         self.draining = trio.Event()
         self.listening = False
         self.connections = 0
-        self.longest = inf  # deadline of any class, s
         self.answer_by = inf  # when the last answer must be out: SIGKILL follows
         self.closing = False
         self.shared = False  # another process may listen beside this one
@@ -74,6 +73,26 @@
         self._kept: dict[trio.CancelScope, Wait] = {}
         self._idle: set[trio.CancelScope] = set()  # waits in which nothing has been begun
         self._room = trio.Event()
+        self._longest_deadline = inf  # s, of any class
+        self._drain_started_at: float | None = None
+        self._serving_kept = trio.CancelScope()  # the time in a drain in which kept connections are served
+
+    def set_longest_deadline(self, seconds: float) -> None:
+        """Set the longest deadline of any class, by which a drain goes.
+
+        New settings in a drain can only shorten it: SIGKILL may come by the settings before them or by the new ones.
+        """
+        if self._drain_started_at is None:
+            self._longest_deadline = seconds
+        elif seconds < self._longest_deadline:
+            self._longest_deadline = seconds
+            self._schedule_drain(self._drain_started_at)
+
+    def _schedule_drain(self, started_at: float) -> None:
+        serve_for = min(SERVE_FOR, self._longest_deadline)
+        self._serving_kept.deadline = started_at + serve_for
+        self.answer_by = self._serving_kept.deadline + ANSWER_MORE
+        log.info("drain: kept connections served for %.3g s, answers due %.3g s later", serve_for, ANSWER_MORE)
 
     @property
     def spare(self) -> float:
@@ -136,14 +155,13 @@
 
     async def _drain(self, accepting: trio.CancelScope) -> None:
         await self.draining.wait()
-        told, serve_for = trio.current_time(), min(SERVE_FOR, self.longest)
-        self.answer_by = told + serve_for + ANSWER_MORE
-        log.info("drain: kept connections served for %.3g s, answers due %.3g s later", serve_for, ANSWER_MORE)
+        self._drain_started_at = trio.current_time()
+        self._schedule_drain(self._drain_started_at)
         await trio.sleep(ACCEPT_FOR)  # the front before us goes on dealing connections out for a while
         accepting.cancel()
         await self._shut.wait()
         # Clients go on by the connections that they have, and nobody else may be there to serve them.
-        with trio.move_on_at(told + serve_for):
+        with self._serving_kept:
             while self.connections:
                 self._room = trio.Event()
                 await self._room.wait()
