A tenant that the settings do not name is not counted as another one

What callers would see: after SIGHUP has dropped a tenant, requests of that one, and of every tenant that the settings do not name, which have no limit, are counted against the quota of a tenant that stays, and refuse its requests.

Cause: the number for an unnamed tenant was the count of the named ones. Numbers are kept over new settings and have gaps after a drop, so that this count can be a tenant's number.

Change: UNNAMED_TENANT, -1, which no tenant has.

Not played on real processes.

--- a/oxbowarch/interface.py
+++ b/oxbowarch/interface.py
@@ -17,6 +17,7 @@
 from typing import NamedTuple, Protocol
 
 WorkerId = bytes
+UNNAMED_TENANT = -1  # a tenant that the settings do not name; it has no limit
 MAX_BALANCERS = 65_535  # the simulator's wire numbers dispatchers with two bytes
 Places = tuple[tuple[int, ...] | None, tuple[int, ...] | None]  # machine kinds and zones; None means any
 
@@ -238,7 +239,7 @@
     id: int
     job_class: int
     budget: float  # seconds until the client gives up on this try
-    tenant: int = 0
+    tenant: int = 0  # or UNNAMED_TENANT
     key: int = 0  # 0: none
     slots: float = 1.0
     repeat: bool = False  # the client marked it as a repeat
--- a/tests/test_settings_in_force.py
+++ b/tests/test_settings_in_force.py
@@ -5,6 +5,7 @@
 import json
 from typing import Any
 
+import h11
 import pytest
 import trio
 
@@ -13,6 +14,7 @@
 from thistleshore import config, gate
 from thistleshore.config import ConfigError
 from thistleshore.limits import longest_deadline
+from thistleshore.platform.messages import read_terms
 
 
 def with_deadlines(at: Platform, *deadlines: float) -> None:
@@ -20,6 +22,19 @@
         lane["giveUp"] = deadline
 
 
+def with_settings(conf: dict[str, Any], **changes: Any) -> dict[str, Any]:
+    return {**conf, "settings": {**conf["settings"], **changes}}
+
+
+def quota_of(plan: config.Plan, name: str) -> float | None:
+    """The limit under which a request of this tenant counts, requests a second; None: it has none."""
+    assert plan.http is not None
+    headers = [("Host", "s"), ("X-Txn", "1"), ("X-Lane", "seat-search"), ("X-Org", name)]
+    request = h11.Request(method="POST", target="/seat-search", headers=headers)
+    tenant, limits = read_terms(request, plan.http.routes).tenant, plan.settings.limits
+    return limits[tenant] if 0 <= tenant < len(limits) else None
+
+
 def test_a_class_that_new_settings_dropped_does_not_lengthen_a_drain() -> None:
     """SIGKILL comes 0.7 s after the longest deadline of the classes in force: later answers were lost (review/2)."""
 
@@ -100,8 +115,7 @@
     with_deadlines(at, 1.0, 1.0, 3.0)
     conf = json.loads(json.dumps(at.conf()))
     first = config.platform_plan(conf, {}, 0.0)
-    dropped: dict[str, Any] = {**conf, "settings": {**conf["settings"], "lanes": at.lanes[:2]}}
-    second = config.platform_plan(dropped, {}, 0.0, first)
+    second = config.platform_plan(with_settings(conf, lanes=at.lanes[:2]), {}, 0.0, first)
     third = config.platform_plan(conf, {}, 0.0, second)
     assert [longest_deadline(plan) for plan in (first, second, third)] == [3.0, 1.0, 3.0]
     assert second.settings.retired_classes == {2} and third.settings.retired_classes == frozenset()
@@ -114,3 +128,13 @@
     at.lanes = []
     with pytest.raises(ConfigError, match="at least one request class"):
         config.platform_plan(at.conf(), {}, 0.0, before)
+
+
+def test_a_tenant_that_new_settings_dropped_is_not_counted_as_another_one() -> None:
+    """Numbers have gaps after a drop: tenants without a name there were limited by the quota of one that has one."""
+    conf, names = Platform().conf(), ("north", "south", "east")
+    tenants = [{"name": "north", "quotaPerS": 5.0}, {"name": "south", "quotaPerS": 7.0}]
+    first = config.platform_plan(with_settings(conf, tenants=tenants), {}, 0.0)
+    second = config.platform_plan(with_settings(conf, tenants=tenants[1:]), {}, 0.0, first)
+    assert [quota_of(first, name) for name in names] == [5.0, 7.0, None]
+    assert [quota_of(second, name) for name in names] == [None, 7.0, None]
--- a/thistleshore/platform/messages.py
+++ b/thistleshore/platform/messages.py
@@ -12,7 +12,7 @@
 import h11
 import trio
 
-from oxbowarch.interface import Entry, ListKind, Report, State, Status
+from oxbowarch.interface import UNNAMED_TENANT, Entry, ListKind, Report, State, Status
 from thistleshore.core.model import HostLine
 from thistleshore.platform.start_times import StartOf
 
@@ -183,8 +183,7 @@
         raise Rejected(400, "X-Remaining-Ms is out of range")
     tenant = job_class
     if routes.tenants is not None:
-        # A tenant that the settings do not name has no limit: the module takes a number past its list so.
-        tenant = routes.tenants.get(header(headers, b"x-org") or "", len(routes.tenants))
+        tenant = routes.tenants.get(header(headers, b"x-org") or "", UNNAMED_TENANT)
     key = key_number(header(headers, b"cookie") or "")
     repeat = header(headers, b"x-resent") == "1"
     if routed is None:
