Numbers of kinds and localities in new settings mean what the file means by them

What callers would see: after SIGHUP with settings that leave out a kind or a locality, jobs of a class that is bound to kinds or localities go to hosts of another kind, or find none, and the dispatcher prefers the hosts of another locality than its own.

Cause: names keep their numbers over new settings, but 'locality', 'boundTo', 'localitiesAllowed' and 'classKind' are numbers of the file's own lists, and were taken as they stood.

Change: config/in_place.py translates them. A number that no name has stays without one.

Not played on real processes.

--- a/tests/test_settings_in_force.py
+++ b/tests/test_settings_in_force.py
@@ -138,3 +138,26 @@
     second = config.platform_plan(with_settings(conf, tenants=tenants[1:]), {}, 0.0, first)
     assert [quota_of(first, name) for name in names] == [5.0, 7.0, None]
     assert [quota_of(second, name) for name in names] == [None, 7.0, None]
+
+
+def test_numbers_of_kinds_and_localities_mean_the_same_names_after_a_drop() -> None:
+    """Names keep their old numbers, the file's numbers were taken as they stood: jobs went to hosts of another kind."""
+    conf = Platform().conf()
+    lanes = [
+        {**conf["settings"]["lanes"][0], "boundTo": [0], "localitiesAllowed": [0]},
+        {**conf["settings"]["lanes"][1], "boundTo": [5], "localitiesAllowed": [1]},
+        {**conf["settings"]["lanes"][2]},
+    ]
+    named = {"kinds": ["small", "large"], "localities": ["east", "west"], "locality": 1}
+    first = config.platform_plan(with_settings(conf, **named), {}, 0.0)
+    dropped = {"kinds": ["large", "new"], "localities": ["west", "north"], "locality": 0}
+    info = {"classKind": [-1, -1, 1]}
+    second = config.platform_plan(with_settings(conf, **dropped, lanes=lanes, familyInfo=info), {}, 0.0, first)
+    assert second.http is not None
+    kinds, zones = second.http.names.kinds, second.http.names.zones
+    assert (kinds, zones) == ({"small": 0, "large": 1, "new": 2}, {"east": 0, "west": 1, "north": 2})
+    search, ticket, pay = second.settings.classes
+    assert second.settings.zone == zones["west"]
+    assert (search.kinds, search.zones) == ((kinds["large"],), (zones["west"],))
+    assert (ticket.kinds, ticket.zones) == ((6,), (zones["north"],))  # a kind without a name stays without one
+    assert pay.kinds == (kinds["new"],)
--- a/thistleshore/config/in_place.py
+++ b/thistleshore/config/in_place.py
@@ -1,13 +1,14 @@
 """Settings read again while the program runs: whole or not at all, and with every name at its old number.
 
 Open streams, estimates and limits name classes and tenants by number.  So those of before keep theirs, dropped ones
-too; new ones come behind them.
+too; new ones come behind them.  A file's own numbers, which name places in its lists, are translated.
 """
 
 from __future__ import annotations
 
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
+from math import isfinite
 from typing import Any
 
 from thistleshore.config.errors import ConfigError
@@ -15,6 +16,9 @@
 MAY_GO = ("known", "seed")  # of use at a start only
 INNER = ("limits", "rules")
 NAMED = ("lanes", "tenants", "localities", "kinds")
+# Keys whose values are numbers of `kinds` or `localities`, with the list that they mean.
+BOUND = {"boundTo": "kinds", "localitiesAllowed": "localities"}  # of a class, each a list of numbers
+OWN_LOCALITY, CLASS_KIND = "locality", "classKind"
 BY_CLASS = {"classStretch": 0.0, "classKind": -1}  # lists of `familyInfo` in the order of the classes, and a default
 Place = tuple[bool, int]  # whether in the new list, else in the old one, and where there
 
@@ -52,11 +56,11 @@
 
 def renumbered(given: Mapping[str, Any], before: Mapping[str, Any]) -> Renumbered:
     """The settings `given`, with the names of `before` at their places; what was dropped stays there as it was."""
-    made, places = dict(given), dict[str, list[Place]]()
+    places = {key: _places(given.get(key, []), before.get(key, [])) for key in NAMED}
+    given = _translated(given, places)
+    made = dict(given)
     for key in NAMED:
-        new, old = given.get(key, []), before.get(key, [])
-        places[key] = _places(new, old)
-        made[key] = _picked(places[key], new, old)
+        made[key] = _picked(places[key], given.get(key, []), before.get(key, []))
     for key, default in BY_CLASS.items():
         new, old = (settings.get("familyInfo", {}).get(key, []) for settings in (given, before))
         if new or old:
@@ -64,6 +68,35 @@
     return Renumbered(made, _retired(places["lanes"]))
 
 
+def _translated(given: Mapping[str, Any], places: Mapping[str, Sequence[Place]]) -> dict[str, Any]:
+    """The settings `given`, with the numbers that kinds and localities have from now on."""
+    numbers = {key: _Numbers(places[key]) for key in BOUND.values()}
+    made = {**given, OWN_LOCALITY: numbers["localities"].translated(given.get(OWN_LOCALITY, 0))}
+    made["lanes"] = [_translated_class(lane, numbers) for lane in given.get("lanes", [])]
+    if CLASS_KIND in (info := given.get("familyInfo", {})):
+        made["familyInfo"] = {**info, CLASS_KIND: [numbers["kinds"].translated(kind) for kind in info[CLASS_KIND]]}
+    return made
+
+
+def _translated_class(lane: Mapping[str, Any], numbers: Mapping[str, _Numbers]) -> dict[str, Any]:
+    bound = {key: numbers[names] for key, names in BOUND.items() if isinstance(lane.get(key), list)}
+    return {**lane, **{key: [found.translated(number) for number in lane[key]] for key, found in bound.items()}}
+
+
+class _Numbers:
+    """From a name's number in the file to its number from now on."""
+
+    def __init__(self, places: Sequence[Place]) -> None:
+        self._kept = {number: kept for kept, (is_new, number) in enumerate(places) if is_new}
+        self._retired = len(places) - len(self._kept)
+
+    def translated(self, number: Any) -> Any:
+        """The number from now on, behind all others where no name has it; what is no such number stays as it is."""
+        if isinstance(number, bool) or not isinstance(number, int | float) or not (isfinite(number) and number >= 0):
+            return number
+        return self._kept.get(int(number), int(number) + self._retired) if number == int(number) else number
+
+
 def _retired(places: Sequence[Place]) -> frozenset[int]:
     return frozenset(number for number, (is_new, _) in enumerate(places) if not is_new)
 
