New names of kinds and localities have all hosts listed again

What callers would see: SIGHUP with settings that name a further kind of hosts, and a class that is bound to it: every job of that class is refused, although hosts of that kind are up, until discovery has a change to tell of each of them.

Cause: hosts are read by the names that are in force when their list comes. A watch tells changes only, so that a host whose kind had no name then kept the number 0.

Change: where names are new, the open watch is given up and the whole list asked for, spread as after a move where discovery is shared. Settings that drop names change none: numbers are kept.

Not played on real processes.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -218,13 +218,14 @@
             for contract in CONTRACTS
         ]
         self.attempts = 3
+        self.kinds = ["ticketing"]  # that the settings name; it is the kind of all hosts
 
     def conf(self) -> dict[str, Any]:
         settings = {
             "balancers": 1,
             "quantum": 0.005,
             "localities": ["a"],
-            "kinds": ["ticketing"],
+            "kinds": self.kinds,
             "rules": {},
             "lanes": self.lanes,
             "tenants": [],
--- a/tests/test_settings_in_force.py
+++ b/tests/test_settings_in_force.py
@@ -161,3 +161,18 @@
     assert (search.kinds, search.zones) == ((kinds["large"],), (zones["west"],))
     assert (ticket.kinds, ticket.zones) == ((6,), (zones["north"],))  # a kind without a name stays without one
     assert pay.kinds == (kinds["new"],)
+
+
+def test_hosts_of_a_kind_that_new_settings_name_serve_the_classes_that_are_bound_to_it() -> None:
+    """They were listed before their kind had a number, and no change of theirs came since: all were refused."""
+
+    async def scenario(at: Platform) -> Told:
+        before = at.plan()
+        at.kinds = ["other", "ticketing"]
+        at.lanes[0]["boundTo"] = [1]
+        await at.reread(before)
+        return await at.submit("seat-search", b"x")
+
+    at = Platform()
+    at.kinds = ["other"]
+    assert play(at.run, scenario).kind == "served"
--- a/thistleshore/follower.py
+++ b/thistleshore/follower.py
@@ -101,8 +101,7 @@
             downstream.gate.set_longest_deadline(longest_deadline(found))
         nursery.start_soon(self._drop_old_classes, routes)
         if self.discovery is not None:
-            self.discovery.names = found.http.names
-            self.discovery.watch.on_settings(found.settings)
+            self.discovery.on_settings(found.settings, found.http.names)
         if self.handover is not None:
             self.handover.plan = found
         log.info(
--- a/thistleshore/platform/discovery.py
+++ b/thistleshore/platform/discovery.py
@@ -49,6 +49,14 @@
         self._lost = False
         self._scope = trio.CancelScope()  # the call that is out, or the wait before it
 
+    def on_settings(self, settings: Settings, names: ListNames) -> None:
+        """Go by these settings from now on, and read lists by these names."""
+        self.watch.on_settings(settings)
+        if names != self.names:
+            self.names = names
+            self.watch.on_names(trio.current_time())
+            self._scope.cancel()
+
     def move(self, address: tuple[str, int]) -> None:
         """Watch there from now on."""
         self.address = address
@@ -62,7 +70,7 @@
                 with trio.CancelScope() as self._scope:
                     await self._step(tell)
                 if self._scope.cancelled_caught:
-                    self._hang_up()  # moved: what the old address still says must not pass for the new one's
+                    self._hang_up()  # what the old address still says, or by old names, must not pass for the new
         finally:
             self._hang_up()
 
--- a/thistleshore/platform/watching.py
+++ b/thistleshore/platform/watching.py
@@ -120,12 +120,18 @@
         self._asked: int | None = None  # the version that the call which is out is to go on from
         self._faults = set[str]()  # of lines that can't be read, as the last whole list and its changes have them
         self._back: int | None = None  # an older version that was turned down, and may be said again
+        self._relist = False  # hosts in hand were read by names that have changed since
         # Herd: a fleet that was killed at once starts at once; its first calls must not come at once as well.
         self._at = now + self.pace.first * self._random.random() * listed
 
     def on_settings(self, settings: Settings) -> None:
         self.pace = pace_of(settings)
 
+    def on_names(self, now: float) -> None:
+        """Names of kinds or localities are new: hosts that were listed under them are to be read again."""
+        self._relist = True
+        self._at = now + self.pace.first * self._random.random()
+
     def on_move(self, now: float) -> None:
         """Discovery is elsewhere from now on: versions of the old one mean nothing there."""
         self.seq = self._back = None
@@ -137,7 +143,7 @@
         self._called = at
         # What was missed meanwhile may be more than changes; a start waits for what its agent has.  To a discovery
         # that is shared each line is work: it is asked for what is new.
-        whole = pace.whole and (self._failed or not self._answered) or self._back is not None
+        whole = pace.whole and (self._failed or not self._answered) or self._back is not None or self._relist
         self._asked = None if whole else self.seq
         if self._asked is None:
             return Call(at, "/api/targets", pace.connect, pace.reach, pace.answer)
@@ -159,6 +165,7 @@
                 raise Refused(f"version {seq} after version {self.seq}")
         self._faults = set(faults) if kind is ListKind.FULL else self._faults.union(faults)
         self.seq, self._back, self._listed = seq, None, self._listed or hosts > 0
+        self._relist = self._relist and kind is not ListKind.FULL
         self._failed, self._answered, self._at = 0, True, now
 
     def on_failed(self, overbooked: bool, now: float) -> None:
