The module derives nothing from classes and tenants that new settings dropped

What callers would see, after SIGHUP with settings that drop a class or a tenant: jobs of all other classes are refused early under load where the dropped class earned more; a tenant that is alone counts as a flood where the dropped one had a quota; keyed jobs stay off the hosts that only the dropped class was bound to; and a cold host is sent calls at a rate that only the dropped class's short jobs allow.

Dropped names keep their numbers, and the module took the maximum of worth, the sum of quotas, the bound places and the mean run time over all numbers.

Change: settings say which tenants are retired too (Settings.retired_tenants), and oxbowarch/in_force.py derives these from what is left. Jobs of a dropped class keep their own rule; while its clients still ask, it is shed no earlier than the class that earns most. Which hosts a class may use moved to oxbowarch/places.py. Nothing changes where nothing was dropped.

Not played on real processes.

--- a/oxbowarch/brain.py
+++ b/oxbowarch/brain.py
@@ -10,10 +10,12 @@
 from random import Random
 
 from oxbowarch.hedging import COPY_FADE, COPY_ROOM, overdue
+from oxbowarch.in_force import in_force
 from oxbowarch.interface import NEVER_RAN, Action, Cancel, Effect, Entry, Fail, Group, ListKind
 from oxbowarch.interface import Log, Note, Outcome, Places, RefusalReason, Refuse, Report, Request, Send
 from oxbowarch.interface import Settings, State, Status, SendNotes, Timer, Watch, WorkerId
 from oxbowarch.pace import SLOW_FADE, SLOW_STEEP, slowness
+from oxbowarch.places import ANYWHERE, allows
 from oxbowarch.records import Attempt, DecayedCount, Homes, Job, Jobs, KeyRing, MovingAverage, MovingAverages
 from oxbowarch.records import RateTable, Window, Worker
 from oxbowarch.refusal import reason_of
@@ -40,7 +42,6 @@
 HOLD_STEP, HOLD_MORE = 0.05, 0.7  # seconds between tries of a queued job; part of its class's grace it waits
 COPY_STEP = 0.2  # seconds between checks whether a job needs a hedged request
 COPY_SHARE, COPY_MOST, COPY_WON = 0.02, 6.0, 2.0  # hedge tokens: per job, at most, per faster copy
-ANYWHERE: Places = (None, None)  # the places of an unrestricted class
 NOTE_AGE, NOTE_AGAIN, NOTE_EVERY = 3.0, 1.0, 1.0  # seconds: notes expire, are repeated, are sent to all
 DEAF, FEW, WAITING = (1.5, 12.0), 7, 0.5  # seconds without notes: cut off, alone; dispatchers; waiting ratio
 HOME_OF, AWAY_LEFT = 4.0, 2.0  # home dispatchers of each worker; busy worker's slots reserved for them
@@ -84,7 +85,7 @@
         self.never_ran = NEVER_RAN if settings.full_never_ran else NEVER_RAN - {Status.FULL}
         averages = {rule.places: MovingAverage(now, PRESSURE_FADE) for rule in settings.classes}
         self.busy_share = averages | self.busy_share
-        self.bound_places = [bound for bound in averages if bound != ANYWHERE]
+        self.in_force = in_force(settings)
         # Both windows err by a tick towards fewer retries, so that rounding never exceeds the retry budget.
         span = settings.budget.span if settings.budget else 0.0
         self.requests.span, self.retries.span = span - settings.tick, span + settings.tick
@@ -144,7 +145,7 @@
         pool = self.pools.get((places, zone))
         if pool is None:
             near = (w for w in self.workers.values() if self._ready(w) and zone in (-1, w.entry.zone))
-            pool = self.pools[places, zone] = [w for w in near if self._allowed(places, w.entry)]
+            pool = self.pools[places, zone] = [w for w in near if allows(places, w.entry)]
         return pool
 
     def _all_banned(self, places: Places) -> bool:
@@ -163,7 +164,7 @@
         # The count as a rate, corrected for the time after a start, when it is still filling.
         estimate = count * DECAY / max(1e-3, 1.0 - exp(DECAY * (self.started_at - now)))
         limit = limits[tenant] / self.settings.balancers
-        flood = count * sum(limits) > DOMINANT * self.offered.count * limits[tenant]
+        flood = count * self.in_force.total_limit > DOMINANT * self.offered.count * limits[tenant]
         return 1.0 - limit / estimate if estimate > limit else 0.0, flood
 
     def _ramp(self, places: Places, low: float, high: float) -> float:
@@ -184,8 +185,8 @@
                 Log("pressure on: refusing beyond the limits" if self.under_pressure else "pressure off"))
         # Overload within limits: a queue delays everyone, so all tenants shed, least worth per slot first.
         late = self._is_late_repeat(request)
-        best = max(map(self._worth_rate, range(len(self.settings.classes))))
-        part = 1.0 - self._worth_rate(request.job_class, late) / best if best else 0.0
+        best = max(map(self._worth_rate, self.in_force.classes))
+        part = max(0.0, 1.0 - self._worth_rate(request.job_class, late) / best) if best else 0.0
         early = part * (SHED_LATE if late else SHED_EARLY)
         if request.reply_capacity < (SPARE_LEFT if not early else 1.0):
             # Queued, it would use the last capacity for replies to any client.
@@ -307,11 +308,6 @@
             return True
         return rule.effect is Effect.KEYED and now - ran.sent_at <= rule.repeat_window - self.reply_margin
 
-    def _allowed(self, places: Places, entry: Entry) -> bool:
-        """Return whether a class bound to `places` may use the worker; even if all are down, no other."""
-        kinds, zones = places
-        return (kinds is None or entry.kind in kinds) and (zones is None or entry.zone in zones)
-
     def _within_budget(self, now: float) -> bool:
         """Return whether the retry budget allows one more retry; retries must not multiply an overload."""
         free, share, _ = self.settings.budget or (inf, 0.0, 0.0)
@@ -319,7 +315,7 @@
 
     def _may_send(self, job: Job, worker: Worker, now: float) -> bool:
         """Return whether the job may be sent to this worker."""
-        if not self._allowed(job.policy.places, worker.entry) or not self._may_attempt(job, now):
+        if not allows(job.policy.places, worker.entry) or not self._may_attempt(job, now):
             return False
         if not job.attempts:
             return True
@@ -387,7 +383,8 @@
         """Return the calls a second that a worker at `share` of its capacity may get from this dispatcher."""
         asked = self.admitted.count * DECAY / max(1, len(self._pool(ANYWHERE, -1))) * self.settings.balancers
         # Under overload more is admitted than served, so the rate is capped by what its slots can run.
-        warm_rate = min(asked, capacity(worker.slots or self.max_free, self.run_times.values()))
+        runs = [run for n, run in self.run_times.items() if n not in self.settings.retired_classes]
+        warm_rate = min(asked, capacity(worker.slots or self.max_free, runs))
         senders = 1 + len(self.homes.others(worker, self.settings.me)) if self.shares_notes else None
         return sender_rate(self.settings, warm_rate, share, senders, now - self.last_note_at < DEAF[0] / 3)
 
@@ -416,8 +413,8 @@
         """Return the hash ring for keys of a class, without the workers that bound classes need."""
         ring = self.rings.get(places)
         if ring is None:
-            pool, bound = self._pool(places, -1), self.bound_places if places == ANYWHERE else []
-            free = [w for w in pool if not any(self._allowed(other, w.entry) for other in bound)]
+            pool, bound = self._pool(places, -1), self.in_force.bound_places if places == ANYWHERE else ()
+            free = [w for w in pool if not any(allows(other, w.entry) for other in bound)]
             ring = self.rings[places] = KeyRing(free or pool)
         return ring
 
@@ -498,7 +495,7 @@
         self.max_free = max(self.max_free, min(report.free, 1000.0))
         self.usual_free[worker.entry.kind].observe(report.free, now)
         for places, busy in self.busy_share.items():
-            if not self.shares_notes and self._allowed(places, worker.entry):
+            if not self.shares_notes and allows(places, worker.entry):
                 busy.observe(1.0 - min(1.0, report.free / worker.slots), now)
         load = min(LOAD_MOST, 1.0 + (queued - report.free) / worker.slots)
         (self.near if worker.entry.zone == self.settings.zone else self.away).observe(load, now)
--- a/oxbowarch/interface.py
+++ b/oxbowarch/interface.py
@@ -154,8 +154,9 @@
     cold_span: float = 2.0  # seconds for which it bears that
     budget: AttemptBudget | None = None  # None: retries are not limited
     full_never_ran: bool = True  # a FULL response proves that the attempt never ran
-    # Numbers of classes that only earlier settings named: jobs of theirs end by their policy, and nothing else does.
+    # Numbers of classes and tenants that only earlier settings named: their jobs end by them, and nothing else does.
     retired_classes: frozenset[int] = frozenset()
+    retired_tenants: frozenset[int] = frozenset()
 
     @property
     def current_classes(self) -> tuple[JobClass, ...]:
--- a/tests/test_settings_in_force.py
+++ b/tests/test_settings_in_force.py
@@ -138,6 +138,7 @@
     second = config.platform_plan(with_settings(conf, tenants=tenants[1:]), {}, 0.0, first)
     assert [quota_of(first, name) for name in names] == [5.0, 7.0, None]
     assert [quota_of(second, name) for name in names] == [None, 7.0, None]
+    assert second.settings.retired_tenants == {0}
 
 
 def test_numbers_of_kinds_and_localities_mean_the_same_names_after_a_drop() -> None:
--- a/thistleshore/config/in_place.py
+++ b/thistleshore/config/in_place.py
@@ -29,6 +29,7 @@
 
     settings: Mapping[str, Any]
     retired_classes: frozenset[int] = frozenset()
+    retired_tenants: frozenset[int] = frozenset()
 
 
 def check_whole(conf: Mapping[str, Any], before: Mapping[str, Any]) -> None:
@@ -65,7 +66,7 @@
         new, old = (settings.get("familyInfo", {}).get(key, []) for settings in (given, before))
         if new or old:
             made["familyInfo"] = {**made.get("familyInfo", {}), key: _picked(places["lanes"], new, old, default)}
-    return Renumbered(made, _retired(places["lanes"]))
+    return Renumbered(made, _retired(places["lanes"]), _retired(places["tenants"]))
 
 
 def _translated(given: Mapping[str, Any], places: Mapping[str, Sequence[Place]]) -> dict[str, Any]:
--- a/thistleshore/config/platform.py
+++ b/thistleshore/config/platform.py
@@ -246,8 +246,11 @@
 
 def _module_settings(renumbered: in_place.Renumbered) -> Settings:
     try:
-        found = wire.settings(dict(renumbered.settings))
-        return replace(found, retired_classes=renumbered.retired_classes)
+        return replace(
+            wire.settings(dict(renumbered.settings)),
+            retired_classes=renumbered.retired_classes,
+            retired_tenants=renumbered.retired_tenants,
+        )
     except (ValueError, TypeError, AttributeError, KeyError, OverflowError) as problem:
         raise ConfigError(f"settings: {str(problem).removeprefix('settings: ')}") from None
 
