A hand-over names kinds of hosts, so that their free slots are not taken for another kind's

What callers would see: after SIGHUP had dropped a kind of hosts and an upgrade, the new process takes what hosts of one kind usually have free for that of another, and sends to hosts that have not reported yet by it, until reports have come.

Cause: the averages were handed over by the kinds' numbers. The old process keeps the numbers of names that were dropped, the new one numbers its file from 0.

Change: the hand-over says the names of these numbers ('kinds' beside 'usual'). A process of a version before ignores them; what one hands over has none, and is taken by number as before. The names that a hand-over needs are one record now.

Not played on real processes.

--- a/oxbowarch/handover.py
+++ b/oxbowarch/handover.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable, Mapping, Sequence
 from math import isfinite
-from typing import Any
+from typing import Any, NamedTuple
 
 from oxbowarch.brain import Brain
 from oxbowarch.records import DecayedCount, MovingAverage, Window
@@ -14,19 +14,30 @@
 SMOOTHED = ("near", "away", "late", "full", "failing", "won")
 
 
-def export_state(brain: Brain, classes: Sequence[str], tenants: Mapping[str, int], now: float) -> dict[str, Any]:
-    """Return the state of a module, which may go on serving; `classes` and `tenants` give names to its numbers."""
+class Names(NamedTuple):
+    """The names of the numbers that a module's settings use; the successor may number them anew."""
+
+    classes: Sequence[str]  # by their numbers
+    tenants: Mapping[str, int]
+    kinds: Mapping[str, int]  # of machines
+
+
+def export_state(brain: Brain, names: Names, now: float) -> dict[str, Any]:
+    """Return the state of a module, which may go on serving."""
     return {
         "age": now - brain.started_at,
         "banned": [name.decode() for name in brain.banned],
-        "rates": {name: _encode_count(brain.rates[n], now) for name, n in tenants.items() if n in brain.rates},
+        "rates": {name: _encode_count(brain.rates[n], now) for name, n in names.tenants.items() if n in brain.rates},
         "offered": _encode_count(brain.offered, now),
         "admitted": _encode_count(brain.admitted, now),
         "taken": [now - at for at in brain.requests.times][-MAX_TIMES:],
         "further": [now - at for at in brain.retries.times][-MAX_TIMES:],
         "smoothed": {name: _encode_mean(getattr(brain, name), now) for name in SMOOTHED},
-        "runs": {name: _encode_mean(brain.run_times[n], now) for n, name in enumerate(classes) if n in brain.run_times},
+        "runs": {
+            name: _encode_mean(brain.run_times[n], now) for n, name in enumerate(names.classes) if n in brain.run_times
+        },
         "usual": [[kind, _encode_mean(mean, now)] for kind, mean in brain.usual_free.items()],
+        "kinds": sorted(names.kinds, key=names.kinds.__getitem__),  # of the numbers in `usual`
         "most": brain.max_free,
         "workers": {
             worker.id.decode(): {
@@ -39,8 +50,7 @@
     }  # fmt: skip
 
 
-def restore_state(brain: Brain, memory: Mapping[str, Any], classes: Sequence[str], tenants: Mapping[str, int],
-         now: float) -> None:  # fmt: skip
+def restore_state(brain: Brain, memory: Mapping[str, Any], names: Names, now: float) -> None:
     """Load the state into a new module that has its list.
 
     Raises ValueError, KeyError or TypeError for an invalid state: discard the module then, it may be partly filled.
@@ -51,19 +61,20 @@
         brain.on_ban(name.encode(), True, now)
     brain.started_at = now - _checked(memory["age"], 1e9)
     for name, found in memory["rates"].items():
-        if name in tenants:
-            brain.rates[tenants[name]] = _decode_count(found, now)
+        if name in names.tenants:
+            brain.rates[names.tenants[name]] = _decode_count(found, now)
     brain.offered, brain.admitted = _decode_count(memory["offered"], now), _decode_count(memory["admitted"], now)
     _fill_window(brain.requests, memory["taken"], now)
     _fill_window(brain.retries, memory["further"], now)
     for name in SMOOTHED:
         _restore_average(getattr(brain, name), memory["smoothed"][name], now)
-    numbers = {name: n for n, name in enumerate(classes)}
+    numbers = {name: n for n, name in enumerate(names.classes)}
     for name, found in memory["runs"].items():
         if name in numbers:
             _restore_average(brain.run_times[numbers[name]], found, now)
     for kind, found in memory["usual"]:
-        _restore_average(brain.usual_free[int(kind)], found, now)
+        if (number := _kind_number(int(kind), memory.get("kinds", []), names.kinds)) is not None:
+            _restore_average(brain.usual_free[number], found, now)
     brain.max_free = max(brain.max_free, _checked(memory["most"], 1000.0))
     for name, found in memory["workers"].items():
         worker = brain.workers.get(name.encode())
@@ -76,6 +87,16 @@
         worker.restored_at = now - _checked(found["back"], 1e9) if found["back"] else 0.0
 
 
+def _kind_number(number: int, told: Sequence[Any], kinds: Mapping[str, int]) -> int | None:
+    """Return a kind's number here by its name in `told`; None: it is not named here.
+
+    A number without a name stays: older predecessors tell no names, and some hosts are of no named kind.
+    """
+    if not isinstance(told, list):
+        raise ValueError("kinds must be a list")
+    return kinds.get(told[number]) if 0 <= number < len(told) else number
+
+
 def clear_quotas(brain: Brain) -> None:
     """Clear the windows of the retry budget: the successor has them, and this process earns its own from now on."""
     brain.requests.times.clear()
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -80,20 +80,37 @@
         old.on_request(Request(n, 0, 5.0, tenant=1), n / 20)
     old.on_ban(b"h1", True, 5.0)
     old.workers[b"h2"].failures = 4
-    memory = json.loads(json.dumps(handover.export_state(old, ("search",), {"acme": 0, "zulu": 1}, 5.0)))
+    memory = json.loads(
+        json.dumps(handover.export_state(old, handover.Names(("search",), {"acme": 0, "zulu": 1}, {}), 5.0))
+    )
     new = module()
     # Names keep their meaning where the next process numbers them anew.
-    handover.restore_state(new, memory, ("other", "search"), {"zulu": 0, "acme": 1}, 1005.0)
+    names = handover.Names(("other", "search"), {"zulu": 0, "acme": 1}, {})
+    handover.restore_state(new, memory, names, 1005.0)
     assert new.rates[0].read(0.1, 1005.0) == pytest.approx(old.rates[1].read(0.1, 5.0)) and 1 not in new.rates
     assert new.banned == {b"h1"} and new.workers[b"h2"].failures == 4 and new.started_at == pytest.approx(1000.0)
 
 
-@pytest.mark.parametrize("path", ["age", "rates", "smoothed", "workers", "banned", "taken"])
+def test_free_slots_of_a_kind_are_not_taken_for_those_of_another_that_has_its_number_now() -> None:
+    """Kinds were handed over by number: after new settings had dropped one, the next process numbers the rest anew."""
+    old, new = module(), module()
+    for kind, free in enumerate((1.0, 50.0)):
+        old.usual_free[kind].observe(free, 5.0)
+    memory = handover.export_state(old, handover.Names((), {}, {"small": 0, "large": 1}), 5.0)
+    handover.restore_state(new, json.loads(json.dumps(memory)), handover.Names((), {}, {"large": 0, "new": 1}), 1005.0)
+    assert {kind: mean.mean() for kind, mean in new.usual_free.items()} == {0: 25.0}
+    del memory["kinds"]  # as from a process of a version before
+    handover.restore_state(new, memory, handover.Names((), {}, {"large": 0, "new": 1}), 1005.0)
+    assert {kind: mean.mean() for kind, mean in new.usual_free.items()} == {0: 0.5, 1: 25.0}
+
+
+@pytest.mark.parametrize("path", ["age", "rates", "smoothed", "workers", "banned", "taken", "usual"])
 def test_a_memory_that_is_no_good_is_told_apart(path: str) -> None:
-    memory = handover.export_state(module(), ("search",), {}, 5.0)
+    names = handover.Names(("search",), {"h1": 0}, {})
+    memory = handover.export_state(module(), names, 5.0)
     for value in (None, "x", float("nan"), [["x"]], {"h1": 3}):
         with pytest.raises((KeyError, TypeError, ValueError, AttributeError, IndexError)):
-            handover.restore_state(module(), {**memory, path: value}, ("search",), {"h1": 0}, 9.0)
+            handover.restore_state(module(), {**memory, path: value}, names, 9.0)
 
 
 # -- the program, twice
--- a/thistleshore/restart/handover_state.py
+++ b/thistleshore/restart/handover_state.py
@@ -60,6 +60,11 @@
     return next((name for name, n in numbers.items() if n == number), "")
 
 
+def _names(plan: Plan) -> handover.Names:
+    assert plan.http is not None
+    return handover.Names(plan.class_names, plan.http.routes.tenants or {}, plan.http.names.kinds)
+
+
 def restore(plan: Plan, inherited: Inherited) -> tuple[Brain, tuple[HostLine, ...], int] | None:
     """The module that goes on with what is inherited, the list and its version; None where that is no good."""
     now, http = trio.current_time(), plan.http
@@ -68,7 +73,7 @@
     try:
         seq, _, lines = read_hosts(inherited.values["list"], http.names, at_epoch(plan.epoch))
         brain.on_list(ListKind.CACHED, tuple(line.entry for line in lines), now)
-        handover.restore_state(brain, inherited.values["memory"], plan.class_names, http.routes.tenants or {}, now)
+        handover.restore_state(brain, inherited.values["memory"], _names(plan), now)
     except MALFORMED_STATE as problem:
         log.warning("nothing inherited, starting cold: %s: %s", type(problem).__name__, problem)
         return None
@@ -128,7 +133,7 @@
                 "whole": True,
                 "hosts": hosts,
             },
-            "memory": handover.export_state(self.broker.brain, self.plan.class_names, http.routes.tenants or {}, now),
+            "memory": handover.export_state(self.broker.brain, _names(self.plan), now),
             "names": self.downstream.known_names(),
             "number": self.broker.notebook.number,
             "held": [self.downstream.gate.connections, self.upstreams.open],
