New settings at a process that steps aside give it no free retries

What callers would see: SIGHUP at the old process of an upgrade, while the new one serves, lets it spend the whole retry budget again on what it still has; both together pass the budget.

Cause: stepping aside takes the free part of the budget from the settings in force. The follower posted those of the new reading as they are.

Change: the hand-over's state posts them (HandoverState.adopt) and takes the free part out while the next process serves. What it was given before is kept: it goes on earning its own share, and has the whole budget back if the next process goes.

Not played on real processes.

--- /dev/null
+++ b/tests/test_restart_settings.py
@@ -0,0 +1,79 @@
+"""New settings by SIGHUP while two processes of a hot restart live beside one another."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import trio
+
+from oxbowarch.brain import Brain
+from tests.standins import Platform
+from tests.support import play
+from thistleshore import config
+from thistleshore.config import Plan
+from thistleshore.core.broker import Broker
+from thistleshore.follower import Follower
+from thistleshore.limits import upstream_limits
+from thistleshore.platform.downstream import Downstream
+from thistleshore.platform.upstream import Upstreams
+from thistleshore.restart.handover_state import HandoverState
+
+BUDGET = {"minExtra": 7.0, "furtherRatio": 0.1, "budgetSpan": 10.0}
+
+
+class Process:
+    """The parts of one process that a hot restart and SIGHUP share, without its sockets."""
+
+    def __init__(self, plan: Plan) -> None:
+        assert plan.http is not None
+        self.plan = plan
+        self.broker = Broker(Brain(plan.settings, 1, trio.current_time()), plan.class_names)
+        self.upstreams = Upstreams(upstream_limits(plan))
+        downstream = Downstream(plan.http.routes, trio.Event(), self.broker.inbox, plan.downstream_most)
+        self.handover = HandoverState(plan, self.broker, downstream, self.upstreams, None, None)
+        self.follower = Follower(plan, self.broker, self.upstreams, downstream, None)
+        self.follower.handover = self.handover
+        self._rereads = trio.open_memory_channel[Plan | None](1)
+
+    async def run(self, scenario: Callable[[Process], Awaitable[None]]) -> None:
+        async with trio.open_nursery() as self.nursery:
+            self.nursery.start_soon(self.broker.run)
+            self.nursery.start_soon(self.follower.run, self._rereads[1])
+            await scenario(self)
+            self.nursery.cancel_scope.cancel()
+
+    async def reread(self, conf: dict[str, Any]) -> None:
+        """Put this reading of the file in force."""
+        await self._rereads[0].send(config.platform_plan(conf, {}, 0.0, self.plan))
+        await trio.sleep(0.1)
+
+
+def with_rules(conf: dict[str, Any], rules: dict[str, float]) -> dict[str, Any]:
+    return {**conf, "settings": {**conf["settings"], "rules": rules}}
+
+
+def on_process(scenario: Callable[[Process], Awaitable[None]], conf: dict[str, Any]) -> None:
+    async def run() -> None:
+        await Process(config.platform_plan(conf, {}, 0.0)).run(scenario)
+
+    play(run)
+
+
+def test_new_settings_at_a_process_that_steps_aside_give_it_no_free_retries() -> None:
+    """They gave it the whole budget again, and both processes together spent it twice."""
+    conf = Platform().conf()
+
+    async def scenario(process: Process) -> None:
+        def free() -> float:
+            assert (budget := process.broker.brain.settings.budget) is not None
+            return budget.free
+
+        process.handover.step_aside(True)
+        await process.reread(with_rules(conf, {**BUDGET, "minExtra": 9.0}))
+        assert free() == 0.0
+        process.handover.step_aside(False)  # the next process has gone
+        await trio.sleep(0.1)
+        assert free() == 9.0
+
+    on_process(scenario, with_rules(conf, BUDGET))
--- a/thistleshore/follower.py
+++ b/thistleshore/follower.py
@@ -91,7 +91,11 @@
 
     async def _apply_settings(self, found: Plan, nursery: trio.Nursery) -> None:
         """New settings: the module's before the fronts', which name classes by its numbers."""
-        self.broker.post(SettingsChanged(found.settings, found.class_names))  # before a list that has their names
+        # The module's come first: a list that has their names may follow.
+        if self.handover is not None:
+            self.handover.adopt(found)
+        else:
+            self.broker.post(SettingsChanged(found.settings, found.class_names))
         self.upstreams.ways = upstream_limits(found)
         assert found.http is not None
         routes = found.http.routes
@@ -102,8 +106,6 @@
         nursery.start_soon(self._drop_old_classes, routes)
         if self.discovery is not None:
             self.discovery.on_settings(found.settings, found.http.names)
-        if self.handover is not None:
-            self.handover.plan = found
         log.info(
             "configuration reread: settings with %d classes in force, longest deadline %.3g s",
             len(found.http.routes.classes),
--- a/thistleshore/restart/handover_state.py
+++ b/thistleshore/restart/handover_state.py
@@ -114,6 +114,7 @@
         self.releases: Releases | None = None
         self.distribution: Distribution | None = None
         self.admin: Admin | None = None  # where both processes have one address for it
+        self._aside = False  # the next process serves
         self._opened: list[list[str]] = []  # names of streams opened here, for each process that has taken over
         self.links = HandoverLinks(plan.restart, self)
 
@@ -153,6 +154,7 @@
         """The next process serves: it alone accepts, and tells the others; or it has gone, and all is as before."""
         if not aside and self.downstream.gate.draining.is_set():
             return  # it was ended after this one
+        self._aside = aside
         log.info("the next process serves: no more is accepted here" if aside else "the next process has gone")
         self.downstream.gate.step_aside(aside)
         if self.peers is not None:
@@ -165,13 +167,22 @@
             self.distribution.step_aside(aside)
         if self.admin is not None:
             self.admin.step_aside(aside)
-        settings = self.plan.settings
-        if settings.budget is not None:
-            # What is free in any span of time is the next process's now: together they must not spend it twice.
+        if self.plan.settings.budget is not None:
             if aside:
                 handover.clear_quotas(self.broker.brain)
-                settings = replace(settings, budget=settings.budget._replace(free=0.0))
-            self.broker.post(SettingsChanged(settings, self.plan.class_names))
+            self.adopt(self.plan)
+
+    def adopt(self, plan: Plan) -> None:
+        """Put the settings of this plan in force at the module, and hand them over from now on.
+
+        Retries that are free in any span of time are the next process's while it serves: together they must not spend
+        them twice.
+        """
+        self.plan = plan
+        settings = plan.settings
+        if self._aside and settings.budget is not None:
+            settings = replace(settings, budget=settings.budget._replace(free=0.0))
+        self.broker.post(SettingsChanged(settings, plan.class_names))
 
     async def tell_new_streams(self, link: Link) -> None:
         """Until cancelled: streams that are opened here after the hand-over, by name.
