New settings beside the process before leave it the connections that it holds

What callers would see: SIGHUP at the new process of an upgrade, while the old one still drains, lets the new one open as many connections to hosts as if it were alone: both together pass the limit on descriptors, and connects can fail.

Cause: the part that the old process holds was taken out of the limits in force, and new settings replace these. Once the old one had gone, the number of before was put back over the new one.

Change: what is held elsewhere is kept beside the limits (Upstreams.held_elsewhere).

Not played on real processes.

--- a/tests/test_restart_settings.py
+++ b/tests/test_restart_settings.py
@@ -8,8 +8,10 @@
 import trio
 
 from oxbowarch.brain import Brain
+from oxbowarch.interface import Status
 from tests.standins import Platform
-from tests.support import play
+from tests.support import listening, play, socket_pair
+from tests.test_edges import carried, host_at, request_to
 from thistleshore import config
 from thistleshore.config import Plan
 from thistleshore.core.broker import Broker
@@ -17,6 +19,7 @@
 from thistleshore.limits import upstream_limits
 from thistleshore.platform.downstream import Downstream
 from thistleshore.platform.upstream import Upstreams
+from thistleshore.restart.carrier import Inherited, Link
 from thistleshore.restart.handover_state import HandoverState
 
 BUDGET = {"minExtra": 7.0, "furtherRatio": 0.1, "budgetSpan": 10.0}
@@ -77,3 +80,37 @@
         assert free() == 9.0
 
     on_process(scenario, with_rules(conf, BUDGET))
+
+
+async def silent(stream: trio.SocketStream) -> None:
+    """A host that takes a connection and answers nothing."""
+    async with stream:
+        await trio.sleep_forever()
+
+
+async def finds_room(process: Process, port: int) -> bool:
+    """Whether an upstream request gets a connection."""
+    with trio.move_on_after(1.0):
+        return (await carried(process.upstreams, request_to(host_at(port)))).status is not Status.NOT_SENT
+    return True
+
+
+def test_new_settings_beside_the_process_before_leave_it_the_connections_that_it_holds() -> None:
+    """They gave the new process all connections at once, and both processes together passed the limit."""
+    conf = Platform().conf()
+
+    async def scenario(process: Process) -> None:
+        ours, theirs = socket_pair()
+        serving, held = trio.Event(), 20
+        serving.set()
+        inherited = Inherited({"held": [0, held]}, {}, Link(ours.socket))
+        process.nursery.start_soon(process.handover.live_beside, inherited, serving)
+        port = await listening(process.nursery, silent)
+        await process.reread(with_rules(conf, BUDGET))
+        process.upstreams.open = process.plan.upstream_most - held
+        assert not await finds_room(process, port)
+        await theirs.aclose()  # the process before has gone
+        await trio.sleep(0.1)
+        assert await finds_room(process, port)
+
+    on_process(scenario, conf)
--- a/thistleshore/platform/upstream.py
+++ b/thistleshore/platform/upstream.py
@@ -47,6 +47,7 @@
 
     def __init__(self, ways: Ways) -> None:
         self.ways = ways
+        self.held_elsewhere = 0  # of these connections, by another process that serves the same clients
         self.open = 0
         self._idle: dict[bytes, deque[Kept]] = {}
         self._settling = trio.open_memory_channel[tuple[UpstreamHost, int, Peer, float]](256)
@@ -91,7 +92,7 @@
 
     async def _connect(self, host: UpstreamHost) -> Peer:
         """A new connection; OSError or trio.TooSlowError where it never comes up."""
-        if self.open >= self.ways.sockets_most:
+        if self.open >= self.ways.sockets_most - self.held_elsewhere:
             self._make_room()
         self.open += 1
         try:
--- a/thistleshore/restart/handover_state.py
+++ b/thistleshore/restart/handover_state.py
@@ -228,13 +228,13 @@
             below, above = (max(0, int(n)) for n in inherited.values["held"])
         except MALFORMED_STATE:
             below, above = 0, 0
-        gate, ways = self.downstream.gate, self.upstreams.ways
-        below, above = min(below, gate.most // 2), min(above, ways.sockets_most // 2)
+        gate, upstreams = self.downstream.gate, self.upstreams
+        below, above = min(below, gate.most // 2), min(above, upstreams.ways.sockets_most // 2)
         gate.most -= below
-        self.upstreams.ways = ways._replace(sockets_most=ways.sockets_most - above)
+        upstreams.held_elsewhere += above
         try:
             await self.links.follow(inherited.link, serving)
             log.info("the process before has gone")
         finally:
             gate.most += below
-            self.upstreams.ways = self.upstreams.ways._replace(sockets_most=ways.sockets_most)
+            upstreams.held_elsewhere -= above
