A limit on sockets that needs a restart changes no half of them at SIGHUP

What an operator would see: after SIGHUP with another 'limits.sockets' the log says that a restart is needed, and connections to hosts follow it at once, those of clients don't: the sum is the limit of neither file.

Cause: the limits on connections to hosts were taken whole from the new reading.

Change: their number stays that of the plan that holds until a restart; the time-outs of 'settings.limits' follow as before.

--- a/tests/test_restart_settings.py
+++ b/tests/test_restart_settings.py
@@ -1,4 +1,4 @@
-"""New settings by SIGHUP while two processes of a hot restart live beside one another."""
+"""New settings by SIGHUP and restarts: two processes beside one another, and keys that hold until a restart."""
 
 from __future__ import annotations
 
@@ -114,3 +114,15 @@
         assert await finds_room(process, port)
 
     on_process(scenario, conf)
+
+
+def test_a_limit_on_sockets_that_holds_until_a_restart_does_not_change_half_of_them() -> None:
+    """The log said that it needs a restart, and connections to hosts followed it at once."""
+    conf = Platform().conf()
+
+    async def scenario(process: Process) -> None:
+        await process.reread({**with_rules(conf, BUDGET), "limits": {"sockets": 400}})
+        assert process.upstreams.ways.sockets_most == process.plan.upstream_most > 400 // 3
+        assert process.broker.brain.settings.budget is not None
+
+    on_process(scenario, conf)
--- a/thistleshore/follower.py
+++ b/thistleshore/follower.py
@@ -96,7 +96,8 @@
             self.handover.adopt(found)
         else:
             self.broker.post(SettingsChanged(found.settings, found.class_names))
-        self.upstreams.ways = upstream_limits(found)
+        # `limits` holds until a restart: the fronts, and what is granted to them, do not follow it either.
+        self.upstreams.ways = upstream_limits(found)._replace(sockets_most=self.plan.upstream_most)
         assert found.http is not None
         routes = found.http.routes
         if (downstream := self.downstream) is not None:
