Retry budgets count over the span of the terms in force

What callers would see: after SIGHUP or an agreed configuration with a longer 'contracts.retry_span', members are allowed that many retries in each span of before, six times too many from 10 s to 60 s; with a shorter one retries that are owed are refused for as long as the old span.

Cause: the counters behind a budget have the span of their start; new terms replaced the terms alone.

Change: RetryBudget.adopt moves the counts to counters of the new span. A part's counts have an age between two bounds: paid retries are taken to be young and earned ones old, so that the budget is never too large and nothing paid is forgotten.

Not played on real processes.

--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -24,7 +24,7 @@
 from thistleshore.contracts import Agreements, ContractTerms, Ledger, MemberTerms, Retries, ShareKey
 from thistleshore.contracts.exchange import MAX_DATAGRAM_BYTES, HEAD, Exchange, Terms
 from thistleshore.contracts.model import OTHER_MEMBERS
-from thistleshore.contracts.retry_budget import CombinedRetryBudget, RetryBudget, SlidingCounter
+from thistleshore.contracts.retry_budget import PARTS, CombinedRetryBudget, RetryBudget, SlidingCounter
 from thistleshore.contracts.sharing import share_max_min, lend
 from thistleshore.metrics import Contracts, Page
 
@@ -243,6 +243,45 @@
     assert ours.left(11.0) == 2.0  # after the span only the floor is left
 
 
+@pytest.mark.parametrize("span", [60.0, 5.0])
+def test_retries_count_for_the_whole_of_a_span_that_new_terms_have_changed(span: float) -> None:
+    """They were counted for the span of the start: of a longer one only a part bound, and of a shorter one too much."""
+    terms = Retries(0.0, 2.0, 10.0)
+    at = ledger(MemberTerms("a", 0.5, retries=terms))
+    _, budget = at.on_open(1, 0, "a", 1, False, 0.0)
+    budget.pay(0.5)
+    longer = replace(terms, span=span)
+    at.adopt(replace(at.agreements, members=(MemberTerms("a", 0.5, retries=longer),)), 1.0)
+    budget.pay(1.0)
+    assert budget.left(span - 0.1) == 0.0
+    assert budget.left(1.0 + span + 2 * span / PARTS) == 2.0
+
+
+@steady
+@given(st.lists(st.tuples(st.sampled_from(["earn", "pay", "adopt"]), st.floats(0, 3), st.floats(0.5, 30)), max_size=40))
+def test_no_span_sees_more_retries_than_its_terms_grant_whenever_they_change(
+    story: list[tuple[str, float, float]],
+) -> None:
+    """Against a record of all times: what counts on is never less than was paid, nor more than was earned."""
+    budget, now = RetryBudget(Retries(0.3, 2.0, 5.0), 0.0), 0.0
+    earned, paid, kept_since = list[float](), list[float](), 0.0
+    for what, wait, span in story:
+        now += wait
+        if what == "earn":
+            budget.earn(now)
+            earned.append(now)
+        elif what == "pay" and budget.left(now) >= 1.0:
+            budget.paid.add(1.0, now)
+            paid.append(now)
+        elif what == "adopt":
+            # Times that the shortest span so far has let go are forgotten.
+            kept_since = max(kept_since, now - budget.terms.span)
+            budget.adopt(Retries(0.3, 2.0, span), now)
+        since = now - budget.terms.span
+        assert budget.earned.sum_within_span(now) <= sum(at >= since for at in earned)
+        assert budget.paid.sum_with_oldest(now) >= sum(at > max(since, kept_since) for at in paid)
+
+
 @steady
 @given(st.lists(st.tuples(st.sampled_from(["earn", "pay", "back"]), st.floats(0, 3)), max_size=60))
 def test_budgets_are_never_negative(story: list[tuple[str, float]]) -> None:
--- a/thistleshore/contracts/ledger.py
+++ b/thistleshore/contracts/ledger.py
@@ -198,11 +198,13 @@
         self._by_contract: dict[int, list[_ShareState]] = {}  # by contract
         for member_number, terms in enumerate(agreements.members):
             member = former_members.get(terms.name) or _Member(terms, now)
-            member.terms, member.retries.terms = terms, terms.retries
+            member.terms = terms
+            member.retries.adopt(terms.retries, now)
             self._members[terms.name] = member
             for contract_number, contract in enumerate(agreements.contracts):
                 state = previous.get((terms.name, contract.name)) or _ShareState(member, contract, now)
-                state.member, state.contract, state.retries.terms = member, contract, terms.retries
+                state.member, state.contract = member, contract
+                state.retries.adopt(terms.retries, now)
                 self._states[ShareKey(member_number, contract_number)] = state
                 self._by_contract.setdefault(contract_number, []).append(state)
                 self._siblings.setdefault((member_number, contract.service), []).append(
--- a/thistleshore/contracts/retry_budget.py
+++ b/thistleshore/contracts/retry_budget.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from math import ceil
+
 from thistleshore.contracts.model import Retries
 
 PARTS = 10  # of a span; counts expire one part at a time, never all at once
@@ -30,6 +32,19 @@
         self._expire(now)
         self._counts[0] = max(0.0, self._counts[0] + amount)
 
+    def with_span(self, span: float, now: float, oldest: bool) -> SlidingCounter:
+        """Return a counter over another span that goes on from this one.
+
+        A part's counts lie between two ages; they are taken to be all of the higher one if `oldest`, else of the lower.
+        """
+        self._expire(now)
+        made = SlidingCounter(span, now)
+        for part, amount in enumerate(self._counts):
+            age = max(0.0, now - self._at + (part if oldest else part - 1) * self._step)
+            if (place := ceil(age / made._step)) <= PARTS:
+                made._counts[place] += amount
+        return made
+
     def sum_with_oldest(self, now: float) -> float:
         """Return the count, including the oldest part, which may reach beyond the span."""
         self._expire(now)
@@ -51,6 +66,13 @@
         self.earned, self.paid = SlidingCounter(terms.span, now), SlidingCounter(terms.span, now)
         self.spent = 0  # retries paid since the start
 
+    def adopt(self, terms: Retries, now: float) -> None:
+        """Go by these terms from now on; what was earned and paid counts on, and never makes the budget too large."""
+        if terms.span != self.terms.span:
+            self.earned = self.earned.with_span(terms.span, now, oldest=True)
+            self.paid = self.paid.with_span(terms.span, now, oldest=False)
+        self.terms = terms
+
     def earn(self, now: float) -> None:
         """Count a first try."""
         self.earned.add(1.0, now)
