A new configuration does not renew the budget of members without an agreement

What callers would see: with each version of an agreed configuration, and each SIGHUP, members that no agreement names may spend their whole retry budget again, and their rows on the metrics page start at 0.

Cause: the ledger keeps the state of members and contracts that the new agreements name; that of all others was dropped, and made anew with the next stream.

Change: it is kept by contract. Where all other members had an agreement and lose it, nothing of its share stays.

Not played on real processes. Test files of contracts, both fronts, routing: all passed.

--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -217,6 +217,26 @@
     assert {offer.stream for offer in at.due(1.7)} == {4, 5, 6, 50} and at.waiting == 1
 
 
+def test_reload_does_not_renew_the_budget_of_members_without_an_agreement() -> None:
+    """Their state was made anew with each version of the configuration, and with it the retries that they had spent."""
+    at = ledger(MemberTerms("a", 0.5))
+    _, budget = at.on_open(1, 0, "stranger", 1, False, 0.0)
+    while budget.left(0.0) >= 1.0:
+        budget.pay(0.0)
+    at.adopt(replace(at.agreements, members=(MemberTerms("b", 0.5),)), 0.5)
+    _, budget = at.on_open(2, 0, "stranger", 1, True, 1.0)
+    assert budget.left(1.0) < 1.0
+    assert {row.member: row.offered for row in at.figures(1.0)} == {OTHER_MEMBERS: 2}
+    # Once they have an agreement all of them share one, which goes on from there.
+    others = MemberTerms(OTHER_MEMBERS, 0.2)
+    at.adopt(replace(at.agreements, members=(others,)), 1.5)
+    assert at.on_open(3, 0, "stranger", 1, True, 2.0)[1].left(2.0) < 1.0
+    # And without one again they keep no part of it.
+    at.adopt(replace(at.agreements, members=(MemberTerms("b", 0.5),)), 2.5)
+    assert at.on_open(4, 0, "stranger", 1, False, 3.0)[0].beyond
+    assert [row.allotment for row in at.figures(3.0)] == [0.0]
+
+
 def test_clock_jump_adds_at_most_one_burst() -> None:
     at = ledger(MemberTerms("a", 0.5, jobs=4))
     open_streams_beyond_share(at, "a", 9, 100.0)
--- a/thistleshore/contracts/ledger.py
+++ b/thistleshore/contracts/ledger.py
@@ -22,7 +22,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from heapq import heappop, heappush
 from math import exp, inf, log
 from typing import NamedTuple
@@ -52,6 +52,7 @@
 RESERVED_PER_PEER = 0.08  # further part for each other instance, which sees the same free slots
 FREE_SLOTS_AGE = 0.01  # seconds for which a count of free slots is used, less what is offered meanwhile
 STEP = 0.02  # seconds between two calls of `due` while streams wait
+WITHOUT_AGREEMENT = -1  # number of a member that the agreements do not name
 UNPAID_REPEAT_RANK = 1e9  # added to the rank of a marked repeat beyond the retry budget
 
 
@@ -210,10 +211,24 @@
                 self._siblings.setdefault((member_number, contract.service), []).append(
                     (ShareKey(member_number, contract_number), state)
                 )
+        if OTHER_MEMBERS not in self._members:
+            self._keep_states_without_agreement(agreements, previous, now)
         self.agreements = agreements
         self._numbers = {terms.name: member_number for member_number, terms in enumerate(agreements.members)}
         self._refreshed_at = -inf
 
+    def _keep_states_without_agreement(
+        self, agreements: Agreements, previous: Mapping[tuple[str, str], _ShareState], now: float
+    ) -> None:
+        """Keep what members without an agreement have spent, and nothing of an agreement that all of them had."""
+        terms = MemberTerms(OTHER_MEMBERS, 0.0)
+        for contract_number, contract in enumerate(agreements.contracts):
+            if (state := previous.get((OTHER_MEMBERS, contract.name))) is not None:
+                state.contract, state.member.terms, state.allotment = contract, terms, 0.0
+                state.retries.adopt(terms.retries, now)
+                state.member.retries.adopt(terms.retries, now)
+                self._states[ShareKey(WITHOUT_AGREEMENT, contract_number)] = state
+
     def _refresh(self, now: float) -> None:
         """Recompute guarantees a few times a second; buckets are filled when they are read."""
         # The interval grows with the number of shares: thousands of members may cost only a small part of a core.
@@ -286,7 +301,7 @@
         """
         self._refresh(now)
         name = member if member in self._numbers else OTHER_MEMBERS
-        number = self._numbers.get(name, -1)
+        number = self._numbers.get(name, WITHOUT_AGREEMENT)
         state = self._states.get(ShareKey(number, contract)) or self._state_without_agreement(contract, now)
         self._refill(state, now)
         state.counts["offered"] += 1
@@ -406,7 +421,7 @@
     def _state_without_agreement(self, contract: int, now: float) -> _ShareState:
         """Return the state of streams without an agreement."""
         return self._states.setdefault(
-            ShareKey(-1, contract),
+            ShareKey(WITHOUT_AGREEMENT, contract),
             _ShareState(_Member(MemberTerms(OTHER_MEMBERS, 0.0), now), self.agreements.contracts[contract], now),
         )
 
