Hosts of a changed configuration are in force after a hot restart

What callers would see: an operator's file without [discovery] gets other [[host]] tables, which the log says takes a restart; after a hot restart by [admin] restart the new process goes on with the hosts of the old one, for good: new hosts get nothing, and jobs go to hosts that the file no longer has.

Cause: the list that the process before hands over was taken in place of the configuration's. Discovery corrects it where there is one; without, nothing does.

Change: without discovery the hosts of the new process's own configuration are taken, where it has some; bans and estimates are inherited by name as before.

Measured: shown on real processes by test_hosts_of_a_file_that_has_changed_are_in_force_after_a_hot_restart, which fails with the change taken out (3 hosts in place of 2) and passes with it, ban kept.

--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -289,6 +289,24 @@
                     assert third.poll() is None and "its checksum is wrong" in site.log(2)
 
 
+def test_hosts_of_a_file_that_has_changed_are_in_force_after_a_hot_restart(tmp_path: Path) -> None:
+    """Without discovery those of the file before were inherited, and nothing ever told of the new ones."""
+    site = Site(tmp_path)
+    with site.process() as first:
+        former, site.hosts = site.hosts, [site.hosts[0], Host("new")]
+        assert site.call(b"DETACH h0") == b"OK\n"
+        with site.process():
+            first.send_signal(signal.SIGTERM)
+            assert first.wait(5) == 0
+            told = json.loads(site.call(b"INFO").split(b"\n")[0])
+            assert (told["discovered"], told["ejected"]) == (2, 1)
+            clients = Clients(site, 2)
+            time.sleep(0.5)
+            clients.stop()
+    assert {outcome for told in clients.told.values() for outcome in told} == {"served"}
+    assert len(site.hosts[1].runs) == len(clients.told) and not any(host.runs for host in former)
+
+
 def test_the_first_accepts_again_where_the_second_dies(tmp_path: Path) -> None:
     site = Site(tmp_path)
     with site.process():
--- a/thistleshore/restart/handover_state.py
+++ b/thistleshore/restart/handover_state.py
@@ -72,6 +72,8 @@
     brain = Brain(plan.settings, plan.seed, now)
     try:
         seq, _, lines = read_hosts(inherited.values["list"], http.names, at_epoch(plan.epoch))
+        if http.discovery is None and plan.known:
+            lines = plan.known  # of the configuration, which may have changed since the process before read it
         brain.on_list(ListKind.CACHED, tuple(line.entry for line in lines), now)
         handover.restore_state(brain, inherited.values["memory"], _names(plan), now)
     except MALFORMED_STATE as problem:
