A fleet that new settings made small is not taken for cut off

What callers would see: SIGHUP with fewer dispatchers, seven at most where there were more: from 1.5 to 12 s after the last note that came before it, each dispatcher counts as cut off from the others, and jobs wait in its queue while hosts are free.

Cause: whether silence counts was settled at the start, by the number of dispatchers then, in the time of the last note.

Change: it is asked for with the settings in force (Brain._silence). Whether a request repeats a late job moved to oxbowarch/repeats.py; for a queued job it goes by the rule that it came by, as all else of it.

Not played on real processes.

--- a/oxbowarch/brain.py
+++ b/oxbowarch/brain.py
@@ -19,6 +19,7 @@
 from oxbowarch.records import Attempt, DecayedCount, Homes, Job, Jobs, KeyRing, MovingAverage, MovingAverages
 from oxbowarch.records import RateTable, Window, Worker
 from oxbowarch.refusal import reason_of
+from oxbowarch.repeats import is_late_repeat
 from oxbowarch.shunning import MAX_FAILURES, after_failure, after_rejections
 from oxbowarch.slow_start import capacity, sender_rate, warmth
 
@@ -70,7 +71,7 @@
         self.max_free, self.counted_at = 1.0 + self.shares_notes, now
         self.under_pressure, self.watching, self.watch_delay = False, False, WATCH_BACKOFF
         self.actions: list[Action] = []
-        self.last_note_at = inf if self.shares_notes and settings.balancers <= FEW else -inf
+        self.last_note_at = -inf
         self.pending_notes: dict[WorkerId, Note] = {}  # notes for the next broadcast
         self.refusals: Counter[RefusalReason] = Counter()  # requests refused or failed, by reason
         self.hedge_tokens, self.won = COPY_MOST, MovingAverage(now, COPY_FADE)  # share of faster copies
@@ -173,9 +174,9 @@
 
     def _shed(self, request: Request, now: float) -> bool:
         """Refuse the request at random, by the pressure and its tenant's excess; return if it was refused."""
-        places = self.settings.classes[request.job_class].places
+        rule = self.settings.classes[request.job_class]
         excess, flood = self._excess(request.tenant, request.repeat, now)
-        pressure = self._ramp(places, *PRESSURE)
+        pressure = self._ramp(rule.places, *PRESSURE)
         if flood:
             # Busy slots show a flood late where workers queue.  Lateness has other causes: only floods pay.
             pressure = min(1.0, pressure + self.late.mean() / LATE_SHARE)
@@ -184,24 +185,19 @@
             self.actions.append(
                 Log("pressure on: refusing beyond the limits" if self.under_pressure else "pressure off"))
         # Overload within limits: a queue delays everyone, so all tenants shed, least worth per slot first.
-        late = self._is_late_repeat(request)
+        late = self.shares_notes and is_late_repeat(rule, request)
         best = max(map(self._worth_rate, self.in_force.classes))
         part = max(0.0, 1.0 - self._worth_rate(request.job_class, late) / best) if best else 0.0
         early = part * (SHED_LATE if late else SHED_EARLY)
         if request.reply_capacity < (SPARE_LEFT if not early else 1.0):
             # Queued, it would use the last capacity for replies to any client.
             return self._refuse(request, RefusalReason.DRAINING)
-        overload = self._ramp(places, OVERLOAD[0] - early, OVERLOAD[1] - early)
+        overload = self._ramp(rule.places, OVERLOAD[0] - early, OVERLOAD[1] - early)
         passed = (1.0 - pressure * excess) * (1.0 - overload)
         if request.beyond is None and self.random.random() >= passed:
             return self._refuse(request, RefusalReason.BEYOND_LIMIT, excess)
         return False
 
-    def _is_late_repeat(self, request: Request) -> bool:
-        """Return whether this repeats a job past its aim; it would take slots from jobs still in time."""
-        rule = self.settings.classes[request.job_class]
-        return self.shares_notes and request.repeat and rule.give_up - request.budget > rule.aim
-
     def _worth_rate(self, job_class: int, late: bool = False) -> float:
         """Return the worth earned by a second of a slot, as far as workers report when jobs start."""
         rule = self.settings.classes[job_class]
@@ -237,7 +233,7 @@
             self._queue(job, now)
 
     def _place(self, job: Job, now: float) -> bool:
-        deaf, busy = DEAF[0] < now - self.last_note_at < DEAF[1], self.busy_share[job.policy.places]
+        deaf, busy = DEAF[0] < self._silence(now) < DEAF[1], self.busy_share[job.policy.places]
         queue = not self.shares_notes and self.settings.balancers > FEW and self.jobs.queue(WAITING)
         part = max(1.0, self.own_outstanding.mean() / max(0.05, busy.mean()))
         if queue or deaf and len(self.jobs) - len(self.queued) > part:
@@ -386,7 +382,7 @@
         runs = [run for n, run in self.run_times.items() if n not in self.settings.retired_classes]
         warm_rate = min(asked, capacity(worker.slots or self.max_free, runs))
         senders = 1 + len(self.homes.others(worker, self.settings.me)) if self.shares_notes else None
-        return sender_rate(self.settings, warm_rate, share, senders, now - self.last_note_at < DEAF[0] / 3)
+        return sender_rate(self.settings, warm_rate, share, senders, self._silence(now) < DEAF[0] / 3)
 
     def _draw(self, job: Job, now: float) -> Worker | None:
         """Draw a worker by weight with rejection sampling: home workers, the own zone, then all zones."""
@@ -464,10 +460,14 @@
                     worker.record_slowdown(note.slowdown, SLOW_FADE, now)
         return self.actions
 
+    def _silence(self, now: float) -> float:
+        """Return the seconds without notes; a few dispatchers that share them always count as heard."""
+        return -inf if self.shares_notes and self.settings.balancers <= FEW else now - self.last_note_at
+
     def _measure_load(self, now: float) -> None:
         """Update the busy shares from the outstanding attempts of all dispatchers."""
         self.counted_at = now
-        if DEAF[0] < now - self.last_note_at < DEAF[1]:
+        if DEAF[0] < self._silence(now) < DEAF[1]:
             return  # own attempts alone would make the fleet look idle
         self.own_outstanding.observe(len(self.jobs) - len(self.queued), now)
         for places, busy in self.busy_share.items():
@@ -515,7 +515,8 @@
             self._place(max(self.queued.values(), key=self._priority), now)
 
     def _priority(self, job: Job) -> tuple[bool, float, float]:
-        worth = self._worth_rate(job.request.job_class, self._is_late_repeat(job.request))
+        late = self.shares_notes and is_late_repeat(job.policy, job.request)
+        worth = self._worth_rate(job.request.job_class, late)
         return not job.request.beyond, -job.request.rank, worth
 
     def _record_failure(self, worker: Worker, now: float) -> None:
--- a/tests/test_retired.py
+++ b/tests/test_new_settings.py
@@ -1,4 +1,4 @@
-"""Classes and tenants that new settings dropped: the module derives nothing from them for those that stay."""
+"""What the module derives from settings follows new ones: nothing stays of what they dropped or changed."""
 
 from __future__ import annotations
 
@@ -79,3 +79,13 @@
     both = brain._slow_start_rate(worker, 0.1, 0.0)
     brain.on_settings(replace(settings, retired_classes=RETIRED), 0.0)
     assert brain._slow_start_rate(worker, 0.1, 0.0) < 0.75 * both
+
+
+def test_a_fleet_that_new_settings_made_small_is_not_taken_for_cut_off() -> None:
+    """Small ones count no silence: the last note before the change was one, and jobs were held back for 10 s."""
+    settings = Settings(20, 0, (SAFE,), shares_notes=True)
+    brain = Brain(settings, 1, 0.0)
+    brain.on_list(ListKind.FULL, fleet(8), 0.0)
+    brain.on_notes(1, (), 10.0)
+    brain.on_settings(replace(settings, balancers=4), 12.0)
+    assert all(sent(brain.on_request(Request(n, 0, 5.0), 12.0)) for n in range(6))
