An open job goes by the proof that FULL was when it came

What callers could see: settings in which FULL does not prove that nothing ran ('fullUnproven'), then SIGHUP with settings in which it does: an unsafe job that was sent before and is answered FULL after it is sent again, and may run twice.

Cause: whether FULL is a proof was asked of the settings in force at the end of an attempt, all else of the job's own rule.

Change: the job keeps what it came by, and FULL is a proof only where that and the settings in force both say so.

Not played on real processes. Test files of the module, new settings, unsafe jobs, rules, codec: 287 passed.

--- a/oxbowarch/brain.py
+++ b/oxbowarch/brain.py
@@ -82,8 +82,6 @@
         self.settings = settings
         self.reply_margin = 3 * settings.tick  # seconds before a deadline to answer in time
         self.cold_factor = COLD_MORE * (settings.cold_factor if self.shares_notes else 1.0)
-        # Unless FULL proves that nothing ran, a retry of an unsafe job after it could run the job twice.
-        self.never_ran = NEVER_RAN if settings.full_never_ran else NEVER_RAN - {Status.FULL}
         averages = {rule.places: MovingAverage(now, PRESSURE_FADE) for rule in settings.classes}
         self.busy_share = averages | self.busy_share
         self.in_force = in_force(settings)
@@ -530,7 +528,9 @@
         if job is None or not (event.attempt < len(job.attempts) and job.attempts[event.attempt].outstanding):
             return self.actions
         attempt = job.attempts[event.attempt]
-        attempt.end(event.status not in self.never_ran)
+        # Unless FULL proves that nothing ran, a retry of an unsafe job after it could run the job twice.
+        proof = event.status is not Status.FULL or job.full_never_ran and self.settings.full_never_ran
+        attempt.end(not (proof and event.status in NEVER_RAN))
         if event.status is Status.NOT_SENT and event.attempt and attempt.sent_at in self.retries.times:
             self.retries.times.remove(attempt.sent_at)  # a retry that was not sent is not counted
             job.request.retry_budget.give_back(now)
--- a/oxbowarch/records.py
+++ b/oxbowarch/records.py
@@ -245,7 +245,7 @@
 
     __slots__ = (
         "id", "request", "policy", "since", "deadline", "attempts", "outstanding", "has_timer",
-        "rejection_keys", "ended", "max_attempts",
+        "rejection_keys", "ended", "max_attempts", "full_never_ran",
     )  # fmt: skip
 
     def __init__(self, request: Request, settings: Settings, now: float) -> None:
@@ -254,6 +254,7 @@
         # Fixed for the life of the job: new settings apply to later jobs.
         self.policy = settings.classes[request.job_class]
         self.max_attempts = min(settings.max_attempts, self.policy.max_attempts)
+        self.full_never_ran = settings.full_never_ran
         self.since = now
         self.deadline = now + request.budget
         self.attempts: list[Attempt] = []
--- a/tests/test_new_settings.py
+++ b/tests/test_new_settings.py
@@ -8,8 +8,8 @@
 import pytest
 
 from oxbowarch.brain import Brain
-from oxbowarch.interface import Effect, Entry, JobClass, ListKind, Refuse, Request, Settings, State, Status
-from tests.test_brain import SAFE, ended, fleet, make, name, press, sent, serve_late
+from oxbowarch.interface import Effect, Entry, Fail, JobClass, ListKind, Refuse, Request, Settings, State, Status
+from tests.test_brain import SAFE, UNSAFE, ended, fleet, make, name, press, sent, serve_late
 
 RETIRED = frozenset((1,))
 EARLY_SHEDDING = 0.88  # a busy share at which jobs are shed for those of more worth, and for nothing else
@@ -89,3 +89,15 @@
     brain.on_notes(1, (), 10.0)
     brain.on_settings(replace(settings, balancers=4), 12.0)
     assert all(sent(brain.on_request(Request(n, 0, 5.0), 12.0)) for n in range(6))
+
+
+@pytest.mark.parametrize(("before", "after"), [(False, True), (True, False)])
+def test_an_unsafe_job_is_retried_after_full_only_where_all_settings_it_met_call_that_a_proof(
+    before: bool, after: bool
+) -> None:
+    """Those of its end alone were asked: one that may have run was sent again, and could run twice."""
+    brain = make(classes=(UNSAFE,), full_never_ran=before)
+    (send,) = sent(brain.on_request(Request(1, 0, 5.0), 0.0))
+    brain.on_settings(replace(brain.settings, full_never_ran=after), 0.1)
+    actions = brain.on_outcome(ended(send, Status.FULL), 0.2)
+    assert not sent(actions) and any(isinstance(action, Fail) for action in actions)
