A test of what the platform's dispatcher imports waits until it listens

Change: the look from within comes 0.5 s after the process accepts connections, and the whole has 30 s as before. What is checked is the same.

--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -78,12 +78,17 @@
 def test_the_platform_s_dispatcher_imports_none_of_it(tmp_path: Path) -> None:
     """Started by PROXY_CONFIG, it serves; what it has imported by then is looked at from within."""
     conf = tmp_path / "config.json"
-    control = f"127.0.0.1:{free_port()}"  # and with all that the days of operation offer
-    conf.write_text(json.dumps({**PLATFORM, "listen": f"127.0.0.1:{free_port()}", "control": control}))
+    port, control = free_port(), f"127.0.0.1:{free_port()}"  # and with all that the days of operation offer
+    conf.write_text(json.dumps({**PLATFORM, "listen": f"127.0.0.1:{port}", "control": control}))
     script = f"""
-import runpy, signal, sys, threading, time, os
+import runpy, signal, socket, sys, threading, time, os
+def listens():
+    with socket.socket() as client:
+        return client.connect_ex(("127.0.0.1", {port})) == 0
 def look():
-    time.sleep(1.0)
+    while not listens():
+        time.sleep(0.05)
+    time.sleep(0.5)
     print([name for name in {NEW!r} if name in sys.modules], "trio" in sys.modules, flush=True)
     os.kill(os.getpid(), signal.SIGTERM)
 threading.Thread(target=look, daemon=True).start()
