Soak: settings that add a class, a kind and a tenant, and drop them again, beside restarts

Change: a fault 'retune' (drawn by a third of the seeds from a stream of its own, so that all other draws stay), the scenario 'dropped-class', in which SIGTERM follows the last SIGHUP at once or 3 s later and SIGKILL comes by the deadline that is in force then, and a check that no class goes out of service that old and new settings have. tests/test_soak.py plays it.

--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -10,6 +10,8 @@
 from benchmarks.soak.terms import ANSWER_SLACK, CLOSED_SLACK, DEADLINE_SLACK, DRAIN_SLACK, MEAN_WORK, Terms
 
 TOLD_SHARE = 2 / 3  # of what made a server fall: beyond it, those that were told of its start are at fault
+RETUNED = 0.5  # s after SIGHUP from when new settings are in force
+JUDGED_LEAST = 12  # requests of a class under some settings, one of which at least must be served
 TAKEN_AFTER = 0.7  # s after SIGTERM from when a request must have been answered before SIGKILL
 
 
@@ -81,6 +83,7 @@
         if request.job_class == "pay":
             found += _check_unsafe(request, attempts[txn])
     found += _check_drains(record, terms)
+    found += _check_settings(record)
     for life in record.lives:
         if life.status not in (None, 0, -9) or life.status == 0 and life.terminated == inf:
             found.append(Violation("crash", life.killed, f"n{life.node} ended with status {life.status}"))
@@ -138,3 +141,22 @@
             if arrival.server == drain.server and late - record.lag(told, arrival.at) > 0.0:
                 found.append(Violation("drain", arrival.at, f"{arrival.txn} went to {drain.server} {late:.3f} s late"))
     return found
+
+
+def _check_settings(record: Record) -> list[Violation]:
+    """New settings must not take a class out of service that both they and those before them have."""
+    found = []
+    for retune in record.retunes:
+        until = min(
+            (other.at for other in record.retunes if other.node == retune.node and other.at > retune.at), default=inf
+        )
+        ends = defaultdict[str, list[int]](list)
+        for request in record.requests:
+            if request.node == retune.node and retune.at + RETUNED <= request.sent < until:
+                ends[request.job_class].append(request.status)
+        found += [
+            Violation("settings", retune.at, f"n{retune.node}: none of {len(told)} requests of {name} served since")
+            for name, told in ends.items()
+            if len(told) >= JUDGED_LEAST and 200 not in told
+        ]
+    return found
--- a/benchmarks/soak/nodes.py
+++ b/benchmarks/soak/nodes.py
@@ -12,7 +12,7 @@
 
 import trio
 
-from benchmarks.soak.record import Life, Record
+from benchmarks.soak.record import Life, Record, Retune
 
 ROOT = Path(__file__).parent.parent.parent
 READY_WITHIN = 20.0  # s for a process to be ready
@@ -28,6 +28,8 @@
         self.child: subprocess.Popen[bytes] | None = None
         self.life: Life | None = None
         self.lives = 0
+        self.wider = False  # the settings that its file has
+        self._serves = False  # its process has answered as ready
         self._seed = int(config["seed"])
 
     @property
@@ -38,6 +40,7 @@
     def start(self, known: dict[str, Any]) -> None:
         """A new process, which is given this list."""
         self.lives += 1
+        self._serves = False
         self.config.update(known=known, seed=self._seed + 1000 * self.lives)
         self.file.write_text(json.dumps(self.config))
         environ = {**os.environ, "PROXY_CONFIG": str(self.file)}
@@ -60,6 +63,16 @@
         """Write the file again, as a new configuration would be."""
         self.file.write_text(json.dumps(self.config))
 
+    async def retune(self, settings: dict[str, Any], wider: bool) -> None:
+        """Have it read these settings; a process that starts meanwhile is told once it serves."""
+        self.config["settings"], self.wider = settings, wider
+        self.rewrite()
+        with trio.move_on_after(READY_WITHIN):
+            while not self._serves:
+                await trio.sleep(0.02)
+        self.record.retunes.append(Retune(self.number, trio.current_time()))
+        self.signal(signal.SIGHUP)
+
     async def ready(self) -> bool:
         """Wait until it answers 200 on its readiness path; False where it never does."""
         with trio.move_on_after(READY_WITHIN):
@@ -71,6 +84,7 @@
                     async with stream:
                         await stream.send_all(b"GET /-/ready HTTP/1.1\r\nHost: n\r\nConnection: close\r\n\r\n")
                         if (await stream.receive_some(4096)).startswith(b"HTTP/1.1 200"):
+                            self._serves = True
                             return True
                 except OSError:
                     pass
--- a/benchmarks/soak/plan.py
+++ b/benchmarks/soak/plan.py
@@ -7,6 +7,7 @@
 
 from benchmarks.soak.terms import Terms
 
+SETTINGS_STREAM = 1_000_000  # beyond all seeds: a stream of its own for what new settings draw
 WARM = 3.0  # s before the first fault
 
 
@@ -53,11 +54,19 @@
         faults.append(_any(random, servers, count, seconds))
     if random.random() < 0.3:
         faults.append(Fault(random.uniform(WARM, seconds - 4), "crowd", random.randrange(count), 3.0, 60.0))
+    faults += _new_settings(Random(seed + SETTINGS_STREAM), count, seconds)
     return Plan(seed, terms, servers, random.uniform(0.5, 1.3), random.choice((0.0, 0.0, 0.4, 0.7)),
                 random.uniform(0.4, 1.1), (0.0, random.choice((0.1, 0.8, 1.6))), seconds,
                 random.choice((0.0, 0.05, 0.15)), tuple(sorted(faults, key=lambda fault: fault.at)))  # fmt: skip
 
 
+def _new_settings(random: Random, nodes: int, seconds: float) -> list[Fault]:
+    """At one run in three a dispatcher gets new settings, and others again; drawn apart from all else."""
+    if random.random() >= 1 / 3:
+        return []
+    return [Fault(random.uniform(WARM, seconds - 4), "retune", random.randrange(nodes), random.uniform(0.02, 3.0))]
+
+
 def _come_back(random: Random, servers: int, seconds: float) -> list[Fault]:
     """A server that comes back, in place or as another, and what befalls it just then."""
     at, target = random.uniform(WARM + 1, seconds - 4), random.randrange(servers)
--- a/benchmarks/soak/record.py
+++ b/benchmarks/soak/record.py
@@ -66,6 +66,14 @@
     status: int | None = None
 
 
+@dataclass(slots=True)
+class Retune:
+    """A dispatcher is told to read other settings."""
+
+    node: int
+    at: float
+
+
 @dataclass(slots=True)
 class Record:
     """All of one run."""
@@ -75,6 +83,7 @@
     drains: list[Drain] = field(default_factory=list)
     requests: list[Request] = field(default_factory=list)
     lives: list[Life] = field(default_factory=list)
+    retunes: list[Retune] = field(default_factory=list)
     lags: list[tuple[float, float]] = field(default_factory=list)  # when the driver itself was late, and by how much
 
     def lag(self, begin: float, end: float) -> float:
--- a/benchmarks/soak/scenarios.py
+++ b/benchmarks/soak/scenarios.py
@@ -10,6 +10,7 @@
 
 SERVERS = 12
 BACK_AT = 5.0  # s, when the server under test comes back
+RETUNED_BEFORE = (0.01, 3.0)  # s between the last SIGHUP and SIGTERM, of one dispatcher and another
 LATE = 0.9  # s by which lists come late
 
 
@@ -24,7 +25,17 @@
     return _plan(seed, nodes, Fault(3.0, "down", 4, 6.0, 0.34), Fault(BACK_AT - 0.5, kind, 0, 4.0, 0.9))
 
 
+def _dropped_class(seed: int, nodes: int | None = None) -> Plan:
+    """Case 2 of issue 51: a class of a longer deadline is added and dropped, then each dispatcher is restarted."""
+    terms = Terms(nodes or 1, deadlines=(1.2, 1.0, 1.0))
+    faults = []
+    for node in range(terms.nodes):
+        faults += [Fault(1.0, "retune", node, 3.0), Fault(4.0 + RETUNED_BEFORE[node % 2], "terminate", node)]
+    return Plan(seed, terms, SERVERS, 0.7, 0.0, 0.5, (0.0, 0.1), 12.0, 0.0, tuple(sorted(faults, key=lambda f: f.at)))
+
+
 SCENARIOS: dict[str, Callable[[int, int | None], Plan]] = {
+    "dropped-class": _dropped_class,
     "fast-endings": partial(_ending_at_once, "resets"),
     "rejections": partial(_ending_at_once, "rejects"),
     "restart": _plan,
--- a/benchmarks/soak/terms.py
+++ b/benchmarks/soak/terms.py
@@ -15,6 +15,7 @@
 ANSWER_SLACK = 0.5  # s after its time within which a request has its answer
 KILL_AFTER, KILL_DEADLINE_MOST = 0.7, 3.0  # s: SIGKILL after SIGTERM, beyond the longest deadline, counted so at most
 DRAIN_SLACK = 0.05  # s by which each limit is longer on sockets
+WIDER_DEADLINE = 3.0  # s, of the class that wider settings have besides; nobody asks for it
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,10 +30,10 @@
     drain_within: float = 3.0
     deadlines: tuple[float, float, float] = (10.0, 5.0, 5.0)
 
-    @property
-    def kill_after(self) -> float:
-        """s from SIGTERM to the earliest SIGKILL."""
-        return min(KILL_DEADLINE_MOST, max(self.deadlines)) + KILL_AFTER
+    def kill_after(self, wider: bool) -> float:
+        """s from SIGTERM to the earliest SIGKILL; `wider`: under the wider settings."""
+        longest = max(*self.deadlines, WIDER_DEADLINE if wider else 0.0)
+        return min(KILL_DEADLINE_MOST, longest) + KILL_AFTER
 
     def warmth(self, age: float) -> float:
         """The least share of its capacity that a server of this age has."""
@@ -44,22 +45,30 @@
         slack = 3 * sqrt(allowed) + 3 if allowed < SMALL_BUDGET else 2 * sqrt(allowed) + 2
         return allowed + slack
 
-    def settings(self, me: int) -> dict[str, Any]:
-        """The platform's settings object for one dispatcher."""
+    def settings(self, me: int, wider: bool = False) -> dict[str, Any]:
+        """The platform's settings object for one dispatcher; `wider`: with a further class, kind and tenant.
+
+        Those come first, so that all others have other numbers in the file.
+        """
         search, issue, pay = self.deadlines
         lane = {"aim": 0.4, "group": "all", "lateShare": 0.2, "repeatWindow": 5.0, "stream": False, "aimStretch": 2.0}
+        kinds = ["big"] * wider + ["std"]
+        bound = {"boundTo": [kinds.index("std")]}
+        more = [
+            {**lane, "name": "quote", "effect": "retryable", "worth": 99.0, "giveUp": WIDER_DEADLINE, "boundTo": []}
+        ]
         return {
             "balancers": self.nodes,
             "clients": {"marksRetry": True},
             "discovery": "pushed",
             "workload": "jobs",
-            "kinds": ["std"],
-            "familyInfo": {"classKind": [-1, -1, -1], "reportX0": "free slots", "tellsStart": True},
-            "lanes": [
+            "kinds": kinds,
+            "familyInfo": {"classKind": [-1] * (3 + wider), "reportX0": "free slots", "tellsStart": True},
+            "lanes": more * wider + [
                 {**lane, "name": "search", "effect": "retryable", "worth": 3.0, "giveUp": search},
                 {**lane, "name": "issue", "effect": "dedup", "group": "cell", "worth": 10.0, "giveUp": issue,
                  "repeatWindow": 7.5},
-                {**lane, "name": "pay", "effect": "fragile", "worth": 10.0, "giveUp": pay},
+                {**lane, "name": "pay", "effect": "fragile", "worth": 10.0, "giveUp": pay, **bound},
             ],
             "limits": {"cancelling": True, "connIdle": 15.0, "connectTimeout": 0.2, "maxAttempts": 6, "peers": True,
                        "maxRetryAfter": 2.0, "retryAfter": True, "secondCopies": True},
@@ -70,5 +79,5 @@
             "rules": {"askWithin": 10.0, "coldFrom": self.cold_from, "overloadFactor": self.factor,
                       "overloadFor": self.span, "stopSendingWithin": self.drain_within, "warmUp": self.warm_up},
             "stats": {"how": "piggyback", "names": ["x0", "rif", "fail_rate"]},
-            "tenants": [],
+            "tenants": [{"name": "other", "quotaPerS": 1.0}] * wider,
         }  # fmt: skip
--- a/benchmarks/soak/world.py
+++ b/benchmarks/soak/world.py
@@ -204,10 +204,11 @@
         node, client = self.nodes[fault.target], self.clients[fault.target]
         if node.life is None or node.life.terminated < trio.current_time():
             return
+        kill_after = self.terms.kill_after(node.wider)
         node.signal(signal.SIGTERM)
         await trio.sleep(CONNECTS_ON)
         client.connecting = False
-        await trio.sleep(self.terms.kill_after - CONNECTS_ON)
+        await trio.sleep(kill_after - CONNECTS_ON)
         await self._start_again(node, client)
 
     async def _fault_kill(self, fault: Fault) -> None:
@@ -239,6 +240,13 @@
             self.nodes[fault.target].signal(signal.SIGHUP)
             await trio.sleep(0.03)
 
+    async def _fault_retune(self, fault: Fault) -> None:
+        """New settings have more classes, kinds and tenants; later ones drop these again."""
+        node = self.nodes[fault.target]
+        for wider in (True, False):
+            await node.retune(self.terms.settings(node.number, wider), wider)
+            await trio.sleep(fault.seconds)
+
     async def _fault_silent(self, fault: Fault) -> None:
         agent = self.agents[fault.target]
         agent.silent = True
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -44,6 +44,7 @@
 STORIES: dict[str, Callable[[Path], Awaitable[None]]] = {
     "rejections_after_a_restart_overload_the_server": partial(_scenario, "rejections", ((1, 2), (2, 2), (1, 3))),
     "resets_after_a_restart_overload_the_server": partial(_scenario, "fast-endings", ((1, 2), (2, 2), (1, 3))),
+    "a_class_that_new_settings_dropped_lengthens_a_drain": partial(_scenario, "dropped-class", ((1, 1), (2, 2))),
     "drawn_faults_break_a_term_at_few_dispatchers": partial(_seeds, (5, 6, 8)),
     "drawn_faults_break_a_term_at_one_and_at_twelve_dispatchers": partial(_seeds, (2, 12)),
 }
