Gate, connection limits and renumbering: smaller modules, usual names; a test of settings in an upgrade

Cause: gate.py held accepting, the drain, and who gives way where connections run short; 'Ways', 'life' and 'Place' needed explaining. SIGHUP with other settings during an upgrade was played by no test.

Ways is ConnectionLimits (connect_timeout, max_idle_time, max_connections), life of a connection is its host's generation, Gate.most is max_connections, _back and _shut are _resumed and _stopped_listening, Follower._newest is _latest_routes, and a Place of config/in_place.py is an Origin. The test of an answer over unread bytes calls Gate.close_idle where it set a flag. No behaviour changes. The new test has real processes and eight clients: SIGHUP adds and drops classes at the old and at the new process before and after SIGTERM.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -49,7 +49,7 @@
                 seen += 1
                 await handle(lines, seen)
 
-    pool = upstream.Upstreams(upstream.Ways(0.2, 5.0, 4))
+    pool = upstream.Upstreams(upstream.ConnectionLimits(0.2, 5.0, 4))
     async with trio.open_nursery() as nursery:
         nursery.start_soon(pool.run)
         found = await scenario(pool, host_at(await listening(nursery, serve)))
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -21,7 +21,7 @@
 from thistleshore.platform import discovery
 from thistleshore.platform.downstream import Downstream
 from thistleshore.platform.messages import ListNames
-from thistleshore.platform.upstream import Upstreams, Ways
+from thistleshore.platform.upstream import Upstreams, ConnectionLimits
 from thistleshore.platform.watching import CARRIED, TOLD_AFTER, TOLD_AFTER_MOVE, Call, Pace, Refused, Watch, pace_of
 from thistleshore.restart.handover_state import HandoverState
 from thistleshore.wiring.http import wait_for_hosts
@@ -586,7 +586,7 @@
         assert plan.http is not None
         broker, watch = Broker(Brain(settings(), 1, 0.0)), watching(9, seq=9)
         front = Downstream(plan.http.routes, broker.hosts_listed, broker.inbox, 9)
-        left = HandoverState(plan, broker, front, Upstreams(Ways(1.0, 1.0, 9)), None, watch)
+        left = HandoverState(plan, broker, front, Upstreams(ConnectionLimits(1.0, 1.0, 9)), None, watch)
         broker.version = 8
         here = left.snapshot()[0]["list"]["seq"]
         watch.move(("127.0.0.1", 10))  # where it means nothing
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -65,7 +65,7 @@
         except (EOFError, trio.BrokenResourceError):
             pass
 
-    pool = upstream.Upstreams(upstream.Ways(0.2, 5.0, 4))
+    pool = upstream.Upstreams(upstream.ConnectionLimits(0.2, 5.0, 4))
     async with trio.open_nursery() as nursery:
         nursery.start_soon(pool.run)
         found = await scenario(pool, host_at(await listening(nursery, handle)))
@@ -120,7 +120,7 @@
             await stream.send_all(FULL)
 
     async def scenario() -> list[Status]:
-        pool = upstream.Upstreams(upstream.Ways(0.2, 5.0, 4))
+        pool = upstream.Upstreams(upstream.ConnectionLimits(0.2, 5.0, 4))
         async with trio.open_nursery() as nursery:
             nursery.start_soon(pool.run)
             host = host_at(await listening(nursery, handle))
@@ -156,7 +156,7 @@
         raise OSError(problem, "no")
 
     async def scenario() -> None:
-        pool = upstream.Upstreams(upstream.Ways(0.2, 5.0, 4))
+        pool = upstream.Upstreams(upstream.ConnectionLimits(0.2, 5.0, 4))
         monkeypatch.setattr(upstream, "_dial", fail)
         assert (await carried(pool, request_to(host_at(1)))).status is status and pool.open == 0
 
@@ -172,7 +172,7 @@
         monkeypatch.setattr(upstream, "_dial", silent)
         begun = trio.current_time()
         request = request_to(host_at(1))
-        found = await carried(upstream.Upstreams(upstream.Ways(0.2, 5.0, 4)), request)
+        found = await carried(upstream.Upstreams(upstream.ConnectionLimits(0.2, 5.0, 4)), request)
         assert found.status is Status.CONNECT_FAILED and not request.sent
         return trio.current_time() - begun
 
@@ -181,7 +181,7 @@
 
 def test_the_pool_is_bounded() -> None:
     async def scenario(pool: upstream.Upstreams, host: model.UpstreamHost) -> list[Status]:
-        pool.open = pool.ways.sockets_most  # all in use
+        pool.open = pool.limits.max_connections  # all in use
         return [(await carried(pool, request_to(host))).status]
 
     assert play(with_host, scenario, [FULL])[0] == [Status.NOT_SENT]
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -200,7 +200,8 @@
     clients: list[trio.SocketStream] = []
 
     async def scenario(port: int, downstream: Downstream) -> bytes:
-        downstream.gate.closing = not how
+        if not how:
+            downstream.gate.close_idle()
         client = await trio.open_tcp_stream("127.0.0.1", port)
         clients.append(client)
         await client.send_all((POST % 1).replace(b"Host", how.encode() + b"Host"))
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -51,7 +51,7 @@
         rule = JobClass(Effect.SAFE, give_up=5.0)
         of = Settings(1, 0, (rule,), max_attempts=3, hedging=copies, tells_start=copies, can_cancel=False)
         self.broker = Broker(Brain(of, 1, trio.current_time()), ("c",))
-        self.pool = upstream.Upstreams(upstream.Ways(1.5, 5.0, 400))
+        self.pool = upstream.Upstreams(upstream.ConnectionLimits(1.5, 5.0, 400))
         self.broker.carriers[tuple] = self.pool
         self.inbox = Inbox(self.broker)
         self.front = Downstream(Routes({"c": 0}, [5.0]), trio.Event(), self.inbox, 800)  # type: ignore[arg-type]
@@ -214,7 +214,9 @@
         request = model.UpstreamRequest(stream, 1, host, stream.deadline)
         stream.answer = model.Served(b"")
         inbox, _keep = trio.open_memory_channel[model.Event](9)
-        return request.sent, (await upstream.Upstreams(upstream.Ways(0.2, 5.0, 4)).carry(request, inbox)).status
+        return request.sent, (
+            await upstream.Upstreams(upstream.ConnectionLimits(0.2, 5.0, 4)).carry(request, inbox)
+        ).status
 
     assert play(scenario) == (False, Status.NOT_SENT)
 
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -25,7 +25,7 @@
 from thistleshore.platform import messages
 from thistleshore.platform.downstream import Downstream
 from thistleshore.platform.start_times import at_epoch
-from thistleshore.platform.upstream import Upstreams, Ways
+from thistleshore.platform.upstream import Upstreams, ConnectionLimits
 from tests.support import CUTS, GARBAGE, PAUSE, commands, pieces, play, socket_pair, steady, talk
 
 NAMES = messages.ListNames({"a": 0, "b": 1}, {"m2": 0})
@@ -268,7 +268,7 @@
         await theirs.send_all(part)
     theirs.socket.close()
     try:
-        return (await Upstreams(Ways(0.2, 9.0, 9))._answer(peer, request, inbox))[0]
+        return (await Upstreams(ConnectionLimits(0.2, 9.0, 9))._answer(peer, request, inbox))[0]
     except (h11.RemoteProtocolError, trio.BrokenResourceError, messages.Malformed):
         return model.UpstreamOutcome(Status.RESET)
     finally:
--- a/tests/test_restart_settings.py
+++ b/tests/test_restart_settings.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
+import json
+import time
 from collections.abc import Awaitable, Callable
+from pathlib import Path
+from signal import SIGHUP, SIGTERM
+from subprocess import Popen
 from typing import Any
 
 import trio
@@ -12,6 +17,7 @@
 from tests.standins import Platform
 from tests.support import listening, play, socket_pair
 from tests.test_edges import carried, host_at, request_to
+from tests.test_restart import Clients, Site
 from thistleshore import config
 from thistleshore.config import Plan
 from thistleshore.core.broker import Broker
@@ -122,7 +128,37 @@
 
     async def scenario(process: Process) -> None:
         await process.reread({**with_rules(conf, BUDGET), "limits": {"sockets": 400}})
-        assert process.upstreams.ways.sockets_most == process.plan.upstream_most > 400 // 3
+        assert process.upstreams.limits.max_connections == process.plan.upstream_most > 400 // 3
         assert process.broker.brain.settings.budget is not None
 
     on_process(scenario, conf)
+
+
+def test_new_settings_at_both_processes_of_an_upgrade_lose_and_double_nothing(tmp_path: Path) -> None:
+    """Classes come and go by SIGHUP while the old process drains beside the new one, under load."""
+    site = Site(tmp_path)
+
+    def tell(process: Popen[bytes], number: int, *more: str) -> None:
+        conf = site.conf(site.controls[number])
+        (pay,) = conf["settings"]["lanes"]
+        conf["settings"]["lanes"] = [*({**pay, "name": name, "giveUp": 9.0} for name in more), pay]
+        (tmp_path / f"{site.controls[number]}.json").write_text(json.dumps(conf))
+        process.send_signal(SIGHUP)
+        time.sleep(0.3)
+
+    with site.process() as first:
+        clients = Clients(site, 8)
+        tell(first, 0, "quote")
+        with site.process() as second:
+            tell(second, 1, "other", "quote")
+            tell(first, 0)
+            first.send_signal(SIGTERM)
+            tell(second, 1)
+            assert first.wait(6) == 0
+            time.sleep(0.5)
+            clients.stop()
+            assert second.poll() is None
+        assert "longest deadline 5 s" in site.log(0) and "longest deadline 5 s" in site.log(1)
+    assert {outcome for told in clients.told.values() for outcome in told} == {"served"}
+    runs = [job for host in site.hosts for job, _ in host.runs]
+    assert len(runs) == len(set(runs)) == len(clients.told) > 50
--- a/thistleshore/config/in_place.py
+++ b/thistleshore/config/in_place.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from math import isfinite
-from typing import Any
+from typing import Any, NamedTuple
 
 from thistleshore.config.errors import ConfigError
 
@@ -20,7 +20,13 @@
 BOUND = {"boundTo": "kinds", "localitiesAllowed": "localities"}  # of a class, each a list of numbers
 OWN_LOCALITY, CLASS_KIND = "locality", "classKind"
 BY_CLASS = {"classStretch": 0.0, "classKind": -1}  # lists of `familyInfo` in the order of the classes, and a default
-Place = tuple[bool, int]  # whether in the new list, else in the old one, and where there
+
+
+class Origin(NamedTuple):
+    """Where the item of a number comes from: the list of the new file, or that of the settings before."""
+
+    is_new: bool
+    position: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,21 +63,21 @@
 
 def renumbered(given: Mapping[str, Any], before: Mapping[str, Any]) -> Renumbered:
     """The settings `given`, with the names of `before` at their places; what was dropped stays there as it was."""
-    places = {key: _places(given.get(key, []), before.get(key, [])) for key in NAMED}
-    given = _translated(given, places)
+    origins = {key: _origins(given.get(key, []), before.get(key, [])) for key in NAMED}
+    given = _translated(given, origins)
     made = dict(given)
     for key in NAMED:
-        made[key] = _picked(places[key], given.get(key, []), before.get(key, []))
+        made[key] = _picked(origins[key], given.get(key, []), before.get(key, []))
     for key, default in BY_CLASS.items():
         new, old = (settings.get("familyInfo", {}).get(key, []) for settings in (given, before))
         if new or old:
-            made["familyInfo"] = {**made.get("familyInfo", {}), key: _picked(places["lanes"], new, old, default)}
-    return Renumbered(made, _retired(places["lanes"]), _retired(places["tenants"]))
+            made["familyInfo"] = {**made.get("familyInfo", {}), key: _picked(origins["lanes"], new, old, default)}
+    return Renumbered(made, _retired(origins["lanes"]), _retired(origins["tenants"]))
 
 
-def _translated(given: Mapping[str, Any], places: Mapping[str, Sequence[Place]]) -> dict[str, Any]:
+def _translated(given: Mapping[str, Any], origins: Mapping[str, Sequence[Origin]]) -> dict[str, Any]:
     """The settings `given`, with the numbers that kinds and localities have from now on."""
-    numbers = {key: _Numbers(places[key]) for key in BOUND.values()}
+    numbers = {key: _Numbers(origins[key]) for key in BOUND.values()}
     made = {**given, OWN_LOCALITY: numbers["localities"].translated(given.get(OWN_LOCALITY, 0))}
     made["lanes"] = [_translated_class(lane, numbers) for lane in given.get("lanes", [])]
     if CLASS_KIND in (info := given.get("familyInfo", {})):
@@ -87,9 +93,9 @@
 class _Numbers:
     """From a name's number in the file to its number from now on."""
 
-    def __init__(self, places: Sequence[Place]) -> None:
-        self._kept = {number: kept for kept, (is_new, number) in enumerate(places) if is_new}
-        self._retired = len(places) - len(self._kept)
+    def __init__(self, origins: Sequence[Origin]) -> None:
+        self._kept = {origin.position: kept for kept, origin in enumerate(origins) if origin.is_new}
+        self._retired = len(origins) - len(self._kept)
 
     def translated(self, number: Any) -> Any:
         """The number from now on, behind all others where no name has it; what is no such number stays as it is."""
@@ -98,20 +104,24 @@
         return self._kept.get(int(number), int(number) + self._retired) if number == int(number) else number
 
 
-def _retired(places: Sequence[Place]) -> frozenset[int]:
-    return frozenset(number for number, (is_new, _) in enumerate(places) if not is_new)
+def _retired(origins: Sequence[Origin]) -> frozenset[int]:
+    return frozenset(number for number, origin in enumerate(origins) if not origin.is_new)
 
 
-def _places(new: Sequence[Any], old: Sequence[Any]) -> list[Place]:
+def _origins(new: Sequence[Any], old: Sequence[Any]) -> list[Origin]:
     """Where to take each item from: those of `old` in their order, as `new` has them if it does, then new ones."""
-    at, known = {_name(item): n for n, item in enumerate(new)}, [_name(item) for item in old]
-    kept = [(name in at, at.get(name, n)) for n, name in enumerate(known)]
-    return kept + [(True, n) for n, item in enumerate(new) if _name(item) not in known]
-
-
-def _picked(places: Sequence[Place], new: Sequence[Any], old: Sequence[Any], default: Any = None) -> list[Any]:
-    sources = ((new if is_new else old, n) for is_new, n in places)
-    return [source[n] if n < len(source) else default for source, n in sources]
+    index_of = {_name(item): index for index, item in enumerate(new)}
+    known = [_name(item) for item in old]
+    kept = [Origin(name in index_of, index_of.get(name, index)) for index, name in enumerate(known)]
+    return kept + [Origin(True, index) for index, item in enumerate(new) if _name(item) not in known]
+
+
+def _picked(origins: Sequence[Origin], new: Sequence[Any], old: Sequence[Any], default: Any = None) -> list[Any]:
+    picked = []
+    for origin in origins:
+        source = new if origin.is_new else old
+        picked.append(source[origin.position] if origin.position < len(source) else default)
+    return picked
 
 
 def _name(item: Any) -> Any:
--- a/thistleshore/follower.py
+++ b/thistleshore/follower.py
@@ -46,7 +46,7 @@
         self.fleet: Carrier | None = None  # tells the other members of another file
         self.applier: Applier | None = None  # lays the agreed configuration over the file
         self.handover: HandoverState | None = None  # what the next process is to know of new settings
-        self._newest: Routes | None = None
+        self._latest_routes: Routes | None = None
 
     async def run(self, rereads: trio.MemoryReceiveChannel[Plan | None]) -> None:
         """Each reading in its turn; None is one of a file that was turned down."""
@@ -97,7 +97,7 @@
         else:
             self.broker.post(SettingsChanged(found.settings, found.class_names))
         # `limits` holds until a restart: the fronts, and what is granted to them, do not follow it either.
-        self.upstreams.ways = upstream_limits(found)._replace(sockets_most=self.plan.upstream_most)
+        self.upstreams.limits = upstream_limits(found)._replace(max_connections=self.plan.upstream_most)
         assert found.http is not None
         routes = found.http.routes
         if (downstream := self.downstream) is not None:
@@ -115,9 +115,9 @@
 
     async def _drop_old_classes(self, routes: Routes) -> None:
         """Know only the classes of these settings, unless newer ones have come."""
-        self._newest = routes
+        self._latest_routes = routes
         await trio.sleep(DROPPED_FOR)
-        if self._newest is routes:
+        if self._latest_routes is routes:
             if self.downstream is not None:
                 self.downstream.routes = routes
 
--- a/thistleshore/gate.py
+++ b/thistleshore/gate.py
@@ -1,21 +1,17 @@
-"""The listening side that both fronts share: accepting, limits on connections, and the drain.
-
-Connections that have said nothing whole yet are newcomers.  Where connections run short they go first, the longest
-silent of them before all, so that a crowd which connects and says nothing cannot take the place of usual clients.
-"""
+"""The listening side that both fronts share: accepting, limits on connections, and the drain."""
 
 from __future__ import annotations
 
 import logging
 import socket as stdlib
-from collections.abc import Awaitable, Callable, Iterator
-from contextlib import AbstractContextManager, contextmanager
+from collections.abc import Awaitable, Callable
+from contextlib import AbstractContextManager
 from math import inf
-from typing import NamedTuple
 
 import trio
 
 from thistleshore.addresses import ip_number
+from thistleshore.waiting import NEWCOMER_GRACE, WaitingConnections
 
 log = logging.getLogger("thistleshore")
 
@@ -27,8 +23,6 @@
 NO_SOCKET_PAUSE = 0.05  # s before accepting is tried again
 BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError)
 READ_WITHIN = 2.0  # s from a connection's start, or a later request's first byte, to a request's last byte
-NEWCOMER_GRACE = 0.05  # s in which even a crowd leaves a newcomer time to speak
-NEWCOMER_SHARE = 0.25  # of the connections: as many newcomers find room before kept ones give way
 KEPT_SPARE = 8  # connections that a drain should leave free, or a third: who finds none takes us for dead
 ROOM_TRIES = 4  # waits of that grace for room, after which a connection is closed unheard
 
@@ -45,33 +39,21 @@
 Handler = Callable[[trio.SocketStream], Awaitable[None]]
 
 
-class Wait(NamedTuple):
-    """A connection that waits and may be told to give way."""
-
-    socket: trio.SocketStream
-    arrived: float
-
-
 class Gate:
     """One listener and the connections that came by it."""
 
-    def __init__(self, most: int) -> None:
-        self.most = most
+    def __init__(self, max_connections: int) -> None:
+        self.max_connections = max_connections
         self.draining = trio.Event()
         self.listening = False
         self.connections = 0
         self.answer_by = inf  # when the last answer must be out: SIGKILL follows
-        self.closing = False
         self.shared = False  # another process may listen beside this one
         self.inherited: stdlib.socket | None = None  # the socket that another process accepted from
         self.listener: trio.SocketListener | None = None  # while it is open
         self.aside = False  # another process accepts
-        self._accepting, self._back, self._shut = trio.CancelScope(), trio.Event(), trio.Event()
-        # Who may give way, the first of each to come first: those that were turned away, newcomers, kept ones.
-        self._leaving: dict[trio.CancelScope, Wait] = {}
-        self._newcomers: dict[trio.CancelScope, Wait] = {}
-        self._kept: dict[trio.CancelScope, Wait] = {}
-        self._idle: set[trio.CancelScope] = set()  # waits in which nothing has been begun
+        self._accepting, self._resumed, self._stopped_listening = trio.CancelScope(), trio.Event(), trio.Event()
+        self._waits = WaitingConnections()
         self._room = trio.Event()
         self._longest_deadline = inf  # s, of any class
         self._drain_started_at: float | None = None
@@ -98,7 +80,12 @@
     def spare(self) -> float:
         """How far the free connections of a drain, in which no new ones come, go: 1 is enough, 0 none."""
         wanted = min(KEPT_SPARE, self.connections // 3) if self.draining.is_set() and not self.aside else 0
-        return min(1.0, len(self._idle) / wanted) if wanted else 1.0
+        return min(1.0, self._waits.idle / wanted) if wanted else 1.0
+
+    @property
+    def closing(self) -> bool:
+        """Idle connections are closed, and each answer ends its connection."""
+        return self._waits.closing
 
     @property
     def ready(self) -> bool:
@@ -116,8 +103,8 @@
         if aside:
             self._accepting.cancel()
         else:
-            self._back.set()
-            self._back = trio.Event()
+            self._resumed.set()
+            self._resumed = trio.Event()
 
     async def _listen(self, address: tuple[str, int]) -> trio.SocketListener:
         if self.inherited is not None:
@@ -151,7 +138,7 @@
                 await self._accept(listener, nursery, handler)
             await self._accept_waiting(listener, nursery, handler)
         self.listening, self.listener = False, None
-        self._shut.set()
+        self._stopped_listening.set()
 
     async def _drain(self, accepting: trio.CancelScope) -> None:
         await self.draining.wait()
@@ -159,27 +146,29 @@
         self._schedule_drain(self._drain_started_at)
         await trio.sleep(ACCEPT_FOR)  # the front before us goes on dealing connections out for a while
         accepting.cancel()
-        await self._shut.wait()
+        await self._stopped_listening.wait()
         # Clients go on by the connections that they have, and nobody else may be there to serve them.
         with self._serving_kept:
             while self.connections:
                 self._room = trio.Event()
                 await self._room.wait()
-        self.closing = True
-        for idle in self._idle:
-            idle.cancel()
+        self.close_idle()
+
+    def close_idle(self) -> None:
+        """Close idle connections, now and from now on, and each other one with its answer."""
+        self._waits.close_idle()
 
     async def _accept(self, listener: trio.SocketListener, nursery: trio.Nursery, handler: Handler) -> None:
         while True:
             for _ in range(ROOM_TRIES):
-                if self.connections < self.most:
+                if self.connections < self.max_connections:
                     break
                 self._room = trio.Event()
-                self._make_room()
+                self._waits.make_room(self.max_connections)
                 with trio.move_on_after(NEWCOMER_GRACE):
                     await self._room.wait()
             if self.aside:
-                await self._back.wait()
+                await self._resumed.wait()
                 continue
             try:
                 with trio.CancelScope() as self._accepting:
@@ -207,7 +196,7 @@
                 self._admit(socket, nursery, handler)
 
     def _admit(self, socket: trio.SocketStream, nursery: trio.Nursery, handler: Handler) -> None:
-        if self.connections >= self.most:
+        if self.connections >= self.max_connections:
             # Nobody gives way: over the limit on sockets nothing could be sent on, and left in the backlog a
             # connection would get neither an answer nor a close.
             socket.socket.close()
@@ -228,21 +217,6 @@
             self._room.set()
             socket.socket.close()
 
-    def _make_room(self) -> None:
-        """Tell one connection to give way, if any may."""
-        late = trio.current_time() - NEWCOMER_GRACE
-        for scope in self._leaving:
-            if not scope.cancel_called:
-                return scope.cancel()
-        for scope, wait in self._newcomers.items():
-            # What is there to be read may be a whole request.
-            if wait.arrived <= late and not scope.cancel_called and not wait.socket.socket.is_readable():
-                return scope.cancel()
-        if len(self._newcomers) < NEWCOMER_SHARE * self.most:
-            for scope in self._kept:
-                if not scope.cancel_called:
-                    return scope.cancel()
-
     def waiting(
         self, socket: trio.SocketStream, arrived: float | None, idle: bool = False
     ) -> AbstractContextManager[trio.CancelScope]:
@@ -250,23 +224,8 @@
 
         `arrived` says since when a newcomer is here; None: the connection is kept.
         """
-        waits = self._kept if arrived is None else self._newcomers
-        return self._listed(waits, Wait(socket, arrived or 0.0), idle)
+        return self._waits.waiting(socket, arrived, idle)
 
     def leaving(self, socket: trio.SocketStream) -> AbstractContextManager[trio.CancelScope]:
         """A connection that has had its last answer: the first to give way."""
-        return self._listed(self._leaving, Wait(socket, 0.0), False)
-
-    @contextmanager
-    def _listed(self, waits: dict[trio.CancelScope, Wait], wait: Wait, idle: bool) -> Iterator[trio.CancelScope]:
-        with trio.CancelScope() as scope:
-            waits[scope] = wait
-            if idle:
-                self._idle.add(scope)
-                if self.closing:  # accepted at the last moment: nobody would cancel its wait any more
-                    scope.cancel()
-            try:
-                yield scope
-            finally:
-                self._idle.discard(scope)
-                del waits[scope]
+        return self._waits.leaving(socket)
--- a/thistleshore/limits.py
+++ b/thistleshore/limits.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from thistleshore.config import Plan
-from thistleshore.platform.upstream import Ways
+from thistleshore.platform.upstream import ConnectionLimits
 
 
 def longest_deadline(plan: Plan) -> float:
@@ -11,6 +11,6 @@
     return max(job_class.give_up for job_class in plan.settings.current_classes)
 
 
-def upstream_limits(plan: Plan) -> Ways:
+def upstream_limits(plan: Plan) -> ConnectionLimits:
     """Times and numbers of connections to upstream hosts."""
-    return Ways(plan.connect_within, plan.idle_most, plan.upstream_most)
+    return ConnectionLimits(plan.connect_within, plan.idle_most, plan.upstream_most)
--- a/thistleshore/platform/upstream.py
+++ b/thistleshore/platform/upstream.py
@@ -24,17 +24,19 @@
 NO_SOCKET = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 
 
-class Ways(NamedTuple):
-    """Limits on connections; seconds."""
+class ConnectionLimits(NamedTuple):
+    """Limits on connections to upstream hosts."""
 
-    connect_within: float
-    idle_most: float
-    sockets_most: int
+    connect_timeout: float  # seconds
+    max_idle_time: float  # seconds
+    max_connections: int
 
 
 class Kept(NamedTuple):
+    """An idle connection, since when it is idle, and the generation of its host that it goes to."""
+
     peer: Peer
-    life: int
+    generation: int
     since: float
 
 
@@ -45,8 +47,8 @@
 class Upstreams:
     """The connections to all upstream hosts; one request at a time on each."""
 
-    def __init__(self, ways: Ways) -> None:
-        self.ways = ways
+    def __init__(self, limits: ConnectionLimits) -> None:
+        self.limits = limits
         self.held_elsewhere = 0  # of these connections, by another process that serves the same clients
         self.open = 0
         self._idle: dict[bytes, deque[Kept]] = {}
@@ -61,9 +63,9 @@
 
     async def _retire(self) -> None:
         while True:
-            await trio.sleep(self.ways.idle_most / 10)
+            await trio.sleep(self.limits.max_idle_time / 10)
             # The host closes an idle connection: a request written just then would end as a reset.
-            before = trio.current_time() - self.ways.idle_most
+            before = trio.current_time() - self.limits.max_idle_time
             for name, kept in list(self._idle.items()):
                 while kept and kept[0].since < before:
                     self._close(kept.popleft().peer)
@@ -84,7 +86,7 @@
         while idle:
             kept = idle.pop()
             # Readable while idle: the host has closed it, or said what nobody asked; a request would be a reset.
-            fresh = kept.life == host.generation and kept.since > trio.current_time() - self.ways.idle_most
+            fresh = kept.generation == host.generation and kept.since > trio.current_time() - self.limits.max_idle_time
             if fresh and not kept.peer.stirs():
                 return kept.peer
             self._close(kept.peer)
@@ -92,11 +94,11 @@
 
     async def _connect(self, host: UpstreamHost) -> Peer:
         """A new connection; OSError or trio.TooSlowError where it never comes up."""
-        if self.open >= self.ways.sockets_most - self.held_elsewhere:
+        if self.open >= self.limits.max_connections - self.held_elsewhere:
             self._make_room()
         self.open += 1
         try:
-            with trio.fail_after(self.ways.connect_within):
+            with trio.fail_after(self.limits.connect_timeout):
                 return Peer(await _dial(host.address), h11.CLIENT)
         except OSError as problem:
             self.open -= 1
@@ -116,7 +118,7 @@
 
     async def carry(self, request: UpstreamRequest, events: trio.MemorySendChannel[Event]) -> UpstreamOutcome:
         """One upstream request, sent once; PROTOCOL's table of what comes back."""
-        host, life = request.host, request.host.generation
+        host, generation = request.host, request.host.generation
         if not request.stream.wanted:
             return UpstreamOutcome(Status.NOT_SENT)
         try:
@@ -130,7 +132,7 @@
         try:
             # Connecting took time, and the list may have changed: a host that drains gets nothing new.  Nor does any
             # for a downstream that has gone: no wait stands between this look and the first byte.
-            if not host.ready or host.generation != life or not request.stream.wanted:
+            if not host.ready or host.generation != generation or not request.stream.wanted:
                 return UpstreamOutcome(Status.NOT_SENT)
             try:
                 await peer.send(*_request(request))
@@ -147,7 +149,7 @@
             return UpstreamOutcome(Status.ERROR)
         finally:
             if done:
-                self._keep_soon(host, life, peer, rest)
+                self._keep_soon(host, generation, peer, rest)
             else:  # also when called off: closing is how the protocol gives up an attempt
                 self._close(peer)
 
@@ -180,13 +182,13 @@
                 raise Malformed("a line has no end")  # it would fill the memory
         return UpstreamOutcome(Status.RESET), False, False  # it ended before the last line
 
-    def _keep_soon(self, host: UpstreamHost, life: int, peer: Peer, rest: float) -> None:
+    def _keep_soon(self, host: UpstreamHost, generation: int, peer: Peer, rest: float) -> None:
         try:
-            self._settling[0].send_nowait((host, life, peer, rest))
+            self._settling[0].send_nowait((host, generation, peer, rest))
         except trio.WouldBlock:
             self._close(peer)  # a pile of half-ended answers must not grow without bound
 
-    async def _settle(self, host: UpstreamHost, life: int, peer: Peer, rest: float) -> None:
+    async def _settle(self, host: UpstreamHost, generation: int, peer: Peer, rest: float) -> None:
         """Read an answer to its end, then keep the connection."""
         whole = False
         try:
@@ -197,12 +199,12 @@
                     peer.http.start_next_cycle()
                     if rest:
                         await trio.sleep(rest)
-                    whole = not peer.http.trailing_data[0] and host.ready and host.generation == life
+                    whole = not peer.http.trailing_data[0] and host.ready and host.generation == generation
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError):
             whole = False
         finally:
             if whole:
-                self._idle.setdefault(host.id, deque()).append(Kept(peer, life, trio.current_time()))
+                self._idle.setdefault(host.id, deque()).append(Kept(peer, generation, trio.current_time()))
             else:
                 self._close(peer)
             invariant(self.open >= 0, "open upstream connections are counted")
--- a/thistleshore/restart/handover_state.py
+++ b/thistleshore/restart/handover_state.py
@@ -231,12 +231,12 @@
         except MALFORMED_STATE:
             below, above = 0, 0
         gate, upstreams = self.downstream.gate, self.upstreams
-        below, above = min(below, gate.most // 2), min(above, upstreams.ways.sockets_most // 2)
-        gate.most -= below
+        below, above = min(below, gate.max_connections // 2), min(above, upstreams.limits.max_connections // 2)
+        gate.max_connections -= below
         upstreams.held_elsewhere += above
         try:
             await self.links.follow(inherited.link, serving)
             log.info("the process before has gone")
         finally:
-            gate.most += below
+            gate.max_connections += below
             upstreams.held_elsewhere -= above
