`release carry` ends only on an answer that is not from before it began

Cause: the instance that is asked tells what it knows, and hears of a change by its own poll of the voters. On a busy machine the command's first question came before that poll. In the same way a carry right after `undo` could end with status 0 on the last release's state, and leave the hosts where they are.

Change: an answer that is marked as agreed is at most MAJORITY_VALIDITY plus ANSWER_TIMEOUT old. Only a question asked later than that after the command began can end it: with status 3 where no release of workers is there, with 0 where a majority says that it is over. What is out is carried as soon as it is told.

--- a/thistleshore/cli/release.py
+++ b/thistleshore/cli/release.py
@@ -100,19 +100,36 @@
 
     It can be ended and begun again, on any machine.  What was begun and not told of is done again.  A command that
     ends with another status than 0, or a no at the prompt, halts the release.
+
+    An instance hears of a change a little after the one that was asked for it.  So this ends only on an answer that
+    cannot be from before it began: 2.5 s or more after that.
     """
-    until = None if seconds is None else time.monotonic() + seconds
+    began_at = time.monotonic()
+    until = None if seconds is None else began_at + seconds
+    under_way = False
     while until is None or time.monotonic() < until:
+        current = time.monotonic() > began_at + _answer_age()
         told = _agreed(file, "release")
         release = told["release"]
-        if release is None or release["kind"] != "host":
-            refuse("no release of ticket workers is under way", 3)
-        if release["state"] in OVER and not told["hosts"]:
+        under_way = release is not None and release["kind"] == "host"
+        over = under_way and release["state"] in OVER and not told["hosts"]
+        if current and not under_way:
+            break
+        if current and over and told["agreed"]:
             return
-        for row in told["hosts"]:
+        for row in told["hosts"] if under_way else ():
             if told["agreed"] and row["state"] == "out":
                 _carry(file, row, release["act"], told["runs"][row["host"]])
         time.sleep(LOOK)
+    if not under_way:
+        refuse("no release of ticket workers is under way", 3)
+
+
+def _answer_age() -> float:
+    """Return the seconds by which what an instance tells as agreed can be older than its answer."""
+    from thistleshore.releases import carrier
+
+    return carrier.MAJORITY_VALIDITY + carrier.ANSWER_TIMEOUT
 
 
 def _carry(file: str, row: dict[str, Any], act: list[str], has: str) -> None:
