Hosts that have told nothing are not judged by a larger one that is gone

Jobs sent at once to a new small host, and waiting there, after a large host had left the list or the settings.

Cause: the module kept the most free slots that any host ever reported, as a bare number that only grew. A host of which nothing is known is judged by it where dispatchers share notes, and while it is cold. A hot restart handed it over, so that not even that forgot it.

Change: `LargestFree` keeps the most by host, and takes it over those that are still listed; where none of them has told, the value stays until one tells, as before. The hand-over says it for each host; from an older process, which does not, the slots of the host count. Nothing changes until a host leaves the list.

--- a/oxbowarch/brain.py
+++ b/oxbowarch/brain.py
@@ -17,7 +17,7 @@
 from oxbowarch.pace import SLOW_FADE, SLOW_STEEP, slowness
 from oxbowarch.places import ANYWHERE, allows
 from oxbowarch.records import Attempt, DecayedCount, Homes, Job, Jobs, KeyRing, MovingAverage, MovingAverages
-from oxbowarch.records import RateTable, Window, Worker
+from oxbowarch.records import LargestFree, RateTable, Window, Worker
 from oxbowarch.refusal import reason_of
 from oxbowarch.repeats import is_late_repeat
 from oxbowarch.shunning import MAX_FAILURES, after_failure, after_rejections
@@ -68,7 +68,7 @@
         self.late, self.full, self.failing = (MovingAverage(now, PRESSURE_FADE) for _ in range(3))
         self.usual_free = MovingAverages(now, PRESSURE_FADE)  # reported free slots by machine kind
         self.run_times = MovingAverages(now, DECAY)  # log of the run time by class, where starts are reported
-        self.max_free, self.counted_at = 1.0 + self.shares_notes, now
+        self.largest_free, self.counted_at = LargestFree(1.0 + self.shares_notes), now
         self.under_pressure, self.watching, self.watch_delay = False, False, WATCH_BACKOFF
         self.actions: list[Action] = []
         self.last_note_at = -inf
@@ -93,6 +93,7 @@
     def _rebuild_pools(self) -> list[Action]:
         self.pools: dict[tuple[Places, int], list[Worker]] = {}
         self.rings: dict[Places, KeyRing] = {}
+        self.largest_free.keep(self.workers.values())
         workers = self._pool(ANYWHERE, -1) if self.shares_notes else []
         self.homes = Homes(workers, self.settings.balancers, HOME_OF)
         return []
@@ -378,7 +379,7 @@
         asked = self.admitted.count * DECAY / max(1, len(self._pool(ANYWHERE, -1))) * self.settings.balancers
         # Under overload more is admitted than served, so the rate is capped by what its slots can run.
         runs = [run for n, run in self.run_times.items() if n not in self.settings.retired_classes]
-        warm_rate = min(asked, capacity(worker.slots or self.max_free, runs))
+        warm_rate = min(asked, capacity(worker.slots or self.largest_free.value, runs))
         senders = 1 + len(self.homes.others(worker, self.settings.me)) if self.shares_notes else None
         return sender_rate(self.settings, warm_rate, share, senders, self._silence(now) < DEAF[0] / 3)
 
@@ -396,7 +397,7 @@
                 worker = pool[int(self.random.random() * len(pool))]
                 weight = self._weight(job, worker, now)
                 if weight > 0.0 and self._may_send(job, worker, now):
-                    if self.random.random() * (1.0 + self.max_free) < weight:
+                    if self.random.random() * (1.0 + self.largest_free.value) < weight:
                         return worker
                     best, most = (worker, weight) if weight > most else (best, most)
             if best is not None:
@@ -423,7 +424,7 @@
         tries = [ring.owner(job.request.key, int(self.random.random() * homes)) for _ in range(homes)]
         tries += self.keys[key].served_by  # they have its data too
         for n, worker in enumerate(tries):
-            wanted = self.random.random() * (1.0 + self.max_free) if n < homes > 1 else 0.0
+            wanted = self.random.random() * (1.0 + self.largest_free.value) if n < homes > 1 else 0.0
             weight = self._weight(job, worker, now, KEY_QUEUE * worker.slots)
             if weight > wanted and self._may_send(job, worker, now):
                 return worker
@@ -475,7 +476,7 @@
 
     def _usable_slots(self, worker: Worker, now: float) -> float:  # fewer while cold
         share = min(1.0, self.cold_factor * self._warmth(worker, now))
-        return max(1.0, (worker.slots or self.max_free) * share)
+        return max(1.0, (worker.slots or self.largest_free.value) * share)
 
     def _record_report(self, worker: Worker, report: Report | None, now: float) -> None:
         if report is None or report.free is None:
@@ -490,7 +491,7 @@
         worker.no_room_until = now + REPORT_AGE * min(1.0, part)
         running = in_flight - queued if report.free >= 1.0 else 0.0
         worker.slots = max(worker.slots, report.free + running, 1.0)
-        self.max_free = max(self.max_free, min(report.free, 1000.0))
+        self.largest_free.report(worker.id, report.free)
         self.usual_free[worker.entry.kind].observe(report.free, now)
         for places, busy in self.busy_share.items():
             if not self.shares_notes and allows(places, worker.entry):
--- a/oxbowarch/handover.py
+++ b/oxbowarch/handover.py
@@ -7,7 +7,7 @@
 from typing import Any, NamedTuple
 
 from oxbowarch.brain import Brain
-from oxbowarch.records import DecayedCount, MovingAverage, Window
+from oxbowarch.records import FREE_MOST, DecayedCount, MovingAverage, Window
 
 MAX_TIMES = 4096  # of a window
 MAX_SHUN_TIME = 100.0  # seconds
@@ -38,10 +38,11 @@
         },
         "usual": [[kind, _encode_mean(mean, now)] for kind, mean in brain.usual_free.items()],
         "kinds": sorted(names.kinds, key=names.kinds.__getitem__),  # of the numbers in `usual`
-        "most": brain.max_free,
+        "most": brain.largest_free.value,
         "workers": {
             worker.id.decode(): {
                 "size": worker.slots, "strikes": worker.failures, "shunned": max(0.0, worker.shunned_until - now),
+                "free": brain.largest_free.by_worker.get(worker.id, 0.0),
                 "pace": [_encode_count(worker.slowdown_total, now), _encode_count(worker.slowdown_count, now)],
                 "credit": max(-9.0, worker.slow_start.tokens),
                 "back": now - worker.restored_at if worker.restored_at else 0.0,
@@ -75,12 +76,15 @@
     for kind, found in memory["usual"]:
         if (number := _kind_number(int(kind), memory.get("kinds", []), names.kinds)) is not None:
             _restore_average(brain.usual_free[number], found, now)
-    brain.max_free = max(brain.max_free, _checked(memory["most"], 1000.0))
+    brain.largest_free.value = max(brain.largest_free.least, _checked(memory["most"], FREE_MOST))
     for name, found in memory["workers"].items():
         worker = brain.workers.get(name.encode())
         if worker is None:
             continue
         worker.slots, worker.failures = _checked(found["size"], 1e6), int(_checked(found["strikes"], 99.0))
+        # Older predecessors tell no free slots.
+        if (free := _checked(found.get("free", worker.slots), 1e6)) > 0.0:
+            brain.largest_free.report(worker.id, free)
         worker.shunned_until = now + _checked(found["shunned"], MAX_SHUN_TIME)
         worker.slowdown_total, worker.slowdown_count = (_decode_count(part, now) for part in found["pace"])
         worker.slow_start.tokens = _checked(found["credit"], 9.0)
--- a/oxbowarch/records.py
+++ b/oxbowarch/records.py
@@ -8,12 +8,13 @@
 from math import ceil, exp, inf
 from zlib import crc32
 
-from oxbowarch.interface import Entry, Request, Settings
+from oxbowarch.interface import Entry, Request, Settings, State, WorkerId
 from oxbowarch.slow_start import SlowStartBudget
 
 
 SENDS_KEPT = 64  # times of the latest attempts at one worker
 REJECTION_KEYS_KEPT = 256  # classes and tenants with a rejection count at one worker
+FREE_MOST = 1000.0  # slots; what a report says beyond it is not believed
 
 
 class DecayedCount:
@@ -96,6 +97,37 @@
         return self[number]
 
 
+class LargestFree:
+    """The most free slots that a listed worker has reported, for workers of which nothing is known."""
+
+    __slots__ = ("least", "value", "by_worker")
+
+    def __init__(self, least: float) -> None:
+        self.least = self.value = least
+        self.by_worker: dict[WorkerId, float] = {}  # of the listed workers that have reported
+
+    def report(self, worker: WorkerId, free: float) -> None:
+        """Record the free slots that a worker reports."""
+        free = min(free, FREE_MOST)
+        before = self.by_worker.get(worker)
+        self.by_worker[worker] = free if before is None else max(before, free)
+        if before is None:
+            self._derive()
+        else:
+            self.value = max(self.value, free)
+
+    def keep(self, workers: Iterable[Worker]) -> None:
+        """Forget workers that are no longer listed; where none is left, the value stays until a report."""
+        listed = {worker.id for worker in workers if worker.entry.state is not State.GONE}
+        if not self.by_worker.keys() <= listed:
+            self.by_worker = {worker: free for worker, free in self.by_worker.items() if worker in listed}
+            if self.by_worker:
+                self._derive()
+
+    def _derive(self) -> None:
+        self.value = max(self.least, *self.by_worker.values())
+
+
 class Worker:
     """The state that this dispatcher has of one worker."""
 
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -166,7 +166,7 @@
 
 def test_draw_follows_reported_free_slots_plus_one() -> None:
     brain, seen = make(count=3), Counter()
-    brain.max_free = 7.0
+    brain.largest_free.value = 7.0
     for n in range(6000):
         for worker, free in zip(brain.workers.values(), (7.0, 3.0, 1.0), strict=True):
             worker.reported_free, worker.report_until, worker.outstanding = free, math.inf, 0
@@ -647,7 +647,7 @@
 
 def test_own_attempts_out_weigh_as_much_as_reported_room() -> None:
     brain, seen = make(count=2), Counter()
-    brain.max_free = 2.0
+    brain.largest_free.value = 2.0
     for n in range(3000):
         for worker, out in zip(brain.workers.values(), (0, 3), strict=True):
             worker.reported_free, worker.report_until, worker.outstanding, worker.lagged_outstanding = (
--- a/tests/test_new_settings.py
+++ b/tests/test_new_settings.py
@@ -8,7 +8,20 @@
 import pytest
 
 from oxbowarch.brain import Brain
-from oxbowarch.interface import Effect, Entry, Fail, JobClass, ListKind, Refuse, Request, Settings, State, Status
+from oxbowarch.handover import Names, export_state, restore_state
+from oxbowarch.interface import (
+    Effect,
+    Entry,
+    Fail,
+    JobClass,
+    ListKind,
+    Refuse,
+    Report,
+    Request,
+    Settings,
+    State,
+    Status,
+)
 from tests.test_brain import SAFE, UNSAFE, ended, fleet, make, name, press, sent, serve_late
 
 RETIRED = frozenset((1,))
@@ -101,3 +114,73 @@
     brain.on_settings(replace(brain.settings, full_never_ran=after), 0.1)
     actions = brain.on_outcome(ended(send, Status.FULL), 0.2)
     assert not sent(actions) and any(isinstance(action, Fail) for action in actions)
+
+
+BIG, SMALL, NEW = name(0), name(1), name(2)
+
+
+def listed(*hosts: bytes) -> tuple[Entry, ...]:
+    return tuple(Entry(host, State.READY) for host in hosts)
+
+
+def with_reports(*reports: tuple[bytes, float]) -> Brain:
+    """One of two dispatchers that share notes, after these hosts told of free slots."""
+    brain = make(count=0, balancers=2, shares_notes=True)
+    brain.on_list(ListKind.FULL, listed(*dict(reports)), 0.0)
+    for host, free in reports:
+        brain.on_report(host, Report(free), 0.1)
+    return brain
+
+
+def jobs_sent_to_a_host_that_has_told_nothing(*hosts: bytes, list_kind: ListKind = ListKind.FULL) -> int:
+    """How many of forty jobs at once go to NEW, once BIG, if it was one of these hosts, is gone."""
+    brain = with_reports(*((host, 60.0 if host == BIG else 3.0) for host in hosts))
+    gone = tuple(Entry(host, State.GONE) for host in hosts if host == BIG)
+    rest = listed(*(host for host in hosts if host != BIG), NEW)
+    brain.on_list(list_kind, rest + (gone if list_kind is ListKind.CHANGES else ()), 1.0)
+    actions = [action for n in range(40) for action in brain.on_request(Request(n, 0, 5.0), 100.0)]
+    return sum(send.worker == NEW for send in sent(actions))
+
+
+@pytest.mark.parametrize("list_kind", [ListKind.FULL, ListKind.CHANGES])
+def test_a_host_that_has_told_nothing_is_not_judged_by_a_larger_one_that_is_gone(list_kind: ListKind) -> None:
+    """The most that any host ever had free stayed for good, and a small new host was sent as much."""
+    never_there = jobs_sent_to_a_host_that_has_told_nothing(SMALL, list_kind=list_kind)
+    assert jobs_sent_to_a_host_that_has_told_nothing(BIG, SMALL, list_kind=list_kind) == never_there
+
+
+def test_hosts_that_replace_all_others_are_judged_by_those_until_one_has_told() -> None:
+    """Nothing is known of any: one that is judged by a start's guess would queue all jobs for a moment."""
+    assert jobs_sent_to_a_host_that_has_told_nothing(BIG) == 40
+    brain = with_reports((BIG, 60.0))
+    brain.on_list(ListKind.FULL, (), 1.0)
+    assert brain.largest_free.value == 60.0
+    brain.on_list(ListKind.FULL, listed(SMALL, NEW), 2.0)
+    brain.on_report(SMALL, Report(3.0), 3.0)
+    assert brain.largest_free.value == 3.0
+
+
+def test_a_report_counts_for_all_hosts_as_long_as_its_host_is_listed() -> None:
+    """The other way round: less free now, a ban or the end of another host forget nothing."""
+    brain = with_reports((BIG, 60.0), (SMALL, 3.0), (BIG, 1.0))
+    brain.on_ban(BIG, True, 1.0)
+    brain.on_list(ListKind.CHANGES, (Entry(SMALL, State.GONE),), 1.0)
+    assert brain.largest_free.value == 60.0
+
+
+@pytest.mark.parametrize("tells_free", [True, False])
+def test_a_successor_whose_settings_name_no_large_host_does_not_judge_others_by_it(tells_free: bool) -> None:
+    """It took over the most that any host had free, whoever that was; older predecessors tell no host's own."""
+    names = Names(("job",), {}, {})
+    memory = export_state(with_reports((BIG, 60.0), (SMALL, 3.0)), names, 1.0)
+    for told in memory["workers"].values():
+        if not tells_free:
+            del told["free"]
+    successor = make(count=0, balancers=2, shares_notes=True)
+    successor.on_list(ListKind.CACHED, listed(SMALL, NEW), 1.0)
+    restore_state(successor, memory, names, 1.0)
+    assert successor.largest_free.value == 3.0
+    alone = make(count=0, balancers=2, shares_notes=True)
+    alone.on_list(ListKind.CACHED, listed(NEW), 1.0)
+    restore_state(alone, memory, names, 1.0)
+    assert alone.largest_free.value == 60.0
