A change of the register that its earlier round has made is not refused, nor made again

Cause: a proposer whose round ends with `again` or `lost` after it sent its value may have had it accepted by a voter, and a later round, its own or that of an instance that confirms the value, completes it. The next round applied the change anew to a value that had it already: a return, a start or an end of a release was refused because of itself, and limits were set a second time over those that another operator had set in between. Versions of the configuration had a guard of their own (`find_existing_change`).

Change: `RetriedChange` remembers what the rounds of one call proposed, by the entry in the history, and leaves a value that has such an entry as it is; the answer is then `done`.

--- a/thistleshore/releases/carrier.py
+++ b/thistleshore/releases/carrier.py
@@ -48,6 +48,7 @@
     Unable,
     merge_write_counts,
 )
+from thistleshore.releases.retried import RetriedChange
 from thistleshore.releases.store import BodyStore
 from thistleshore.releases.voter import Voter
 
@@ -204,8 +205,9 @@
         reason, wait = "no voter answered", RETRY_PAUSES[0]
         voters = self.known.voters if self.known is not None else tuple(self.plan.voters)
         deadline = trio.current_time() + timeout
+        once = RetriedChange(change)
         while trio.current_time() < deadline:
-            outcome = await self._round(voters, change)
+            outcome = await self._round(voters, once)
             if outcome.what == "done":
                 assert outcome.value is not None
                 self._update_value(outcome.value, True)
