Rig: a refused connection no longer takes the caller of another from the table

Seen: tests/test_releases.py a_minority_changes_nothing_... ended with a KeyError in the relay in 1 of 15 plays, five side by side beside six busy processes, all processes killed.

A connection that is refused gives its port back at once; another may connect from it and end before the first deletes the entry of that port.

Change: entries stay until another connection has the port, and are set before that one can be accepted, so nothing needs to delete them. The table is no larger than the number of ports.

--- a/thistleshore/rig/relay.py
+++ b/thistleshore/rig/relay.py
@@ -106,7 +106,8 @@
     def __init__(self, seed: int) -> None:
         self.random = randoms.Random(seed)
         self._links: dict[tuple[str, str], Link] = {}
-        self.callers: dict[int, str] = {}  # who is behind a relay's connection, by its local port
+        # Who is behind a relay's connection, by its local port, until another connection has that port.
+        self.callers: dict[int, str] = {}
 
     def between(self, sender: str, receiver: str) -> Link:
         return self._links.setdefault((sender, receiver), Link())
@@ -170,7 +171,6 @@
         except OSError:
             _reset(near)
             return
-        port = far.socket.getsockname()[1]
         try:
             async with trio.open_nursery() as nursery:
 
@@ -204,7 +204,6 @@
                     pumps.start_soon(pump, back, far, near)
                 nursery.cancel_scope.cancel()
         finally:
-            links.callers.pop(port, None)
             near.socket.close()
             far.socket.close()
 
@@ -216,8 +215,8 @@
     connecting = sockets.socket()
     connecting.setblocking(False)
     status = connecting.connect_ex(target)
-    port = connecting.getsockname()[1]
-    links.callers[port] = sender  # without a checkpoint since the connect, so that no task has accepted it yet
+    # No checkpoint since the connect, so that no task has accepted it yet.
+    links.callers[connecting.getsockname()[1]] = sender
     try:
         if status == errno.EINPROGRESS:
             await trio.lowlevel.wait_writable(connecting)
@@ -225,7 +224,6 @@
         if status:
             raise OSError(status, os.strerror(status))
     except BaseException:
-        del links.callers[port]
         connecting.close()
         raise
     return trio.SocketStream(trio.socket.from_stdlib_socket(connecting))
