--- a/review/standins2.py
+++ b/review/standins2.py
@@ -534,8 +534,16 @@
 def play(folder: Path, scenario: Callable[[Case], Awaitable[None]], within: float = 110.0) -> int:
     """Run a scenario; the exit status of its script."""
     case = Case(folder)
+
+    async def run() -> None:
+        try:
+            await asyncio.wait_for(scenario(case), within)
+        finally:
+            case.close()
+            await asyncio.sleep(0.1)  # connections of processes that have ended are taken down
+
     try:
-        asyncio.run(asyncio.wait_for(scenario(case), within))
+        asyncio.run(run())
         status = BROKEN if case.broken else HELD
     except (TimeoutError, CannotRun, OSError) as problem:
         case.record.say(f"the case could not run: {type(problem).__name__}: {problem}")
