Review case 6: workers in bays of the site's size, and more moments for the hold-up

The case shows what it showed with all workers in one bay: the second attempt of a ticket-issue is written 1.08 s after the first where the window is 1 s, and the effect is applied twice.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -9,26 +9,27 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from standins2 import SLACK, Arrival, Case, Client, Discovery, Worker, lane, now, play, settings
+from standins2 import SLACK, Arrival, Case, Client, Discovery, Worker, lane, now, play, reset, settings
 
 WINDOW, GIVE_UP = 1.0, 5.0  # s
 RUN_TIME = 1.2  # s that a job runs
-WORKERS, SLOTS, JOBS, RESETS = 14, 3, 12, 6
+WORKERS, BAY, SLOTS, JOBS, RESETS = 20, 10, 3, 16, 8  # workers, those of one bay, and what one of them runs
 BEFORE_END = 0.065  # s before the end of the window at which the connections break
 HOLD = 0.14  # s for which the dispatcher is held up; the pages say up to 0.15
+HOLD_AFTER = (0.001, 0.0005, 0.002, 0.0015, 0.003, 0.004, 0.006, 0.008)  # s after the resets, by round
 ROUNDS = 24
 
 
 async def scenario(case: Case) -> None:
     record = case.record
-    applied: dict[str, float] = {}  # by key: when the bay has first taken it
+    applied: dict[tuple[int, str], float] = {}  # by bay and key: when the bay has first taken it
     effects: dict[str, list[tuple[str, float]]] = {}  # by key: where its effect was applied, and when
 
     async def serve(worker: Worker, arrival: Arrival) -> None:
         """One bay: within the window a repeat is dropped, and answered as the first was."""
-        first = applied.get(arrival.key)
+        first = applied.get((worker.cell, arrival.key))
         if first is None or arrival.at - first > WINDOW + SLACK:
-            applied[arrival.key] = arrival.at
+            applied[worker.cell, arrival.key] = arrival.at
             effects.setdefault(arrival.key, []).append((worker.name, arrival.at))
             arrival.applied = True
             record.say(f"worker {worker.name} runs {arrival.name} (key {arrival.key})")
@@ -36,7 +37,7 @@
         await asyncio.sleep(RUN_TIME if arrival.applied else 0.05)
         await worker.done(arrival, f"ticket of {arrival.key}")
 
-    workers = [Worker(record, f"s-{n:02}", serve, cell=1, slots=SLOTS) for n in range(WORKERS)]
+    workers = [Worker(record, f"s-{n:02}", serve, cell=1 + n // BAY, slots=SLOTS) for n in range(WORKERS)]
     for worker in workers:
         await worker.start()
     discovery = Discovery(record, workers)
@@ -60,7 +61,7 @@
             sent_at = out[len(out) // 2].at
         await asyncio.sleep(max(0.0, sent_at + WINDOW - BEFORE_END - now()))
         if case.trouble:
-            await trouble(case, workers, out, 0.001 * (1 + number % 8))
+            await trouble(case, out, HOLD_AFTER[number % len(HOLD_AFTER)])
         for answer in await asyncio.gather(*asked):
             if answer.status == 0:
                 case.violation(f"lost: {answer.name} has no answer")
@@ -70,10 +71,8 @@
         await asyncio.sleep(0.4)
 
 
-async def trouble(case: Case, workers: list[Worker], out: list[Arrival], after: float) -> None:
+async def trouble(case: Case, out: list[Arrival], after: float) -> None:
     """Connections are reset under requests that have begun; a moment later the dispatcher is held up."""
-    from standins2 import reset
-
     at = now()
     for arrival in out:
         reset(arrival.writer)
