A keyed repeat is not written after the end of its window

Cause: the module asked for the window when it decided, with 15 ms to spare, and nobody asked again before the write. A connect, the wait for a slot or a write that blocks lies between the two as well.

Change: Send carries the time after which nothing may be written, the window's end less the longest hold-up of 0.15 s. The module decides by it, both fronts ask again in the step of the first byte (UpstreamRequest.may_begin, which also holds the looks at the host, the client and the deadline that stood in both), and a write that blocks is given up there before its last byte.

test_rules: the keeper of books wants the window less the hold-up now, which is stricter; the held job of 0.1 s gets a window of 0.1 s beside the hold-up, with its bound as before.

--- a/oxbowarch/brain.py
+++ b/oxbowarch/brain.py
@@ -19,7 +19,7 @@
 from oxbowarch.records import Attempt, DecayedCount, Homes, Job, Jobs, KeyRing, MovingAverage, MovingAverages
 from oxbowarch.records import LargestFree, RateTable, Window, Worker
 from oxbowarch.refusal import reason_of
-from oxbowarch.repeats import is_late_repeat
+from oxbowarch.repeats import is_late_repeat, repeat_until
 from oxbowarch.shunning import MAX_FAILURES, after_failure, after_rejections
 from oxbowarch.slow_start import capacity, sender_rate, warmth
 
@@ -247,6 +247,7 @@
 
     def _send(self, job: Job, worker: Worker, now: float) -> None:
         self.queued.pop(job.id, None)
+        not_after = repeat_until(job, self.reply_margin)
         if job.attempts:
             self.retries.add(now)
             job.request.retry_budget.pay(now)
@@ -255,7 +256,7 @@
         worker.change_outstanding(1, REPORT_FADE, now)
         worker.slow_start.pay()
         worker.send_times.append(now)
-        self.actions.append(Send(job.id, worker.id))
+        self.actions.append(Send(job.id, worker.id, not_after=not_after))
         self._notify(worker, now)
         if self.settings.hedging and self.settings.tells_start and len(job.attempts) == 1:
             self.actions.append(Timer(now + COPY_STEP, job.id * 4 + DEADLINE))
@@ -298,10 +299,7 @@
         unpaid = bool(job.attempts) and job.request.retry_budget.left(now) < 1.0
         if over or unpaid or job.outstanding and not self.settings.hedging:
             return False
-        ran, rule = job.ran_first(), job.policy
-        if ran is None or rule.effect is Effect.SAFE:
-            return True
-        return rule.effect is Effect.KEYED and now - ran.sent_at <= rule.repeat_window - self.reply_margin
+        return now <= repeat_until(job, self.reply_margin)
 
     def _within_budget(self, now: float) -> bool:
         """Return whether the retry budget allows one more retry; retries must not multiply an overload."""
--- a/oxbowarch/interface.py
+++ b/oxbowarch/interface.py
@@ -263,11 +263,16 @@
 
 
 class Send(NamedTuple):
-    """Start an attempt; a timeout of 0 means until the client gives up."""
+    """Start an attempt; a timeout of 0 means until the client gives up.
+
+    The clock has to be read once more right before the write: after `not_after` nothing may be written, and the
+    attempt ends as NOT_SENT.  It allows for a hold-up between that look and the write.
+    """
 
     id: int
     worker: WorkerId
     timeout: float = 0.0
+    not_after: float = inf  # clock time; finite where the window of a keyed request bounds its repeats
 
 
 class Refuse(NamedTuple):
--- a/oxbowarch/repeats.py
+++ b/oxbowarch/repeats.py
@@ -1,10 +1,29 @@
-"""Repeats of a request by its client."""
+"""Repeats of a request: by its client, and by further attempts of the dispatcher."""
 
 from __future__ import annotations
 
-from oxbowarch.interface import JobClass, Request
+from math import inf
+
+from oxbowarch.interface import Effect, JobClass, Request
+from oxbowarch.records import Job
+
+HOLD_UP = 0.15  # seconds for which a dispatcher may be held up between reading its clock and writing
 
 
 def is_late_repeat(rule: JobClass, request: Request) -> bool:
     """Return whether this repeats a job past its aim; it would take slots from jobs still in time."""
     return request.repeat and rule.give_up - request.budget > rule.aim
+
+
+def repeat_until(job: Job, margin: float = 0.0) -> float:
+    """Return the clock time after which no further attempt of the job may begin.
+
+    It is inf where the effect may be repeated at any time or nothing can have run, and -inf where it must not be
+    repeated.  The window of a keyed job ends early by `margin` seconds, and at least by the longest hold-up.
+    """
+    ran, rule = job.ran_first(), job.policy
+    if ran is None or rule.effect is Effect.SAFE:
+        return inf
+    if rule.effect is not Effect.KEYED:
+        return -inf
+    return ran.sent_at + rule.repeat_window - max(HOLD_UP, margin)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -26,6 +26,7 @@
 )
 BUDGET = AttemptBudget(free=1.0, share=0.3, span=1.0)
 TICK = 0.005
+HOLD_UP = 0.15  # s, the longest that a dispatcher may be held up between a look at its clock and a write
 
 
 def name(n: int) -> bytes:
@@ -97,7 +98,8 @@
             raise AssertionError("an unsafe job sent again though it may have run")
         if before and rule.effect is Effect.KEYED:
             first = before[0]["entry"]
-            assert self.now - before[0]["at"] <= rule.repeat_window
+            closes = before[0]["at"] + rule.repeat_window - HOLD_UP
+            assert self.now <= closes + 1e-9 and action.not_after <= closes + 1e-9
             if rule.group is not Group.ALL:
                 assert target.zone == first.zone
             if rule.group is Group.CELL:
@@ -246,7 +248,7 @@
 
 
 def test_a_held_job_is_answered_once_its_window_has_passed() -> None:
-    keyed = JobClass(Effect.KEYED, Group.ZONE, repeat_window=0.1, aim=2.0)
+    keyed = JobClass(Effect.KEYED, Group.ZONE, repeat_window=0.1 + HOLD_UP, aim=2.0)
     brain = Brain(Settings(balancers=1, zone=0, classes=(keyed,), full_never_ran=False), 1, 0.0)
     brain.on_list(ListKind.CACHED, (place(0),), 0.0)
     (send,) = [a for a in brain.on_request(Request(1, 0, 5.0), 0.0) if isinstance(a, Send)]
--- a/thistleshore/beanstalkd/upstream.py
+++ b/thistleshore/beanstalkd/upstream.py
@@ -157,17 +157,17 @@
         try:
             # The wait for a slot took time: a host that drains by now gets nothing new, and a job that its client has
             # deleted goes to nobody.
-            if not request.host.ready or not request.stream.wanted:
+            if not request.may_begin():
                 slot.taken = False
                 crew.slots.appendleft(slot)
                 return UpstreamOutcome(Status.NOT_SENT)
             try:
-                await session.send(with_body(job.body, b"RESERVED", job.id))
+                with trio.CancelScope(deadline=request.send_by) as writing:
+                    await _write(session, with_body(job.body, b"RESERVED", job.id))
             except BROKEN:
                 return UpstreamOutcome(Status.CONNECT_FAILED)  # broken before its last byte was written
-            except trio.Cancelled:
-                session.abort()  # half a reply is on the wire: nothing sound can follow it
-                raise
+            if writing.cancelled_caught:
+                return UpstreamOutcome(Status.CONNECT_FAILED)  # given up before its last byte was written
             request.mark_written()
             slot.woken.set()
             slot.written.set()
@@ -184,3 +184,12 @@
                 slot.written.set()
             if session.reservations.get(job.id) is reservation:
                 del session.reservations[job.id]
+
+
+async def _write(session: Session, data: bytes) -> None:
+    """Write a whole reply to a host; one that is cut short ends the connection."""
+    try:
+        await session.send(data)
+    except trio.Cancelled:
+        session.abort()  # half a reply is on the wire: nothing sound can follow it
+        raise
--- a/thistleshore/core/broker.py
+++ b/thistleshore/core/broker.py
@@ -388,7 +388,7 @@
         deadline = stream.deadline - ANSWER_LEAD
         if action.timeout:
             deadline = min(deadline, now + action.timeout)
-        request = model.UpstreamRequest(stream, len(self._attempts[stream.id]), host, deadline)
+        request = model.UpstreamRequest(stream, len(self._attempts[stream.id]), host, deadline, action.not_after)
         self._attempts[stream.id].append(request)
         self.host_log.on_attempt_started(host.id, now)
         self._attempts_in_flight[stream.id] += 1
--- a/thistleshore/core/model.py
+++ b/thistleshore/core/model.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from math import inf
 from typing import NamedTuple, Protocol
 
 import trio
@@ -103,11 +104,21 @@
     number: int
     host: UpstreamHost
     deadline: float
+    send_by: float = inf  # trio clock; its last byte is written by then or never
     started: float = 0.0  # when it began to run, if its host reports that; 0: unknown
     sent: bool = False  # set by the front once the last byte of the request is written
     cancelled: bool = False
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
+    def may_begin(self) -> bool:
+        """Whether it may still be written.  To be asked in the step that writes the first byte.
+
+        Since it was decided on, its host may have begun to drain, its downstream may have gone and its time may have
+        ended: connecting takes time, and so does a hold-up of the whole process.
+        """
+        in_time = trio.current_time() < min(self.deadline, self.send_by)
+        return in_time and self.host.ready and self.stream.wanted
+
     def mark_written(self) -> None:
         """Record that the last byte is written: from now on the job may run."""
         self.sent = True
--- a/thistleshore/platform/messages.py
+++ b/thistleshore/platform/messages.py
@@ -60,8 +60,12 @@
             self.head += data
         self.http.receive_data(data)
 
+    def encode(self, *events: h11.Event) -> bytes:
+        """The bytes of these events, which count as sent from now on."""
+        return b"".join(self.http.send(event) or b"" for event in events)
+
     async def send(self, *events: h11.Event) -> None:
-        await self.socket.send_all(b"".join(self.http.send(event) or b"" for event in events))
+        await self.socket.send_all(self.encode(*events))
 
     @property
     def answerable(self) -> bool:
--- a/thistleshore/platform/upstream.py
+++ b/thistleshore/platform/upstream.py
@@ -130,14 +130,17 @@
             return UpstreamOutcome(Status.CONNECT_FAILED)
         done, rest = False, 0.0
         try:
-            # Connecting took time, and the list may have changed: a host that drains gets nothing new.  Nor does any
-            # for a downstream that has gone: no wait stands between this look and the first byte.
-            if not host.ready or host.generation != generation or not request.stream.wanted:
+            data = peer.encode(*_request(request))
+            # No wait stands between this look and the first byte.
+            if host.generation != generation or not request.may_begin():
                 return UpstreamOutcome(Status.NOT_SENT)
             try:
-                await peer.send(*_request(request))
+                with trio.CancelScope(deadline=request.send_by) as writing:
+                    await peer.socket.send_all(data)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 return UpstreamOutcome(Status.CONNECT_FAILED)  # broken before its last byte was written
+            if writing.cancelled_caught:
+                return UpstreamOutcome(Status.CONNECT_FAILED)  # given up before its last byte was written
             request.mark_written()
             outcome, done, named = await self._answer(peer, request, events)
             rest = 0.0 if named else QUIET
