A request that is half read late in a drain is refused before SIGKILL

Cause: a drain ended idle connections and bounded its answers, but a request that had begun to come was read for 2 s whatever the drain had come to.

Change: the gate keeps the clock of requests that are being read, for both fronts. In a drain it ends 0.25 s after kept connections are served no more: 503 (beanstalkd: DRAINING), our side is ended, and what still comes is discarded, so that the answer is not lost to a reset. Lingering moves from the HTTP front to the gate, as both use it now.

The three new tests of tests/test_gate.py fail without the change: 408 about 1.3 s after SIGKILL, BAD_FORMAT.

--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -146,6 +146,54 @@
     assert 3.4 < play(at.run, scenario) < gate.SERVE_FOR + gate.ANSWER_MORE and at.runs[b"x"]
 
 
+@pytest.mark.parametrize("longest", [1.0, 9.0])
+def test_a_request_that_is_half_read_late_in_a_drain_is_refused_before_sigkill(longest: float) -> None:
+    # review/9: it was read on past the last answer, and whole but unanswered at SIGKILL
+    async def scenario(at: Http) -> tuple[float, bytes, bytes]:
+        kept = Lines(await trio.open_tcp_stream("127.0.0.1", at.port))
+        await kept.stream.send_all(b"GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n")
+        await kept.exactly(int((await kept.head())[1][b"content-length"]))
+        at.drain.set()
+        begun = trio.current_time()
+        await trio.sleep(served - 0.1)
+        await kept.stream.send_all(
+            b"POST /seat-search HTTP/1.1\r\nHost: s\r\nX-Txn: 1\r\nContent-Length: 9\r\n\r\nhalf"
+        )
+        first, headers = await kept.head()
+        took = trio.current_time() - begun
+        await kept.stream.send_all(b"rest.")  # its client need not have seen the answer yet
+        return took, first, headers[b"connection"]
+
+    at, served = Platform(), min(gate.SERVE_FOR, longest)
+    for lane in at.lanes:
+        lane["giveUp"] = longest
+    took, first, connection = play(at.run, scenario)
+    assert b" 503 " in first and connection == b"close" and served < took < served + gate.ANSWER_MORE - 0.15
+
+
+def test_a_put_that_is_half_read_late_in_a_drain_is_told_of_it_before_sigkill() -> None:
+    # review/9 at the other front
+    async def scenario(at: Beanstalkd) -> tuple[float, bytes]:
+        held, half = await at.connect(), await at.connect()
+        await at.say(held, b"use seat-search", b"put 0 0 60 1\r\nx")  # a job that hangs holds the drain up
+        await at.say(half, b"use seat-search")
+        at.drain.set()
+        begun = trio.current_time()
+        await trio.sleep(2.9)
+        await half.stream.send_all(b"put 0 0 60 10\r\nhalf")
+        return trio.current_time() - begun, await read_all(half.stream)
+
+    class Late(Beanstalkd):
+        def file(self) -> dict[str, Any]:
+            found = super().file()
+            found["contract"] = [{**contract, "deadline": 6.0} for contract in found["contract"]]
+            return found
+
+    at = Late(["hang"])
+    took, said = play(at.run, scenario)
+    assert said == b"DRAINING\r\n" and took < gate.SERVE_FOR + gate.ANSWER_MORE - 0.15
+
+
 def test_a_drain_keeps_connections_free_for_answers() -> None:
     """Who finds all connections busy, and may open none, takes the dispatcher for dead."""
 
--- a/thistleshore/beanstalkd/downstream.py
+++ b/thistleshore/beanstalkd/downstream.py
@@ -21,7 +21,7 @@
 from thistleshore.beanstalkd.upstream import Hosts, Reservation, Slot, TubeJob
 from thistleshore.core.model import Event, FinalAnswer, LocalReply, Served, Stream, StreamOpened
 from thistleshore.core.model import StreamWithdrawn
-from thistleshore.gate import BROKEN, READ_WITHIN, Gate, peer_address
+from thistleshore.gate import BROKEN, Gate, peer_address
 from thistleshore.routing import RouteDecision
 
 log = logging.getLogger("thistleshore")
@@ -34,7 +34,7 @@
 WATCHED_MOST = 1024  # tubes that one connection may watch
 WRITE_WITHIN = 5.0  # s for a connection to take a reply
 SOON = 1.0  # s before a reservation lapses in which its holder is told DEADLINE_SOON
-NOT_FOUND, DELETED = b"NOT_FOUND\r\n", b"DELETED\r\n"
+NOT_FOUND, DELETED, DRAINING = b"NOT_FOUND\r\n", b"DELETED\r\n", b"DRAINING\r\n"
 
 
 @dataclass(slots=True, eq=False)
@@ -204,13 +204,15 @@
 
     async def _listen(self, arrived: float | None, begun: float | None) -> None:
         """Wait for more; silence between commands is usual here, half a command is not."""
-        room = nullcontext() if arrived is None else self.tubes.gate.waiting(self.socket, arrived)
-        with trio.move_on_at(inf if begun is None else begun + READ_WITHIN) as reading, room:
+        gate = self.tubes.gate
+        room = nullcontext() if arrived is None else gate.waiting(self.socket, arrived)
+        with trio.CancelScope() if begun is None else gate.reading(begun) as reading, room:
             await self._receive()
             return
-        self.over = True  # a newcomer that gives way, or a command without an end, which would hold a socket for good
+        self.over = True  # a newcomer that gives way, or a command without an end
         if reading.cancelled_caught:
-            await self.send(b"BAD_FORMAT\r\n")
+            await self.send(DRAINING if gate.reads_are_over else b"BAD_FORMAT\r\n")
+            await gate.linger(self.socket)
 
     async def _receive(self) -> None:
         data = await self.socket.receive_some(RECEIVE)
@@ -269,7 +271,7 @@
         if routed is None:
             return b"BAD_FORMAT\r\n"  # neither what no rule fits nor a delay is carried out
         if self.tubes.draining:
-            return b"DRAINING\r\n"
+            return DRAINING
         if len(self.tubes.open) >= self.tubes.streams_most:
             return b"OUT_OF_MEMORY\r\n"  # jobs without bound would fill the memory
         return line(b"INSERTED", await self.tubes.take(self.used, ttr, body, routed))
--- a/thistleshore/gate.py
+++ b/thistleshore/gate.py
@@ -4,8 +4,8 @@
 
 import logging
 import socket as stdlib
-from collections.abc import Awaitable, Callable
-from contextlib import AbstractContextManager
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import AbstractContextManager, contextmanager, suppress
 from math import inf
 
 import trio
@@ -18,9 +18,12 @@
 ACCEPT_FOR = 0.55  # s after SIGTERM in which connections still come
 # SIGKILL comes after the longest deadline, counted as 3 s where it is longer, and 0.7 s more.
 SERVE_FOR = 3.0  # s after SIGTERM, or that deadline, in which what comes by connections that were kept is still taken
-ANSWER_MORE = 0.5  # s after that in which it is answered
+READ_MORE = 0.25  # s after that in which a request that has begun to come is still read
+ANSWER_MORE = 0.5  # s after that time in which all is answered: a hold-up of the process may follow, then SIGKILL
 BACKLOG = 512
 NO_SOCKET_PAUSE = 0.05  # s before accepting is tried again
+LINGER = 1.0  # s in which what a downstream still sends is discarded, so that it gets to read its last answer
+DISCARD = bytearray(64 * 1024)  # what is discarded, of all connections; nobody reads it
 BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError)
 READ_WITHIN = 2.0  # s from a connection's start, or a later request's first byte, to a request's last byte
 KEPT_SPARE = 8  # connections that a drain should leave free, or a third: who finds none takes us for dead
@@ -48,6 +51,8 @@
         self.listening = False
         self.connections = 0
         self.answer_by = inf  # when the last answer must be out: SIGKILL follows
+        self._read_by = inf  # when requests that are half read are given up, so that none is whole and unanswered then
+        self._reads = set[trio.CancelScope]()  # reads of requests that have begun to come
         self.shared = False  # another process may listen beside this one
         self.inherited: stdlib.socket | None = None  # the socket that another process accepted from
         self.listener: trio.SocketListener | None = None  # while it is open
@@ -74,6 +79,9 @@
         serve_for = min(SERVE_FOR, self._longest_deadline)
         self._serving_kept.deadline = started_at + serve_for
         self.answer_by = self._serving_kept.deadline + ANSWER_MORE
+        self._read_by = self._serving_kept.deadline + READ_MORE
+        for read in self._reads:
+            read.deadline = min(read.deadline, self._read_by)
         log.info("drain: kept connections served for %.3g s, answers due %.3g s later", serve_for, ANSWER_MORE)
 
     @property
@@ -226,6 +234,31 @@
         """
         return self._waits.waiting(socket, arrived, idle)
 
-    def leaving(self, socket: trio.SocketStream) -> AbstractContextManager[trio.CancelScope]:
-        """A connection that has had its last answer: the first to give way."""
-        return self._waits.leaving(socket)
+    @contextmanager
+    def reading(self, since: float) -> Iterator[trio.CancelScope]:
+        """The time for a request that has begun to come, at `since` on trio's clock, to come whole.
+
+        A request that withholds its end would hold a socket for good.  In a drain the time ends early enough for an
+        answer: what has been written whole on an open connection has been taken, whether or not it was read.
+        """
+        with trio.CancelScope(deadline=min(since + READ_WITHIN, self._read_by)) as scope:
+            self._reads.add(scope)
+            try:
+                yield scope
+            finally:
+                self._reads.discard(scope)
+
+    @property
+    def reads_are_over(self) -> bool:
+        """Whether the drain has come so far that requests that are half read are refused."""
+        return trio.current_time() >= self._read_by
+
+    async def linger(self, socket: trio.SocketStream) -> None:
+        """End our side of a connection that has had its last answer, and discard for a while what still comes.
+
+        Closing over unread input would reset the connection and lose the answer.
+        """
+        with trio.move_on_after(LINGER), self._waits.leaving(socket), suppress(OSError):
+            await socket.send_eof()
+            while await socket.socket.recv_into(DISCARD):
+                pass
--- a/thistleshore/platform/downstream.py
+++ b/thistleshore/platform/downstream.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from contextlib import nullcontext, suppress
+from contextlib import nullcontext
 from math import inf
 
 import h11
@@ -18,8 +18,6 @@
 
 PAST_KEPT, PAST_MOST = 10.0, 2048  # s and number for which names of ended streams are known
 WRITE_WITHIN = 5.0  # s for a downstream to take an answer
-LINGER = 1.0  # s in which what a downstream still sends is discarded, so that it gets to read its last answer
-DISCARD = bytearray(64 * 1024)  # what is discarded, of all connections; nobody reads it
 
 
 class Downstream:
@@ -67,15 +65,16 @@
             return False
         request, body = None, b""
         try:
-            with trio.fail_at((arrived or trio.current_time()) + READ_WITHIN):
-                with nullcontext() if arrived is None else self.gate.waiting(peer.socket, arrived):
-                    request, body = await self._read(peer)
+            room = nullcontext() if arrived is None else self.gate.waiting(peer.socket, arrived)
+            with self.gate.reading(arrived or trio.current_time()) as reading, room:
+                request, body = await self._read(peer)
         except Rejected as problem:
             return await self._reply(peer, problem.status, problem.reason.encode(), close=True)
         except h11.RemoteProtocolError as problem:
             return await self._reply(peer, problem.error_status_hint, b"bad request", close=True)
-        except trio.TooSlowError:
-            # A downstream that never ends its request would hold a socket for good.
+        if reading.cancelled_caught and self.gate.reads_are_over:
+            return await self._reply(peer, 503, b"refused", close=True)
+        if reading.cancelled_caught:
             return await self._reply(peer, 408, b"the request took too long", close=True)
         if request is None:
             return False
@@ -217,12 +216,5 @@
             await peer.send(response, h11.Data(data=body), h11.EndOfMessage())
         last = close or not peer.reusable  # also where the downstream has asked for an end
         if last and not writing.cancelled_caught:
-            await self._linger(peer)
+            await self.gate.linger(peer.socket)
         return not (last or writing.cancelled_caught)
-
-    async def _linger(self, peer: Peer) -> None:
-        """End our side first: closing over unread input would reset the connection and lose the answer."""
-        with trio.move_on_after(LINGER), self.gate.leaving(peer.socket), suppress(OSError):
-            await peer.socket.send_eof()
-            while await peer.socket.socket.recv_into(DISCARD):
-                pass
