An id is known for its time, however many others follow, at both processes of an upgrade

Cause: the ids were kept for 10 s, but no more than 2,048 of them: another client's new ids pushed them out. In an upgrade the process before was not told of the ids that the new one opened, and told the new one of its own only each 20 ms.

Change: ids are kept by time alone, as digests: 10 s from the answer, and where a client left for as long as it may wait by its class. Where 100,000 are known a request is refused, and none is forgotten; a request that was refused and never ran is not kept. Both processes of an upgrade tell each other in the step in which a stream is opened, and look at what the other has said before they open one. The frame has all ids as digests besides the latest 2,048 names, which a process of an older version reads.

test_restart: a frame followed by more is now that frame and the rest; garbage in it is turned down as before.

--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -26,7 +26,8 @@
 from oxbowarch.interface import Effect, Entry, JobClass, ListKind, Request, Settings, State
 from tests.support import CUTS, GARBAGE, ROOT, free_port, steady
 from thistleshore.restart import frame
-from thistleshore.restart.handover_state import _pieces
+from thistleshore.restart.carrier import PIECE_MOST
+from thistleshore.platform.stream_names import pieces
 
 # -- the frame
 
@@ -38,7 +39,8 @@
     for cut in cuts:
         part = data[: min(cut, len(data) - 1)]
         assert frame.read_frame(part) is None
-    assert frame.read_frame(data) == {"banned": ["s-1"], "age": 2.5}
+    for behind in (b"", b"x", b'{"names":[]}\n'):  # review/7: what came behind it was taken for a wrong checksum
+        assert frame.read_frame(data + behind) == ({"banned": ["s-1"], "age": 2.5}, behind)
 
 
 @steady
@@ -52,7 +54,7 @@
             found = frame.read_frame(text)
         except frame.Spoilt:
             continue
-        assert found is None or found == {"age": 1} and text == frame.framed({"age": 1})
+        assert found is None or found.values == {"age": 1} and text == frame.framed({"age": 1}) + found.rest
 
 
 def test_another_version_and_a_flood_are_refused() -> None:
@@ -387,7 +389,7 @@
 
 
 def test_names_are_told_in_lines_that_are_short_enough() -> None:
-    assert [len(part) for part in _pieces(["x" * 100] * 40 + ["y" * 4000])] == [13, 13, 13, 1]
+    assert [len(part) for part in pieces(["x" * 100] * 40 + ["y" * 4000], PIECE_MOST)] == [13, 13, 13, 1]
 
 
 def test_sighup_takes_a_whole_file_or_keeps_the_old_one_whole(tmp_path: Path) -> None:
--- a/thistleshore/platform/downstream.py
+++ b/thistleshore/platform/downstream.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Sequence
 from contextlib import nullcontext
 from math import inf
+from typing import Protocol
 
 import h11
 import trio
@@ -13,33 +14,39 @@
 from thistleshore.core.model import StreamWithdrawn
 from thistleshore.gate import BROKEN, READ_WITHIN, Gate, peer_address
 from thistleshore.invariants import invariant
-from thistleshore.platform.messages import BODY_MOST, PASSED, RECEIVE, Ask, Peer, Rejected, Routes
-from thistleshore.platform.messages import check_framing, header, read_terms
+from thistleshore.platform.messages import PASSED, RECEIVE, Ask, Peer, Rejected, Routes, Terms, read_terms
+from thistleshore.platform.reading import WholeRequest, read_request
+from thistleshore.platform.stream_names import KEPT, StreamNames
 
-PAST_KEPT, PAST_MOST = 10.0, 2048  # s and number for which names of ended streams are known
 WRITE_WITHIN = 5.0  # s for a downstream to take an answer
+HEALTH_PATHS = (b"/-/ready", b"/-/healthy")
+
+
+class OtherProcesses(Protocol):
+    """The other processes of a hot restart, which serve the same clients."""
+
+    def tell_streams(self, names: Sequence[str], left: float) -> None:
+        """Tell them of streams that are opened here, which they know by name for `left` seconds."""
+        ...
+
+    def hear_streams(self) -> None:
+        """Take in what they have told of theirs by now."""
+        ...
 
 
 class Downstream:
+    """The platform's front of one dispatcher."""
+
     def __init__(self, routes: Routes, listed: trio.Event, inbox: trio.MemorySendChannel[Event], most: int) -> None:
         self.routes, self.listed, self.inbox, self.gate = routes, listed, inbox, Gate(most)
         self.told: Callable[[Stream, float], None] | None = None  # of each stream that is over, and when it began
-        self.opened: Callable[[str], None] | None = None  # once another process is to know of each
-        self.names: set[str] = set()  # streams that are open
-        self._past: dict[str, float] = {}  # streams that were, and when they ended, the longest ago first
+        self.others: OtherProcesses | None = None
+        self.names = StreamNames()
 
     @property
     def ready(self) -> bool:
         return self.gate.ready and self.listed.is_set()
 
-    def known_names(self) -> list[str]:
-        """Names of streams that are open, or were lately, for the process that takes over; the latest at most."""
-        return [*self._past, *self.names][-PAST_MOST:]
-
-    def know_names(self, names: Sequence[str]) -> None:
-        """These are taken, at the process before: one id, one stream."""
-        self._past.update(dict.fromkeys(names, trio.current_time()))
-
     async def run(
         self, address: tuple[str, int], task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
@@ -61,70 +68,83 @@
 
         `arrived` says since when a connection is here that has asked for nothing yet.
         """
-        if not await self._first_bytes(peer, arrived):
-            return False
-        request, body = None, b""
         try:
-            room = nullcontext() if arrived is None else self.gate.waiting(peer.socket, arrived)
-            with self.gate.reading(arrived or trio.current_time()) as reading, room:
-                request, body = await self._read(peer)
+            if not await self._first_bytes(peer, arrived):
+                return False
+            whole = await self._receive(peer, arrived)
+            if whole is None:
+                return False
+            if whole.head.method == b"GET" and whole.head.target in HEALTH_PATHS:
+                return await self._reply_health(peer, whole.head.target)
+            return await self._serve(peer, whole)
         except Rejected as problem:
             return await self._reply(peer, problem.status, problem.reason.encode(), close=True)
         except h11.RemoteProtocolError as problem:
             return await self._reply(peer, problem.error_status_hint, b"bad request", close=True)
+
+    async def _receive(self, peer: Peer, arrived: float | None) -> WholeRequest | None:
+        """Read a request that has begun to come; None where the downstream went away or gives way."""
+        room = nullcontext() if arrived is None else self.gate.waiting(peer.socket, arrived)
+        with self.gate.reading(arrived or trio.current_time()) as reading, room:
+            return await read_request(peer)
         if reading.cancelled_caught and self.gate.reads_are_over:
-            return await self._reply(peer, 503, b"refused", close=True)
+            raise Rejected(503, "refused")
         if reading.cancelled_caught:
-            return await self._reply(peer, 408, b"the request took too long", close=True)
-        if request is None:
-            return False
-        if request.method == b"GET" and request.target in (b"/-/ready", b"/-/healthy"):
-            fine = self.ready or request.target == b"/-/healthy"
-            return await self._reply(peer, 200 if fine else 503, b"ready" if fine else b"not ready")
-        try:
-            terms = read_terms(request, self.routes, len(body), peer.address)
-            if terms.name in self.names or self._was(terms.name):
-                # One id, one stream: two answers could cross, and what ran once would run again.
-                raise Rejected(409, "a request of this id is or was open")
-        except Rejected as problem:
-            return await self._reply(peer, problem.status, problem.reason.encode(), close=True)
-        passed = tuple((name, value) for name, value in request.headers if name in PASSED)
-        # What comes late in a drain is answered before SIGKILL can end it.
+            raise Rejected(408, "the request took too long")
+        return None
+
+    async def _reply_health(self, peer: Peer, target: bytes) -> bool:
+        fine = self.ready or target == b"/-/healthy"
+        return await self._reply(peer, 200 if fine else 503, b"ready" if fine else b"not ready")
+
+    async def _serve(self, peer: Peer, whole: WholeRequest) -> bool:
+        """Open the stream of a request, and give its answer."""
+        terms = read_terms(whole.head, self.routes, len(whole.body), peer.address)
         began = trio.current_time()
-        deadline = min(began + terms.remaining, self.gate.answer_by)
+        if self.others is not None:
+            self.others.hear_streams()
+        if self.names.knows(terms.name, began):
+            # One id, one stream: two answers could cross, and what ran once would run again.
+            raise Rejected(409, "a request of this id is or was open")
+        if self.names.full(began):
+            raise Rejected(503, "refused")
+        stream = self._open(whole, terms, began)
+        try:
+            answer = await self._await_answer(peer, stream)
+        finally:
+            self._end_name(stream)
+        goes_on = answer is not None and await self._answer(peer, answer)
+        if self.told is not None:
+            self.told(stream, began)
+        return goes_on
+
+    def _open(self, whole: WholeRequest, terms: Terms, began: float) -> Stream:
+        passed = tuple((name, value) for name, value in whole.head.headers if name in PASSED)
         stream = Stream(
             terms.name,
             terms.job_class,
-            deadline,
-            Ask(request.target, passed, body),
+            # What comes late in a drain is answered before SIGKILL can end it.
+            min(began + terms.remaining, self.gate.answer_by),
+            Ask(whole.head.target, passed, whole.body),
             terms.tenant,
             terms.key,
             terms.repeat,
             terms.member,
-            len(body),
+            len(whole.body),
             self.gate.spare,
         )
-        self.names.add(stream.name)
-        if self.opened is not None:
-            self.opened(stream.name)
-        try:
-            answer = await self._await_answer(peer, stream)
-        except Rejected as problem:
-            return await self._reply(peer, problem.status, problem.reason.encode(), close=True)
-        finally:
-            self.names.discard(stream.name)
-            self._past[stream.name] = trio.current_time()
-        goes_on = answer is not None and await self._answer(peer, answer)
-        if self.told is not None:
-            self.told(stream, began)
-        return goes_on
-
-    def _was(self, name: str) -> bool:
-        """Was a stream of that name open lately?  Every try of a client has a new one."""
-        before = trio.current_time() - PAST_KEPT
-        while self._past and (len(self._past) > PAST_MOST or next(iter(self._past.values())) < before):
-            del self._past[next(iter(self._past))]
-        return name in self._past
+        # A client waits no longer than its class has it, over all its tries.
+        waits = min(terms.remaining, self.routes.give_up[terms.job_class])
+        self.names.open(stream.name, began + waits)
+        if self.others is not None:
+            self.others.tell_streams([stream.name], waits + KEPT)
+        return stream
+
+    def _end_name(self, stream: Stream) -> None:
+        if isinstance(stream.answer, LocalReply) and not stream.forwards:
+            self.names.forget(stream.name)  # it never ran
+        else:
+            self.names.end(stream.name, trio.current_time(), answered=stream.answer is not None)
 
     async def _first_bytes(self, peer: Peer, arrived: float | None) -> bool:
         """Wait for a request to begin; False at the end of the connection."""
@@ -140,30 +160,6 @@
             peer.feed(data)
         return bool(data)
 
-    async def _read(self, peer: Peer) -> tuple[h11.Request | None, bytes]:
-        """A whole request; None where the downstream went away in its midst."""
-        request = await peer.event()
-        if not isinstance(request, h11.Request):
-            return None, b""
-        head, peer.head = peer.head, b""
-        check_framing(head)
-        if request.method == b"HEAD":
-            raise Rejected(405, "")  # any body behind its answer would break the connection's framing
-        length = header(request.headers, b"content-length")
-        if length is not None and int(length) > BODY_MOST:
-            raise Rejected(413, "a body holds 64 KiB at most")
-        if peer.http.they_are_waiting_for_100_continue:
-            await peer.send(h11.InformationalResponse(status_code=100, headers=[]))
-        body = bytearray()
-        while isinstance(event := await peer.event(), h11.Data):
-            body += event.data
-            if len(body) > BODY_MOST:  # a body in chunks says its length nowhere
-                raise Rejected(413, "a body holds 64 KiB at most")
-        if peer.http.trailing_data[0]:
-            # One request at a time: what follows stands inside a body whose length was said too short.
-            raise Rejected(400, "more has come than one request")
-        return request, bytes(body)
-
     async def _await_answer(self, peer: Peer, stream: Stream) -> FinalAnswer | None:
         """Hand the stream over and wait for its answer; None when the downstream has gone away."""
         # Readable while it waits: closed, reset, or bytes that have no business there.  Each ends the stream.
--- a/thistleshore/platform/messages.py
+++ b/thistleshore/platform/messages.py
@@ -52,10 +52,15 @@
     async def event(self) -> Any:
         """h11's next event; at the end of input ConnectionClosed or h11.RemoteProtocolError."""
         while (event := self.http.next_event()) is h11.NEED_DATA:
-            self.feed(await self.socket.receive_some(RECEIVE))
+            await self.receive()
         return event
 
+    async def receive(self) -> None:
+        """Wait for more bytes, or the end of input, and feed them to h11."""
+        self.feed(await self.socket.receive_some(RECEIVE))
+
     def feed(self, data: bytes) -> None:
+        """Hand received bytes to h11."""
         if self.http.our_role is h11.SERVER and self.http.their_state is h11.IDLE:
             self.head += data
         self.http.receive_data(data)
--- a/thistleshore/restart/carrier.py
+++ b/thistleshore/restart/carrier.py
@@ -7,7 +7,7 @@
 import os
 import socket
 import struct
-from collections.abc import AsyncIterator, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from contextlib import suppress
 from typing import Any, NamedTuple, Protocol
 
@@ -15,12 +15,14 @@
 
 from thistleshore.gate import NO_SOCKET_PAUSE
 from thistleshore.restart import frame
+from thistleshore.restart.link import RECEIVE, Link
+from thistleshore.platform.stream_names import pieces
 
 log = logging.getLogger("thistleshore")
 
 ASK_WITHIN = 1.5  # s for the whole hand-over: the newcomer has 6 s to be ready, and can start without it
-SAY_WITHIN = 0.5  # s for a line to be taken
-RECEIVE = 65536
+TELL_AFTER = 0.02  # s: a next process of an older version takes lines that come with the frame for a part of it
+PIECE_MOST = 3000  # bytes of names that one line tells
 FDS_MOST = 4
 PATH_MOST = 100  # bytes of a Unix socket's path
 CHILDREN_MOST = 4
@@ -34,26 +36,6 @@
     link: Link
 
 
-class Link:
-    """The line between two processes while both live."""
-
-    def __init__(self, sock: trio.socket.SocketType) -> None:
-        self.sock = sock
-
-    async def say(self, **values: Any) -> None:
-        """Say one line; whoever does not listen hears nothing."""
-        with trio.move_on_after(SAY_WITHIN), suppress(OSError, trio.ClosedResourceError):
-            await _send_all(self.sock, frame.said(**values))
-
-    async def heard(self) -> AsyncIterator[dict[str, Any]]:
-        """What the other says, until it is gone or says what is none."""
-        lines = frame.Lines()
-        with suppress(OSError, trio.ClosedResourceError, frame.Spoilt):
-            while data := await self.sock.recv(RECEIVE):
-                for values in lines.feed(data):
-                    yield values
-
-
 async def ask(path: str) -> Inherited | None:
     """Ask the process that serves; None, and a line in the log, where none does or its answer is no good."""
     if not os.path.exists(path):
@@ -67,19 +49,20 @@
             await sock.connect(_reachable(path))
             _check_owner(sock)
             await _send_all(sock, frame.GREETING)
-            data, values = b"", None
-            while values is None:
+            data, found = b"", None
+            while found is None:
                 part, more, _, _ = await sock.recvmsg(RECEIVE, socket.CMSG_LEN(FDS_MOST * 4))
                 passed += _descriptors(more)
                 if not part:
                     raise frame.Spoilt("it was cut off")
                 data += part
-                values = frame.read_frame(data)
+                found = frame.read_frame(data)
+        values = found.values
         names = values.get("sockets", [])
         if not isinstance(names, list) or len(names) != len(passed):
             raise frame.Spoilt("its sockets are not those it names")
         taken = {str(name): socket.socket(fileno=fd) for name, fd in zip(names, passed, strict=True)}
-        return Inherited(values, taken, Link(sock))
+        return Inherited(values, taken, Link(sock, found.rest))
     except (OSError, trio.TooSlowError, frame.Spoilt) as problem:
         log.warning("nothing inherited, starting cold: %s: %s", type(problem).__name__, problem)
         for fd in passed:
@@ -109,12 +92,8 @@
         """An operator has taken a host out at the other process, or called it back."""
         ...
 
-    async def tell_new_streams(self, link: Link) -> None:
-        """Tell the other process, until cancelled, of the streams that are opened here."""
-        ...
-
-    def on_stream_names(self, names: Any) -> None:
-        """The other process has told of streams that were opened there."""
+    def on_stream_names(self, values: Mapping[str, Any], source: Link) -> None:
+        """Another process has told of streams that were opened there."""
         ...
 
 
@@ -124,6 +103,7 @@
     def __init__(self, path: str, handler: HandoverHandler) -> None:
         self.path, self.handler = path, handler
         self.links: list[Link] = []
+        self.streams: list[Link] = []  # links that are told of each stream that is opened here
         self.before: Link | None = None  # to a process that would serve again in this one's place
 
     async def tell_ban(self, host: str, out: bool, source: Link | None = None) -> None:
@@ -132,6 +112,23 @@
             if link is not source:
                 await link.say(ban=host, out=out)
 
+    def tell_streams(self, names: Sequence[str], left: float, source: Link | None = None) -> None:
+        """Tell all others of streams that are opened, by name, at once and without waiting.
+
+        They know the names for `left` seconds; those beyond hear it from them.
+        """
+        for part in pieces(list(names), PIECE_MOST):
+            for link in self.streams:
+                if link is not source:
+                    link.tell(names=part, left=round(left, 3))
+
+    def hear_streams(self) -> None:
+        """Take in what others have told of their streams by now, before one is opened here."""
+        for link in self.links:
+            for values in link.look_ahead():
+                if "names" in values:
+                    self.handler.on_stream_names(values, link)
+
     async def on_drain(self) -> None:
         """This process ends: if the one before it still could serve it does so again, from now on and not only once
         this one is gone; and one that comes after must not count on this one for that."""
@@ -150,11 +147,16 @@
             await serving.wait()
             await link.say(ready=True)
             self.before = link
-            await self._hear(link)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(link.run_writer)
+                await self._hear(link)
+                nursery.cancel_scope.cancel()
         finally:
             self.before = None
             self.links.remove(link)
-            link.sock.close()
+            if link in self.streams:
+                self.streams.remove(link)
+            link.close()
 
     async def _hear(self, link: Link) -> bool:
         """Whether the other has said that it serves, once it is gone."""
@@ -168,8 +170,8 @@
                 self.handler.step_aside(False)
             if values.get("drains") is True and link is self.before:
                 self.before = None
-            if link is self.before and "names" in values:
-                self.handler.on_stream_names(values["names"])
+            if "names" in values:
+                self.handler.on_stream_names(values, link)
             if isinstance(values.get("ban"), str):
                 await self.handler.on_ban(values["ban"], values.get("out") is True, link)
         return serves
@@ -216,28 +218,20 @@
                 os.unlink(self.path)
 
     async def _hand_over(self, sock: trio.socket.SocketType) -> None:
-        link = Link(sock)
+        link = Link(sock, held=True)
         serves = False
         try:
             with trio.fail_after(ASK_WITHIN):
                 _check_owner(sock)
-                greeting = b""
-                while not greeting.endswith(b"\n") and len(greeting) < frame.HEAD_MOST:
-                    if not (part := await sock.recv(frame.HEAD_MOST)):
-                        return
-                    greeting += part
-                if greeting != frame.GREETING:
-                    raise frame.Spoilt("the greeting is of another version")
+                await _read_greeting(sock)
+                self.streams.append(link)  # before the snapshot, so that no stream is left out
                 values, sockets = self.handler.snapshot()
-                data = frame.framed({**values, "sockets": [name for name, _ in sockets]})
-                fds = array.array("i", [kept.fileno() for _, kept in sockets])
-                more = [(socket.SOL_SOCKET, socket.SCM_RIGHTS, fds)] if fds else []
-                sent = await sock.sendmsg([data], more)
-                await _send_all(sock, data[sent:])
-            log.info("handed over to the next process: %d bytes, %d sockets", len(data), len(sockets))
+                await _send_frame(sock, values, sockets)
+                await trio.sleep(TELL_AFTER)
+            link.release()
             self.links.append(link)
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self.handler.tell_new_streams, link)
+                nursery.start_soon(link.run_writer)
                 serves = await self._hear(link)
                 nursery.cancel_scope.cancel()
         except (OSError, trio.TooSlowError, frame.Spoilt) as problem:
@@ -246,13 +240,35 @@
             # A fault here must not end the process that serves.
             log.exception("fault in a hand-over")
         finally:
-            if link in self.links:
-                self.links.remove(link)
-            sock.close()
+            for known in (self.links, self.streams):
+                if link in known:
+                    known.remove(link)
+            link.close()
         if serves:
             self.handler.step_aside(False)
 
 
+async def _read_greeting(sock: trio.socket.SocketType) -> None:
+    greeting = b""
+    while not greeting.endswith(b"\n") and len(greeting) < frame.HEAD_MOST:
+        if not (part := await sock.recv(frame.HEAD_MOST)):
+            raise frame.Spoilt("it has gone again")
+        greeting += part
+    if greeting != frame.GREETING:
+        raise frame.Spoilt("the greeting is of another version")
+
+
+async def _send_frame(
+    sock: trio.socket.SocketType, values: Mapping[str, Any], sockets: Sequence[tuple[str, HasFile]]
+) -> None:
+    data = frame.framed({**values, "sockets": [name for name, _ in sockets]})
+    fds = array.array("i", [kept.fileno() for _, kept in sockets])
+    more = [(socket.SOL_SOCKET, socket.SCM_RIGHTS, fds)] if fds else []
+    sent = await sock.sendmsg([data], more)
+    await _send_all(sock, data[sent:])
+    log.info("handed over to the next process: %d bytes, %d sockets", len(data), len(sockets))
+
+
 def _reachable(path: str) -> str:
     """The same file by a path that fits a socket's address, however deep its folder is."""
     if len(os.fsencode(path)) <= PATH_MOST:
--- a/thistleshore/restart/frame.py
+++ b/thistleshore/restart/frame.py
@@ -8,7 +8,7 @@
 
 import json
 from collections.abc import Mapping
-from typing import Any
+from typing import Any, NamedTuple
 from zlib import crc32
 
 VERSION = 1
@@ -25,8 +25,15 @@
     return b"%d %d %08x\n" % (VERSION, len(body), crc32(body)) + body
 
 
-def read_frame(data: bytes) -> dict[str, Any] | None:
-    """The values of one whole frame; None while more is to come; Spoilt where it can be none."""
+class Frame(NamedTuple):
+    """One whole frame, and what has come behind it: lines may follow at once."""
+
+    values: dict[str, Any]
+    rest: bytes
+
+
+def read_frame(data: bytes) -> Frame | None:
+    """The frame at the front of the data; None while more is to come; Spoilt where it can be none."""
     head, ended, body = data.partition(b"\n")
     if not ended:
         if len(head) > HEAD_MOST:
@@ -42,9 +49,10 @@
         raise Spoilt(f"it has over {BODY_MOST} bytes")
     if len(body) < size:
         return None
-    if len(body) > size or words[2] != b"%08x" % crc32(body):
+    body, rest = body[:size], body[size:]
+    if words[2] != b"%08x" % crc32(body):
         raise Spoilt("its checksum is wrong")
-    return _object(body)
+    return Frame(_object(body), rest)
 
 
 def said(**values: Any) -> bytes:
@@ -59,10 +67,19 @@
         self._held = b""
 
     def feed(self, data: bytes) -> list[dict[str, Any]]:
-        *lines, self._held = (self._held + data).split(b"\n")
-        if max(map(len, (*lines, self._held))) > LINE_MOST:
+        """Take what has come; returns what the whole lines of it say."""
+        found, self._held = self._cut(data)
+        return found
+
+    def look_ahead(self, data: bytes) -> list[dict[str, Any]]:
+        """What `feed` would return for this data, which is not taken."""
+        return self._cut(data)[0]
+
+    def _cut(self, data: bytes) -> tuple[list[dict[str, Any]], bytes]:
+        *lines, rest = (self._held + data).split(b"\n")
+        if max(map(len, (*lines, rest))) > LINE_MOST:
             raise Spoilt("a line has no end")
-        return [_object(line) for line in lines]
+        return [_object(line) for line in lines], rest
 
 
 def _object(text: bytes) -> dict[str, Any]:
--- a/thistleshore/restart/handover_state.py
+++ b/thistleshore/restart/handover_state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
@@ -23,7 +23,8 @@
 from thistleshore.platform.start_times import at_epoch
 from thistleshore.platform.peers import Peers
 from thistleshore.platform.upstream import Upstreams
-from thistleshore.restart.carrier import HandoverLinks, HasFile, Inherited, Link
+from thistleshore.restart.carrier import HandoverLinks, HasFile, Inherited
+from thistleshore.restart.link import Link
 
 if TYPE_CHECKING:  # an operator's
     from thistleshore.admin.listener import Admin
@@ -33,8 +34,7 @@
 
 log = logging.getLogger("thistleshore")
 
-TELL = 0.02  # s between two looks at what the next process is to hear
-PIECE_MOST = 3000  # bytes of what one line tells
+LEFT = 30.0  # s for which names that a process of an older version tells are known: it says no time
 HEALTH = {state: health for health, state in STATES.items()}
 MALFORMED_STATE = (Malformed, KeyError, IndexError, TypeError, ValueError, AttributeError, OverflowError)
 
@@ -83,21 +83,6 @@
     return brain, lines, seq
 
 
-def _pieces(items: Sequence[str]) -> Iterator[list[str]]:
-    """In parts that fit a line each; what fits none is left out."""
-    part, size = list[str](), 0
-    for item in items:
-        cost = len(item.encode()) * 2 + 16
-        if part and size + cost > PIECE_MOST:
-            yield part
-            part, size = [], 0
-        if cost <= PIECE_MOST:
-            part.append(item)
-            size += cost
-    if part:
-        yield part
-
-
 class HandoverState:
     """The state of a dispatcher that a hot restart hands over, and what it takes from the process before."""
 
@@ -117,8 +102,8 @@
         self.distribution: Distribution | None = None
         self.admin: Admin | None = None  # where both processes have one address for it
         self._aside = False  # the next process serves
-        self._opened: list[list[str]] = []  # names of streams opened here, for each process that has taken over
         self.links = HandoverLinks(plan.restart, self)
+        downstream.others = self.links
 
     def snapshot(self) -> tuple[dict[str, Any], Sequence[tuple[str, HasFile]]]:
         """All that the next process is to know, and the sockets that both use."""
@@ -137,7 +122,8 @@
                 "hosts": hosts,
             },
             "memory": handover.export_state(self.broker.brain, _names(self.plan), now),
-            "names": self.downstream.known_names(),
+            "names": list(self.downstream.names.latest),  # for a process of an older version
+            "streams": self.downstream.names.export(now),
             "number": self.broker.notebook.number,
             "held": [self.downstream.gate.connections, self.upstreams.open],
         }
@@ -186,30 +172,14 @@
             settings = replace(settings, budget=settings.budget._replace(free=0.0))
         self.broker.post(SettingsChanged(settings, plan.class_names))
 
-    async def tell_new_streams(self, link: Link) -> None:
-        """Until cancelled: streams that are opened here after the hand-over, by name.
-
-        Else a repeat at the other process would run beside the first."""
-        names = list[str]()
-        self._opened.append(names)
-        self.downstream.opened = self._open
-        try:
-            while True:
-                news, names[:] = list(names), []
-                for part in _pieces(news):
-                    await link.say(names=part)
-                await trio.sleep(TELL)
-        finally:
-            self._opened.remove(names)
-
-    def _open(self, name: str) -> None:
-        for names in self._opened:
-            names.append(name)
-
-    def on_stream_names(self, names: Any) -> None:
-        """Streams that the process before has opened, while both live."""
-        if isinstance(names, list):
-            self.downstream.know_names([name for name in names if isinstance(name, str)])
+    def on_stream_names(self, values: Mapping[str, Any], source: Link) -> None:
+        """Another process has opened streams: neither this one nor those beyond may open them again."""
+        names, left = values["names"], values.get("left", LEFT)
+        if not isinstance(names, list) or not isinstance(left, int | float):
+            return
+        until = trio.current_time() + left
+        fresh = [name for name in names if isinstance(name, str) and self.downstream.names.learn(name, until)]
+        self.links.tell_streams(fresh, left, source)
 
     async def on_ban(self, host: str, out: bool, source: Link) -> None:
         """An operator has called it at another process."""
@@ -217,13 +187,25 @@
         await self.links.tell_ban(host, out, source)
 
     def inherit(self, inherited: Inherited) -> None:
-        """Take over the names of open streams and the number of the last datagram."""
-        names, number = inherited.values.get("names"), inherited.values.get("number")
-        if isinstance(names, list):
-            self.downstream.know_names([name for name in names if isinstance(name, str)])
+        """Take over the names of streams and the number of the last datagram; tell the process before of ours."""
+        self.links.streams.append(inherited.link)
+        self._inherit_names(inherited.values)
+        number = inherited.values.get("number")
         if isinstance(number, int):
             self.broker.notebook.number = number % SEQUENCE_NUMBERS
 
+    def _inherit_names(self, values: Mapping[str, Any]) -> None:
+        names, now = self.downstream.names, trio.current_time()
+        if isinstance(exported := values.get("streams"), str):
+            try:
+                return names.take_over(exported, now)
+            except ValueError as problem:
+                log.warning("names of streams not inherited: %s", problem)
+        latest = values.get("names")
+        for name in latest if isinstance(latest, list) else ():
+            if isinstance(name, str):
+                names.learn(name, now + LEFT)
+
     async def live_beside(self, inherited: Inherited, serving: trio.Event) -> None:
         """Keep to what the process before leaves of the means until it is gone."""
         try:
