A head or trailers of very many short fields are turned down before they are parsed

Cause: a head was bounded by its 16 KB alone. Parsed it takes some 800 KB and 20 ms without a turn for others, and it is held as long as its request is.

Change: a head, and the trailers of a body in chunks, have 128 lines at most; more are answered 431 before they are parsed. Reading a request is a module of its own (platform/reading.py).

--- /dev/null
+++ b/tests/test_reading.py
@@ -0,0 +1,78 @@
+"""What one request may cost: header fields and trailers, and a body in very many parts."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from contextlib import suppress
+from typing import Any
+
+import h11
+import pytest
+import trio
+
+from tests.support import pieces, play, socket_pair
+from thistleshore.platform.messages import FIELDS_MOST, Peer, Rejected
+from thistleshore.platform.reading import WholeRequest, read_request
+
+LINE = b"POST /render HTTP/1.1\r\nHost: s\r\n"
+PATIENCE = 30.0  # s of mock time
+CHUNKED = LINE + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+async def read(parts: list[bytes], meanwhile: Callable[[], Any] | None = None) -> WholeRequest | int:
+    """The request that these parts make, or the status with which it is rejected."""
+    ours, theirs = socket_pair()
+    peer, found = Peer(theirs, h11.SERVER), list[WholeRequest | int]()
+
+    async def receive() -> None:
+        try:
+            whole = await read_request(peer)
+            assert whole is not None
+            found.append(whole)
+        except Rejected as problem:
+            found.append(problem.status)
+        nursery.cancel_scope.cancel()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(receive)
+        if meanwhile is not None:
+            nursery.start_soon(meanwhile)
+        with suppress(trio.BrokenResourceError):
+            for part in parts:
+                await ours.send_all(part)
+                await trio.sleep(0 if len(parts) == 1 else 0.001)
+            await trio.sleep(PATIENCE)
+            raise AssertionError("the request is neither taken nor turned down")
+    theirs.socket.close()
+    ours.socket.close()
+    return found[0]
+
+
+@pytest.mark.parametrize("cuts", [[], [3000], list(range(0, 16_000, 100))])
+@pytest.mark.parametrize("ended", [True, False])
+def test_a_head_of_very_many_short_fields_is_turned_down_before_it_is_parsed(cuts: list[int], ended: bool) -> None:
+    # picture (b) of issue 58: 620 such heads took 219 MB and all of the processor
+    data = LINE + b"a:\r\n" * 3900 + (b"Content-Length: 0\r\n\r\n" if ended else b"")
+    assert play(read, pieces(data, cuts)) == 431
+
+
+@pytest.mark.parametrize("cuts", [[], list(range(0, 16_000, 100))])
+def test_trailers_of_very_many_short_fields_are_turned_down_before_they_are_parsed(cuts: list[int]) -> None:
+    # related to picture (b): trailers are parsed as a head is
+    data = CHUNKED + b"2\r\nab\r\n0\r\n" + b"a:\r\n" * 3900 + b"\r\n"
+    assert play(read, pieces(data, cuts)) == 431
+
+
+@pytest.mark.parametrize("cuts", [[], list(range(0, 3000, 7))])
+@pytest.mark.parametrize(
+    ("data", "body"),
+    [
+        (LINE + b"a: b\r\n" * (FIELDS_MOST - 4) + b"Content-Length: 2\r\n\r\nab", b"ab"),
+        (LINE + b"Content-Length: 303\r\n\r\n0\r\n" + b"\n" * 300, b"0\r\n" + b"\n" * 300),
+        (CHUNKED + b"12f\r\n0\r\n" + b"\n" * 300 + b"\r\n0\r\na: b\r\n\r\n", b"0\r\n" + b"\n" * 300),
+        (CHUNKED + b"0;x=y\r\n\r\n", b""),
+    ],
+)
+def test_usual_heads_trailers_and_bodies_of_many_lines_are_taken(data: bytes, body: bytes, cuts: list[int]) -> None:
+    found = play(read, pieces(data, cuts))
+    assert isinstance(found, WholeRequest) and found.body == body
--- a/thistleshore/platform/messages.py
+++ b/thistleshore/platform/messages.py
@@ -22,6 +22,7 @@
 BODY_MOST = 64 * 1024  # bytes of any body
 LINE_MOST = 6 * BODY_MOST + 1024  # a result of that size, every byte of it escaped, in its JSON object
 HEAD_MOST = 16 * 1024
+FIELDS_MOST = 128  # lines of a request's head, or of the trailers of its body: parsed, each takes some 200 bytes
 RECEIVE = 16 * 1024  # bytes read at a time: many connections must fit the memory
 STATES = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
 FREE, QUEUED, HELD = ("x0",), ("q", "queue"), ("rif", "inflight")  # names of a load report's values
@@ -60,9 +61,10 @@
         self.feed(await self.socket.receive_some(RECEIVE))
 
     def feed(self, data: bytes) -> None:
-        """Hand received bytes to h11."""
+        """Hand received bytes to h11; Rejected where they are a head of too many lines."""
         if self.http.our_role is h11.SERVER and self.http.their_state is h11.IDLE:
             self.head += data
+            check_fields(self.head)
         self.http.receive_data(data)
 
     def encode(self, *events: h11.Event) -> bytes:
@@ -111,6 +113,7 @@
     member: str = ""
 
 
+END_OF_HEAD = re.compile(rb"\n\r?\n")
 FRAMING = re.compile(rb"^(content-length|transfer-encoding)[ \t]*:[ \t]*([^\r\n]*)", re.IGNORECASE | re.MULTILINE)
 ONCE = (b"x-txn", b"x-lane", b"x-remaining-ms", b"idempotency-key")
 
@@ -126,6 +129,14 @@
         raise Rejected(400, "the length of the body is said twice")
 
 
+def check_fields(text: bytes) -> None:
+    """Rejected where a head, or trailers, have too many lines up to the empty one: parsed, they fill the memory."""
+    if text.count(b"\n") > FIELDS_MOST:
+        end = END_OF_HEAD.search(text)
+        if text.count(b"\n", 0, end.start() if end else len(text)) > FIELDS_MOST:
+            raise Rejected(431, "too many header fields")
+
+
 def header(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> str | None:
     return next((value.decode("latin-1") for key, value in headers if key == name), None)
 
--- a/thistleshore/platform/reading.py
+++ b/thistleshore/platform/reading.py
@@ -1,13 +1,15 @@
-"""Reads one request from a client's connection."""
+"""Reads one request from a client's connection, within limits on what it may cost."""
 
 from __future__ import annotations
 
+import re
 from typing import NamedTuple
 
 import h11
 
-from thistleshore.platform.messages import BODY_MOST, Peer, Rejected, check_framing, header
+from thistleshore.platform.messages import BODY_MOST, Peer, Rejected, check_fields, check_framing, header
 
+LAST_CHUNK = re.compile(rb"(?:\r?\n)?0+[ \t]*(?:;[^\n]*)?\r?\n")
 TOO_LARGE = "a body holds 64 KiB at most"
 
 
@@ -32,7 +34,8 @@
         raise Rejected(413, TOO_LARGE)
     if peer.http.they_are_waiting_for_100_continue:
         await peer.send(h11.InformationalResponse(status_code=100, headers=[]))
-    body = await _read_body(peer)
+    chunked = header(head.headers, b"transfer-encoding") is not None
+    body = await (_read_chunks(peer) if chunked else _read_body(peer))
     if peer.http.trailing_data[0]:
         # One request at a time: what follows stands inside a body whose length was said too short.
         raise Rejected(400, "more has come than one request")
@@ -43,6 +46,25 @@
     body = bytearray()
     while isinstance(event := await peer.event(), h11.Data):
         body += event.data
-        if len(body) > BODY_MOST:  # a body in chunks says its length nowhere
-            raise Rejected(413, TOO_LARGE)
     return bytes(body)
+
+
+async def _read_chunks(peer: Peer) -> bytes:
+    """Read a body whose length is said nowhere, and which may come in very many parts, or with very many trailers."""
+    body, boundary, trailers = bytearray(), True, False
+    while True:
+        if boundary:
+            rest = peer.http.trailing_data[0]
+            trailers = trailers or LAST_CHUNK.match(rest) is not None
+            if trailers:
+                check_fields(rest)
+        event = peer.http.next_event()
+        if event is h11.NEED_DATA:
+            await peer.receive()
+            continue
+        if not isinstance(event, h11.Data):
+            return bytes(body)
+        body += event.data
+        boundary = event.chunk_end
+        if len(body) > BODY_MOST:
+            raise Rejected(413, TOO_LARGE)
