A body in very many parts leaves other connections their turns

Cause: all parts that one read had brought, some 2,700 of them and about 30 ms of the processor, were taken in one step of the event loop.

Change: after 32 parts the other connections have their turn.

Without the turn the new test counts 9 turns of another task during 20,000 parts; it asks for 313.

--- a/tests/test_reading.py
+++ b/tests/test_reading.py
@@ -76,3 +76,18 @@
 def test_usual_heads_trailers_and_bodies_of_many_lines_are_taken(data: bytes, body: bytes, cuts: list[int]) -> None:
     found = play(read, pieces(data, cuts))
     assert isinstance(found, WholeRequest) and found.body == body
+
+
+def test_a_body_in_very_many_parts_leaves_other_connections_their_turns() -> None:
+    # picture (c) of issue 58: one client's parts kept usual clients waiting for 0.6 s
+    turns = 0
+
+    async def count() -> None:
+        nonlocal turns
+        while True:
+            turns += 1
+            await trio.lowlevel.checkpoint()
+
+    found = play(read, [CHUNKED + b"1\r\nx\r\n" * 20_000 + b"0\r\n\r\n"], count)
+    assert isinstance(found, WholeRequest) and len(found.body) == 20_000
+    assert turns > 20_000 / 64
--- a/thistleshore/platform/reading.py
+++ b/thistleshore/platform/reading.py
@@ -6,9 +6,11 @@
 from typing import NamedTuple
 
 import h11
+import trio
 
 from thistleshore.platform.messages import BODY_MOST, Peer, Rejected, check_fields, check_framing, header
 
+CHUNKS_AT_ONCE = 32  # parts of a body that are taken before other connections have their turn
 LAST_CHUNK = re.compile(rb"(?:\r?\n)?0+[ \t]*(?:;[^\n]*)?\r?\n")
 TOO_LARGE = "a body holds 64 KiB at most"
 
@@ -51,7 +53,7 @@
 
 async def _read_chunks(peer: Peer) -> bytes:
     """Read a body whose length is said nowhere, and which may come in very many parts, or with very many trailers."""
-    body, boundary, trailers = bytearray(), True, False
+    body, parts, boundary, trailers = bytearray(), 0, True, False
     while True:
         if boundary:
             rest = peer.http.trailing_data[0]
@@ -68,3 +70,6 @@
         boundary = event.chunk_end
         if len(body) > BODY_MOST:
             raise Rejected(413, TOO_LARGE)
+        parts += 1
+        if parts % CHUNKS_AT_ONCE == 0:
+            await trio.lowlevel.checkpoint()
