An upstream request frees the bytes that it has written while it waits for its answer

Cause: since the bytes are encoded before the last look at the clock, they were held until the answer had come, beside the body itself.

Change: writing a request is a function of its own, which ends with the write.

--- a/thistleshore/platform/upstream.py
+++ b/thistleshore/platform/upstream.py
@@ -130,23 +130,19 @@
             return UpstreamOutcome(Status.CONNECT_FAILED)
         done, rest = False, 0.0
         try:
-            data = peer.encode(*_request(request))
-            # No wait stands between this look and the first byte.
-            if host.generation != generation or not request.may_begin():
+            # Connecting took time, and the list may have changed: connections to an earlier process are stale.
+            if host.generation != generation:
                 return UpstreamOutcome(Status.NOT_SENT)
-            try:
-                with trio.CancelScope(deadline=request.send_by) as writing:
-                    await peer.socket.send_all(data)
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                return UpstreamOutcome(Status.CONNECT_FAILED)  # broken before its last byte was written
-            if writing.cancelled_caught:
-                return UpstreamOutcome(Status.CONNECT_FAILED)  # given up before its last byte was written
+            unsent = await _write(peer, request)
+            if unsent is not None:
+                return UpstreamOutcome(unsent)
             request.mark_written()
             outcome, done, named = await self._answer(peer, request, events)
             rest = 0.0 if named else QUIET
             return outcome
         except (trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError):
-            return UpstreamOutcome(Status.RESET)
+            # Broken before its last byte was written, it never ran.
+            return UpstreamOutcome(Status.RESET if request.sent else Status.CONNECT_FAILED)
         except Malformed as problem:
             log.warning("bad answer from %s: %s", host.id.decode(errors="replace"), problem)
             return UpstreamOutcome(Status.ERROR)
@@ -226,6 +222,17 @@
         raise
 
 
+async def _write(peer: Peer, request: UpstreamRequest) -> Status | None:
+    """Write a whole request; None, or what its end is where that was not to be done or not done in time."""
+    data = peer.encode(*_request(request))
+    # No wait stands between this look and the first byte.
+    if not request.may_begin():
+        return Status.NOT_SENT
+    with trio.CancelScope(deadline=request.send_by) as writing:
+        await peer.socket.send_all(data)
+    return Status.CONNECT_FAILED if writing.cancelled_caught else None
+
+
 def _request(request: UpstreamRequest) -> tuple[h11.Event, ...]:
     ask = request.stream.payload
     if not isinstance(ask, Ask):
