Timers of requests that have ended are dropped as they pile up

Cause: the broker's heap of timers has no way to cancel one, and kept each to its time.

Change: the queue of timers is a class of its own, which drops those of streams that are gone whenever it has doubled.

--- a/thistleshore/core/broker.py
+++ b/thistleshore/core/broker.py
@@ -9,7 +9,6 @@
 from collections import Counter, deque
 from collections.abc import Callable
 from contextlib import suppress
-from heapq import heappop, heappush
 from itertools import count
 from typing import TYPE_CHECKING, Any
 
@@ -22,6 +21,7 @@
 from thistleshore.core import model
 from thistleshore.core.figures import ProcessFigures
 from thistleshore.core.host_log import HostLog
+from thistleshore.core.timers import TimerQueue
 from thistleshore.invariants import invariant
 
 if TYPE_CHECKING:  # only operator dispatchers have contracts; platform dispatchers do not load them
@@ -37,7 +37,10 @@
 LEDGER_OUTCOMES = {model.Served: "served", model.LocalReply: "refused", model.Failed: "failed"}
 FIGURES_FIELDS = {model.Served: "succeeded", model.LocalReply: "declined", model.Failed: "aborted"}
 LEDGER_TIMER = -1  # timer token: ask the ledger again while streams beyond their share wait
-FIGURES_TIMER = 0  # timer token: log the counts; the module's tokens are stream numbers, from 1
+FIGURES_TIMER = 0  # timer token: log the counts
+STREAM_TOKENS = (
+    4  # the module's tokens are its own below this; from here on a stream's number times this, and a purpose
+)
 
 
 class Broker:
@@ -70,7 +73,7 @@
         self._attempts: dict[int, list[model.UpstreamRequest]] = {}
         self._attempts_in_flight: Counter[int] = Counter()
         self._logged_states: dict[bytes, tuple[State, int]] = {}
-        self._timers: list[tuple[float, int]] = []
+        self._timers = TimerQueue(self._needs_timer)
         self._numbers = count(1)
         self._unoffered: dict[int, Request] = {}  # requests that the ledger has not offered yet, by stream
         self._ledger_timer_set = False
@@ -92,7 +95,7 @@
 
     async def run(self) -> None:
         """Handle events and timers until cancelled."""
-        heappush(self._timers, (trio.current_time() + FIGURES_INTERVAL, FIGURES_TIMER))
+        self._timers.add(trio.current_time() + FIGURES_INTERVAL, FIGURES_TIMER)
         async with trio.open_nursery() as self._attempt_nursery:
             while True:
                 event = await self._next()
@@ -119,20 +122,20 @@
 
     async def _next(self) -> model.Event | None:
         """Return the next event, or None when a timer is due."""
-        if self._urgent or self._timers[0][0] <= trio.current_time():
+        if self._urgent or self._timers.next_due <= trio.current_time():
             await trio.lowlevel.checkpoint()  # many due timers in a row must not starve the sockets
             return self._urgent.popleft() if self._urgent else None
-        with trio.move_on_at(self._timers[0][0]):
+        with trio.move_on_at(self._timers.next_due):
             return await self._events.receive()
         return None
 
     def _fire_timer(self, now: float) -> list[Action]:
-        _, token = heappop(self._timers)
+        token = self._timers.pop()
         if token == LEDGER_TIMER:
             self._ledger_timer_set = False
             return []  # waiting streams are offered after every event
         if token == FIGURES_TIMER:
-            heappush(self._timers, (now + FIGURES_INTERVAL, FIGURES_TIMER))
+            self._timers.add(now + FIGURES_INTERVAL, FIGURES_TIMER)
             open_now = sum(not stream.over for stream in self._streams.values())
             invariant(
                 self.process_figures.outstanding == open_now, "the outstanding count equals the number of open streams"
@@ -141,6 +144,9 @@
             return []
         return self.brain.on_timer(token, now)
 
+    def _needs_timer(self, token: int) -> bool:
+        return token < STREAM_TOKENS or token // STREAM_TOKENS in self._streams
+
     def _log_figures(self) -> None:
         self.host_log.log_finished_first_windows(trio.current_time())
         figures = self.event_counts + self.notebook.counts
@@ -234,7 +240,7 @@
                     self._carry_out(self.brain.on_request(renewed, now), now)
         if ledger.waiting and not self._ledger_timer_set:
             self._ledger_timer_set = True
-            heappush(self._timers, (now + ledger.step, LEDGER_TIMER))
+            self._timers.add(now + ledger.step, LEDGER_TIMER)
 
     def _on_withdrawn(self, stream: model.Stream, now: float) -> list[Action]:
         if stream.over:
@@ -356,7 +362,7 @@
             if isinstance(action, Send):
                 self._send(action, now)
             elif isinstance(action, Timer):
-                heappush(self._timers, (action.at, action.token))
+                self._timers.add(action.at, action.token)
             elif isinstance(action, Refuse):
                 self._answer(action.id, model.LocalReply(action.retry_after))
             elif isinstance(action, Fail):
