beanstalkd: an answer waits its 60 s for its client, whatever jobs another one puts

Cause: answers were kept for 60 s, but no more than 512 of them.

Change: answers are kept by time alone, in a module of their own; a job is not taken (OUT_OF_MEMORY, as with too many open) where its connection's unfetched answers take as much as is left of 32 MiB for all others, but for a minimum of 16 KiB each. Answers are found by their tube, and one task ends them in place of one each.

--- /dev/null
+++ b/tests/test_tube_memory.py
@@ -0,0 +1,138 @@
+"""The beanstalkd front beside clients that leave, or that send or watch very much."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from tests.standins import HOSTS, Beanstalkd
+from tests.support import Lines, end, play
+from thistleshore.beanstalkd import downstream, replies
+from thistleshore.beanstalkd.quotas import Share, SharedQuota
+from thistleshore.beanstalkd.replies import Replies
+
+PUT = b"put 0 0 60 4\r\n%04d\r\n"
+SEARCH = b"use seat-search\r\n"
+
+
+async def answer(at: Beanstalkd, lines: Lines, number: bytes) -> bytes:
+    """The final answer of a job, or what came in its place."""
+    reply = await at.say(lines, b"watch reply." + number, b"reserve-with-timeout 1")
+    if not reply.startswith(b"RESERVED"):
+        return reply
+    _, reserved, size = reply.split()
+    found = (await lines.exactly(int(size) + 2))[:-2]
+    await at.say(lines, b"delete " + reserved)
+    return found
+
+
+async def put_all(at: Beanstalkd, lines: Lines, count: int) -> list[bytes]:
+    """Put so many jobs one after the other; the replies."""
+    await at.say(lines, SEARCH.strip())
+    return [await at.say(lines, (PUT % n).strip(b"\r\n")) for n in range(count)]
+
+
+# -- (a) clients that leave
+
+
+def test_a_job_that_its_client_knows_to_be_taken_is_run_though_the_client_has_gone() -> None:
+    async def scenario(at: Beanstalkd) -> bytes:
+        await put_all(at, await at.connect(), len(HOSTS) * at.SESSIONS + 6)
+        client = await at.connect()
+        inserted = await at.say(client, SEARCH.strip(), b"put 0 0 60 4\r\nlate")
+        assert b"late" not in at.runs
+        end(client.stream, "FIN")
+        await trio.sleep(4)
+        return await answer(at, await at.connect(), inserted.split()[1])
+
+    assert play(Beanstalkd().run, scenario) == b"served\nRlate"
+
+
+# -- (b) and (c): memory
+
+
+def test_answers_wait_for_their_client_whatever_many_jobs_another_one_puts() -> None:
+    # review/8: 512 later answers pushed them out
+    async def scenario(at: Beanstalkd) -> list[bytes]:
+        office, other = await at.connect(), await at.connect()
+        numbers = [reply.split()[1] for reply in await put_all(at, office, 3)]
+        replies = await put_all(at, other, 300)
+        await trio.sleep(4)
+        replies += await put_all(at, other, 300)
+        end(other.stream, "FIN")
+        await trio.sleep(4)
+        assert all(reply.startswith(b"INSERTED") for reply in replies)
+        return [await answer(at, office, number) for number in numbers]
+
+    assert play(Beanstalkd().run, scenario) == [b"served\nR%04d" % n for n in range(3)]
+
+
+def test_who_fetches_no_answers_gets_no_more_jobs_taken_and_others_do(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(replies, "BYTES_MOST", 20 * replies.OBJECTS)
+    monkeypatch.setattr(replies, "BYTES_LEAST", replies.OBJECTS)
+
+    async def scenario(at: Beanstalkd) -> tuple[bytes, bytes, bytes]:
+        hoarder, other = await at.connect(), await at.connect()
+        for n in range(30):
+            last = await at.say(hoarder, SEARCH.strip(), (PUT % n).strip(b"\r\n"))
+            await trio.sleep(0.2)
+        (inserted,) = await put_all(at, other, 1)
+        found = await answer(at, other, inserted.split()[1])
+        await trio.sleep(replies.KEPT)
+        return last, found, await at.say(hoarder, (PUT % 99).strip(b"\r\n"))
+
+    last, found, later = play(Beanstalkd().run, scenario)
+    assert last == b"OUT_OF_MEMORY" and found == b"served\nR0000" and later.startswith(b"INSERTED")
+
+
+def test_who_holds_as_much_as_is_left_gets_no_more_but_for_a_minimum() -> None:
+    quota = SharedQuota(1000)
+    shares = [Share(quota, minimum=30) for _ in range(50)]
+    for share in shares:
+        while share.has_room:
+            share.take(10)
+    assert [share.held for share in shares[:3]] == [500, 250, 130]
+    assert all(30 <= share.held <= 500 for share in shares) and shares[-1].held == 30
+    for share in shares:
+        share.give_back(share.held)
+    assert quota.taken == 0
+
+
+def test_replies_end_at_their_time_and_give_their_room_back() -> None:
+    async def scenario() -> tuple[list[int], int, int]:
+        kept = Replies()
+        share, begun, counts = kept.new_share(), trio.current_time(), list[int]()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(kept.expire)
+            for n in range(3):
+                kept.add(n, "reply.1", b"x" * 100, share)
+                await trio.sleep(10)
+            for at in (59, 61, 79, 81):
+                await trio.sleep_until(begun + at)
+                counts.append(len(kept.in_tube("reply.1")))
+            nursery.cancel_scope.cancel()
+        return counts, share.held, kept.quota.taken
+
+    assert play(scenario) == ([3, 2, 1, 0], 0, 0)
+
+
+def test_the_reply_to_half_a_command_is_not_lost_with_bytes_that_nobody_read(monkeypatch: pytest.MonkeyPatch) -> None:
+    # a close over unread bytes resets the connection
+    clients: list[trio.SocketStream] = []
+    send = downstream.Connection.send
+
+    async def crossed(self: downstream.Connection, data: bytes) -> None:
+        await send(self, data)
+        if data == b"BAD_FORMAT\r\n":
+            clients[0].socket._sock.send(b"more")  # type: ignore[attr-defined]
+
+    async def scenario(at: Beanstalkd) -> bytes:
+        clients.append(await trio.open_tcp_stream("127.0.0.1", at.port))
+        await clients[0].send_all(b"put 0 0 60 10\r\nhalf")
+        said = b""
+        while data := await clients[0].receive_some():  # a reset raises
+            said += data
+        return said
+
+    monkeypatch.setattr(downstream.Connection, "send", crossed)
+    assert play(Beanstalkd().run, scenario) == b"BAD_FORMAT\r\n"
--- a/thistleshore/beanstalkd/downstream.py
+++ b/thistleshore/beanstalkd/downstream.py
@@ -7,7 +7,7 @@
 
 import logging
 from contextlib import nullcontext
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from itertools import count
 from math import inf
 
@@ -17,6 +17,8 @@
 from thistleshore.beanstalkd import codec
 from thistleshore.beanstalkd.codec import Command, Decoder, Fault, line, with_body
 from thistleshore.beanstalkd.model import HOST_PREFIX, REPLY_PREFIX
+from thistleshore.beanstalkd.quotas import Share
+from thistleshore.beanstalkd.replies import KEPT as REPLY_KEPT, Replies, Reply
 from thistleshore.beanstalkd.routed import TubeRouter
 from thistleshore.beanstalkd.upstream import Hosts, Reservation, Slot, TubeJob
 from thistleshore.core.model import Event, FinalAnswer, LocalReply, Served, Stream, StreamOpened
@@ -28,24 +30,12 @@
 
 BODY_MOST = 64 * 1024
 RECEIVE = 64 * 1024
-REPLY_KEPT = 60.0  # s that a final answer waits for its client
-REPLY_LEFT = 1.0  # s that it waits at most once the dispatcher has drained
-REPLIES_MOST = 512  # kept at a time; more would endanger the memory
+REPLY_LEFT = 1.0  # s that a final answer waits at most for its client once the dispatcher has drained
 WATCHED_MOST = 1024  # tubes that one connection may watch
 WRITE_WITHIN = 5.0  # s for a connection to take a reply
 SOON = 1.0  # s before a reservation lapses in which its holder is told DEADLINE_SOON
-NOT_FOUND, DELETED, DRAINING = b"NOT_FOUND\r\n", b"DELETED\r\n", b"DRAINING\r\n"
-
-
-@dataclass(slots=True, eq=False)
-class Reply:
-    """A final answer that waits in its reply tube."""
-
-    id: int
-    tube: str
-    body: bytes
-    holder: Connection | None = None
-    gone: trio.Event = field(default_factory=trio.Event)
+NOT_FOUND, DELETED = b"NOT_FOUND\r\n", b"DELETED\r\n"
+DRAINING, OUT_OF_MEMORY = b"DRAINING\r\n", b"OUT_OF_MEMORY\r\n"
 
 
 def reply_body(answer: FinalAnswer) -> bytes:
@@ -72,7 +62,7 @@
         self.gate = Gate(connections_most)
         self.numbers = count(1)
         self.open: dict[int, tuple[Stream, TubeJob]] = {}  # jobs without a final answer
-        self.replies: dict[int, Reply] = {}
+        self.replies = Replies()
         self.waiting: list[Wait] = []
         self.connections: set[Connection] = set()
 
@@ -89,6 +79,7 @@
     ) -> None:
         """Serve until drained: what was taken is finished, and its answers are offered a while longer."""
         async with trio.open_nursery() as self._keepers:
+            self._keepers.start_soon(self.replies.expire)
             async with trio.open_nursery() as nursery:
                 await self.gate.run(address, nursery, self._connection, task_status)
                 while self.open:  # every stream has a deadline, so that this ends
@@ -110,9 +101,11 @@
             with trio.CancelScope(shield=True), trio.move_on_after(1.0):
                 await connection.lost()
 
-    async def take(self, tube: str, ttr: int, body: bytes, routed: RouteDecision) -> int:
-        """A complete put is a stream."""
-        job = TubeJob(next(self.numbers), tube, body, float(max(1, ttr)))
+    async def take(
+        self, connection: Connection, ttr: int, body: bytes, routed: RouteDecision
+    ) -> tuple[Stream, TubeJob]:
+        """Open a stream for a complete put of this connection."""
+        job = TubeJob(next(self.numbers), connection.used, body, float(max(1, ttr)))
         stream = Stream(
             str(job.id),
             routed.contract,
@@ -124,24 +117,23 @@
             size=len(body),
         )
         self.open[job.id] = stream, job
-        self._keepers.start_soon(self._keep, stream, job)
+        self._keepers.start_soon(self._keep, stream, job, connection.replies)
         await self.inbox.send(StreamOpened(stream))
-        return job.id
+        return stream, job
 
-    async def _keep(self, stream: Stream, job: TubeJob) -> None:
-        """Wait for a stream's final answer, and offer it until its client has it or its time is over."""
+    async def withdraw(self, stream: Stream) -> None:
+        """Its client wants it no more: nothing begins for it, however long the inbox is."""
+        stream.left = True
+        await self.inbox.send(StreamWithdrawn(stream))
+
+    async def _keep(self, stream: Stream, job: TubeJob, share: Share) -> None:
+        """Wait for a stream's final answer, and offer it to its client."""
         await stream.answered.wait()
         del self.open[job.id]
         if stream.answer is None or stream.withdrawn:
             return
-        while len(self.replies) >= REPLIES_MOST:  # clients that never fetch answers must not fill the memory
-            self.drop(next(iter(self.replies.values())))
-        reply = Reply(next(self.numbers), f"{REPLY_PREFIX}{job.id}", reply_body(stream.answer))
-        self.replies[reply.id] = reply
+        reply = self.replies.add(next(self.numbers), f"{REPLY_PREFIX}{job.id}", reply_body(stream.answer), share)
         self.offer(reply)
-        with trio.move_on_after(REPLY_KEPT):
-            await reply.gone.wait()
-        self.drop(reply)
 
     def offer(self, reply: Reply) -> None:
         for wait in self.waiting:
@@ -150,10 +142,6 @@
                 wait.slot.woken.set()
                 return
 
-    def drop(self, reply: Reply) -> None:
-        self.replies.pop(reply.id, None)
-        reply.gone.set()
-
     def reserved(self, number: int) -> Reservation | None:
         found = (connection.reservations.get(number) for connection in self.connections)
         return next((reservation for reservation in found if reservation is not None), None)
@@ -175,6 +163,7 @@
         self.tubes, self.socket, self.address = tubes, socket, peer_address(socket)
         self.used = "default"
         self.watched = {"default": None}
+        self.replies = tubes.replies.new_share()  # answers to its jobs, also once it has gone
         self.reservations: dict[int, Reservation] = {}
         self.decoder = Decoder(BODY_MOST)
         self.over = False
@@ -234,7 +223,7 @@
         """The connection is gone: its jobs may have run, and replies in its hands go back."""
         for reservation in list(self.reservations.values()):
             reservation.end(Status.RESET)
-        for reply in list(self.tubes.replies.values()):
+        for reply in self.tubes.replies:
             if reply.holder is self:
                 reply.holder = None
                 self.tubes.offer(reply)
@@ -272,9 +261,10 @@
             return b"BAD_FORMAT\r\n"  # neither what no rule fits nor a delay is carried out
         if self.tubes.draining:
             return DRAINING
-        if len(self.tubes.open) >= self.tubes.streams_most:
-            return b"OUT_OF_MEMORY\r\n"  # jobs without bound would fill the memory
-        return line(b"INSERTED", await self.tubes.take(self.used, ttr, body, routed))
+        if len(self.tubes.open) >= self.tubes.streams_most or not self.replies.has_room:
+            return OUT_OF_MEMORY  # jobs and answers without bound would fill the memory
+        _, job = await self.tubes.take(self, ttr, body, routed)
+        return line(b"INSERTED", job.id)
 
     def _result(self, body: bytes) -> bytes:
         """A host's result for a job in its hands; one that comes late is discarded."""
@@ -293,7 +283,7 @@
             return b"BAD_FORMAT\r\n"  # without its bay nobody could say where its jobs may be repeated
         if tube not in self.watched:
             if len(self.watched) >= WATCHED_MOST:
-                return b"OUT_OF_MEMORY\r\n"
+                return OUT_OF_MEMORY
             self.watched[tube] = None
             if tube.startswith(HOST_PREFIX):
                 self.was_host = True
@@ -310,10 +300,10 @@
         return line(b"WATCHING", len(self.watched))
 
     async def _reserve(self, seconds: float) -> bytes:
-        for reply in self.tubes.replies.values():
-            if reply.holder is None and reply.tube in self.watched:
-                reply.holder = self
-                return with_body(reply.body, b"RESERVED", reply.id)
+        waiting = self.tubes.replies.free_in(self.watched)
+        if waiting is not None:
+            waiting.holder = self
+            return with_body(waiting.body, b"RESERVED", waiting.id)
         # Told in time, the holder of a reservation can still touch it.
         lapses = min((held.lapse.deadline for held in self.reservations.values()), default=inf) - SOON
         now = trio.current_time()
@@ -369,14 +359,13 @@
         # A host's late `delete`, its reservation lapsed, must not withdraw the stream.
         free = stream is not None and self.tubes.reserved(number) is None and not self.was_host
         if word == "delete" and free and stream is not None:
-            stream.left = True  # its client wants it no more: nothing begins for it, however long the inbox is
-            await self.tubes.inbox.send(StreamWithdrawn(stream))
+            await self.tubes.withdraw(stream)
             return DELETED
         return NOT_FOUND
 
     def _end_reply(self, word: str, reply: Reply) -> bytes:
         if word == "delete":
-            self.tubes.drop(reply)
+            self.tubes.replies.drop(reply)
             return DELETED
         if word == "release" and reply.holder is self:
             reply.holder = None
@@ -398,7 +387,7 @@
             case Command("peek", (number,)):
                 return self._found(number)
             case Command("peek-ready"):
-                ready = [r.id for r in tubes.replies.values() if r.tube == self.used and r.holder is None]
+                ready = [reply.id for reply in tubes.replies.in_tube(self.used) if reply.holder is None]
                 ready += [n for n, (_, job) in tubes.open.items() if job.tube == self.used and not tubes.reserved(n)]
                 return self._found(ready[0]) if ready else NOT_FOUND
             case Command("kick"):
@@ -425,8 +414,8 @@
         return NOT_FOUND if body is None else with_body(body, b"FOUND", number)
 
     def _tubes(self) -> list[str]:
-        used = {self.used: None, **self.watched, **{r.tube: None for r in self.tubes.replies.values()}}
-        return list({"default": None, **dict.fromkeys(self.tubes.router.tubes), **used})
+        found = ["default", *self.tubes.router.tubes, self.used, *self.watched, *self.tubes.replies.tubes]
+        return list(dict.fromkeys(found))
 
     def _stats_job(self, number: int) -> bytes:
         reply, (_, job) = self.tubes.replies.get(number), self.tubes.open.get(number, (None, None))
@@ -461,7 +450,7 @@
     def _stats_tube(self, tube: str) -> dict[str, object]:
         tubes = self.tubes
         jobs = [n for n, (_, job) in tubes.open.items() if job.tube == tube]
-        replies = [r for r in tubes.replies.values() if r.tube == tube]
+        replies = tubes.replies.in_tube(tube)
         held = sum(tubes.reserved(n) is not None for n in jobs) + sum(r.holder is not None for r in replies)
         return {
             "name": tube,
