beanstalkd: names of watched tubes have a bound for all connections together

Change: all names together take 8 MiB at most; a connection gets OUT_OF_MEMORY once it holds as much as is left for all others, but for 4 KiB that each may hold, so that usual clients can watch for their answers.

--- a/tests/test_tube_memory.py
+++ b/tests/test_tube_memory.py
@@ -85,6 +85,27 @@
     assert last == b"OUT_OF_MEMORY" and found == b"served\nR0000" and later.startswith(b"INSERTED")
 
 
+def test_who_watches_very_many_tubes_leaves_others_room_to_watch_theirs(monkeypatch: pytest.MonkeyPatch) -> None:
+    # picture (b) at this front: names of watched tubes grew by 2 MB a second
+    monkeypatch.setattr(downstream, "WATCHED_BYTES_MOST", 20_000)
+    monkeypatch.setattr(downstream, "WATCHED_BYTES_LEAST", 1000)
+
+    async def scenario(at: Beanstalkd) -> tuple[bytes, bytes, bytes]:
+        crowd = [await at.connect() for _ in range(8)]
+        for lines in crowd:
+            last = [await at.say(lines, b"watch %s%d" % (b"t" * 190, n)) for n in range(40)][-1]
+        other = await at.connect()
+        (inserted,) = await put_all(at, other, 1)
+        found = await answer(at, other, inserted.split()[1])
+        for lines in crowd:
+            end(lines.stream, "FIN")
+        await trio.sleep(1)
+        return last, found, await at.say(other, b"watch " + b"u" * 190)
+
+    last, found, later = play(Beanstalkd().run, scenario)
+    assert last == b"OUT_OF_MEMORY" and found == b"served\nR0000" and later.startswith(b"WATCHING")
+
+
 def test_who_holds_as_much_as_is_left_gets_no_more_but_for_a_minimum() -> None:
     quota = SharedQuota(1000)
     shares = [Share(quota, minimum=30) for _ in range(50)]
--- a/thistleshore/beanstalkd/downstream.py
+++ b/thistleshore/beanstalkd/downstream.py
@@ -17,7 +17,7 @@
 from thistleshore.beanstalkd import codec
 from thistleshore.beanstalkd.codec import Command, Decoder, Fault, line, with_body
 from thistleshore.beanstalkd.model import HOST_PREFIX, REPLY_PREFIX
-from thistleshore.beanstalkd.quotas import Share
+from thistleshore.beanstalkd.quotas import Share, SharedQuota
 from thistleshore.beanstalkd.replies import KEPT as REPLY_KEPT, Replies, Reply
 from thistleshore.beanstalkd.routed import TubeRouter
 from thistleshore.beanstalkd.upstream import Hosts, Reservation, Slot, TubeJob
@@ -32,6 +32,9 @@
 RECEIVE = 64 * 1024
 REPLY_LEFT = 1.0  # s that a final answer waits at most for its client once the dispatcher has drained
 WATCHED_MOST = 1024  # tubes that one connection may watch
+WATCHED_BYTES_MOST = 8 * 1024 * 1024  # of the names of all watched tubes
+WATCHED_BYTES_LEAST = 4096  # of those of one connection, which it may have in any case
+WATCHED_TUBE = 128  # bytes that a watched tube takes beside its name
 WRITE_WITHIN = 5.0  # s for a connection to take a reply
 SOON = 1.0  # s before a reservation lapses in which its holder is told DEADLINE_SOON
 NOT_FOUND, DELETED = b"NOT_FOUND\r\n", b"DELETED\r\n"
@@ -63,6 +66,7 @@
         self.numbers = count(1)
         self.open: dict[int, tuple[Stream, TubeJob]] = {}  # jobs without a final answer
         self.replies = Replies()
+        self.watched_names = SharedQuota(WATCHED_BYTES_MOST)
         self.waiting: list[Wait] = []
         self.connections: set[Connection] = set()
 
@@ -162,7 +166,8 @@
     def __init__(self, tubes: Tubes, socket: trio.SocketStream) -> None:
         self.tubes, self.socket, self.address = tubes, socket, peer_address(socket)
         self.used = "default"
-        self.watched = {"default": None}
+        self.watched = {"default": 0}  # tubes, and the bytes that each counts for
+        self.watched_names = Share(tubes.watched_names, WATCHED_BYTES_LEAST)
         self.replies = tubes.replies.new_share()  # answers to its jobs, also once it has gone
         self.reservations: dict[int, Reservation] = {}
         self.decoder = Decoder(BODY_MOST)
@@ -221,6 +226,7 @@
 
     async def lost(self) -> None:
         """The connection is gone: its jobs may have run, and replies in its hands go back."""
+        self.watched_names.give_back(self.watched_names.held)
         for reservation in list(self.reservations.values()):
             reservation.end(Status.RESET)
         for reply in self.tubes.replies:
@@ -282,9 +288,10 @@
             log.warning("a host calls itself %s, which the operator's file does not name", name)
             return b"BAD_FORMAT\r\n"  # without its bay nobody could say where its jobs may be repeated
         if tube not in self.watched:
-            if len(self.watched) >= WATCHED_MOST:
+            if len(self.watched) >= WATCHED_MOST or not self.watched_names.has_room:
                 return OUT_OF_MEMORY
-            self.watched[tube] = None
+            self.watched[tube] = len(tube) + WATCHED_TUBE
+            self.watched_names.take(self.watched[tube])
             if tube.startswith(HOST_PREFIX):
                 self.was_host = True
                 await self.tubes.hosts.join(name, self)
@@ -294,7 +301,7 @@
         if tube in self.watched and len(self.watched) == 1:
             return b"NOT_IGNORED\r\n"
         if tube in self.watched:
-            del self.watched[tube]
+            self.watched_names.give_back(self.watched.pop(tube))
             if tube.startswith(HOST_PREFIX):
                 await self.tubes.hosts.leave(tube.removeprefix(HOST_PREFIX), self, lost=False)
         return line(b"WATCHING", len(self.watched))
