beanstalkd: a job is not sent on where its client had closed before it was told

Cause: commands that had come were carried out whether or not their client was there. A close behind unread bytes shows in no read.

Change: the system is asked for a close or reset that stands behind unread bytes (sockets.py), before a job is taken and before its INSERTED; from a reset right behind an INSERTED it follows that it was not read, and that job is withdrawn. Jobs that their clients know to be taken run on, as before. A connection that had sent ahead and went while its reserve waited was looked at no more and kept for good: it is asked for each second now.

The new tests fail without their lines: FIN without the look before a job is taken, the unread acknowledgement without the withdrawal, the waiting connection without its look; RST passes either way.

--- a/benchmarks/hostile/behaviours.py
+++ b/benchmarks/hostile/behaviours.py
@@ -9,7 +9,7 @@
 
 import trio
 
-from benchmarks.hostile.connections import Connections, close
+from benchmarks.hostile.connections import Connections, close, unread
 from benchmarks.hostile.usual import PUT, http_answer, http_request
 from benchmarks.hostile.workers import BROKEN, HELD
 
@@ -60,6 +60,45 @@
     return run
 
 
+def leave_unread_puts(reset: bool) -> Behaviour:
+    """Clients that write many jobs at once, and close while most of them are not acknowledged."""
+
+    async def run(connections: Connections, seconds: float) -> str:
+        arrivals, closed = connections.site.workers.arrivals, dict[str, float]()
+        limit = trio.current_time() + seconds
+        numbers = count()
+
+        async def leave() -> None:
+            reader = await connections.open()
+            names = [f"left-{next(numbers)}" for _ in range(200)]
+            replies = list[bytes]()
+            with trio.move_on_after(0.1), suppress(*BROKEN):
+                async with trio.open_nursery() as nursery:
+                    said = b"use seat-search\r\n" + b"".join(_put(name, b"x" * 2000) for name in names)
+                    nursery.start_soon(reader.stream.send_all, said)
+                    while True:
+                        replies.append(await reader.line())
+            with suppress(*BROKEN):
+                replies += (reader.take_held() + unread(reader)).split(b"\r\n")[:-1]
+            at = close(reader, reset)
+            taken = {name for name, reply in zip(names, replies[1:], strict=False) if reply.startswith(b"INSERTED")}
+            closed.update((name, at) for name in names if name not in taken)
+
+        while trio.current_time() < limit:
+            async with trio.open_nursery() as nursery:
+                for _ in range(10):
+                    nursery.start_soon(leave)
+            await trio.sleep(0.3)
+        await trio.sleep(2.0)
+        late = [at - closed[name] for name, times in arrivals.items() if name in closed for at in times]
+        late = [after for after in late if after > CLOSED_SLACK]
+        if not late:
+            return ""
+        return f"{len(late)} of {len(closed)} unacknowledged jobs sent on after the close, up to {max(late):.2f} s"
+
+    return run
+
+
 def come_again(flood: int, leave_at_new: bool = False, come_to_new: bool = False) -> Behaviour:
     """Clients that leave, and come again with their ids after another one has sent so many requests of new ids.
 
@@ -244,10 +283,8 @@
         + _fields(FIELDS) + b"\r\n", True)),
     "flood-long-wait": Known("c", "http", flood(
         lambda n: http_request(f"w-{n}", "search").replace(b"Ms: 5000", b"Ms: 3600000"), True)),
-    "puts-left-fin": Known("a", "beanstalkd", leave_unread(
-        lambda n: b"use seat-search\r\n" + _put(n, b"x" * 5000), False)),
-    "puts-left-rst": Known("a", "beanstalkd", leave_unread(
-        lambda n: b"use seat-search\r\n" + _put(n, b"x" * 5000), True)),
+    "puts-left-fin": Known("a", "beanstalkd", leave_unread_puts(False)),
+    "puts-left-rst": Known("a", "beanstalkd", leave_unread_puts(True)),
     "slow-commands": Known("b", "beanstalkd", crowd(b"u", b"s")),
     "half-puts": Known("b", "beanstalkd", crowd(b"use seat-search\r\nput 0 0 60 %d\r\n" % LARGE + b"x" * (LARGE - 1))),
     "many-watches": Known("b", "beanstalkd", crowd(
--- a/benchmarks/hostile/connections.py
+++ b/benchmarks/hostile/connections.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import os
 import socket
 import struct
+from contextlib import suppress
 
 import trio
 
@@ -39,6 +41,15 @@
         return Reader(await trio.open_tcp_stream("127.0.0.1", self.site.port))
 
 
+def unread(reader: Reader) -> bytes:
+    """What has come by now and was not read; it is taken out of the connection, and nothing waits."""
+    found = b""
+    with socket.socket(fileno=os.dup(reader.stream.socket.fileno())) as direct, suppress(BlockingIOError):
+        while data := direct.recv(65536, socket.MSG_DONTWAIT):
+            found += data
+    return found
+
+
 def close(reader: Reader, reset: bool) -> float:
     """Close at once, by RST or by FIN; returns when."""
     if reset:
--- a/benchmarks/hostile/workers.py
+++ b/benchmarks/hostile/workers.py
@@ -42,6 +42,12 @@
         del self._held[:size]
         return found
 
+    def take_held(self) -> bytes:
+        """What was received and not asked for yet."""
+        found = bytes(self._held)
+        self._held.clear()
+        return found
+
     async def head(self) -> tuple[bytes, dict[bytes, bytes]]:
         """The first line, and the header fields by their names in small letters."""
         first, fields = await self.line(), dict[bytes, bytes]()
--- a/tests/test_tube_memory.py
+++ b/tests/test_tube_memory.py
@@ -35,6 +35,34 @@
 # -- (a) clients that leave
 
 
+@pytest.mark.parametrize("how", ["FIN", "RST"])
+def test_jobs_of_a_client_that_closed_before_they_were_read_go_to_no_host(how: str) -> None:
+    # picture (a) of issue 58: up to two of them were taken and sent on
+    async def scenario(at: Beanstalkd) -> int:
+        client = await trio.open_tcp_stream("127.0.0.1", at.port)
+        client.socket._sock.send(SEARCH + b"".join(PUT % n for n in range(100)))  # type: ignore[attr-defined]
+        end(client, how)
+        await trio.sleep(3)
+        return len(at.runs)
+
+    assert play(Beanstalkd().run, scenario) == 0
+
+
+def test_a_job_whose_client_closed_over_its_unread_acknowledgement_goes_to_no_host() -> None:
+    # picture (a): the job waits for a host, and its client never knew that it was taken
+    async def scenario(at: Beanstalkd) -> int:
+        await put_all(at, await at.connect(), len(HOSTS) * at.SESSIONS + 6)  # for 0.1 s each
+        client = await trio.open_tcp_stream("127.0.0.1", at.port)
+        await client.send_all(SEARCH + b"put 0 0 60 4\r\nlate\r\n")
+        await trio.sleep(0.01)
+        assert b"late" not in at.runs
+        end(client, "FIN")  # what it has not read makes this a reset
+        await trio.sleep(4)
+        return len(at.runs[b"late"])
+
+    assert play(Beanstalkd().run, scenario) == 0
+
+
 def test_a_job_that_its_client_knows_to_be_taken_is_run_though_the_client_has_gone() -> None:
     async def scenario(at: Beanstalkd) -> bytes:
         await put_all(at, await at.connect(), len(HOSTS) * at.SESSIONS + 6)
@@ -48,6 +76,25 @@
     assert play(Beanstalkd().run, scenario) == b"served\nRlate"
 
 
+def test_a_connection_that_has_sent_ahead_and_gone_while_it_waits_is_given_up() -> None:
+    # related: it was looked at no more, and waited for good
+    async def scenario(at: Beanstalkd) -> bytes:
+        client = await trio.open_tcp_stream("127.0.0.1", at.port)
+        await client.send_all(b"reserve\r\n")
+        await trio.sleep(0.1)
+        await client.send_all(b"stats\r\n")
+        await trio.sleep(0.1)
+        end(client, "FIN")
+        await trio.sleep(2 * downstream.CLOSED_EVERY)
+        lines = await at.connect()
+        await lines.stream.send_all(b"stats\r\n")
+        size = int((await lines.line()).split()[1])
+        return await lines.exactly(size)
+
+    at = Beanstalkd()
+    assert b"current-connections: %d\n" % (1 + len(HOSTS) * at.SESSIONS) in play(at.run, scenario)
+
+
 # -- (b) and (c): memory
 
 
--- a/thistleshore/beanstalkd/downstream.py
+++ b/thistleshore/beanstalkd/downstream.py
@@ -25,6 +25,7 @@
 from thistleshore.core.model import StreamWithdrawn
 from thistleshore.gate import BROKEN, Gate, peer_address
 from thistleshore.routing import RouteDecision
+from thistleshore.sockets import has_closed, was_reset
 
 log = logging.getLogger("thistleshore")
 
@@ -35,6 +36,7 @@
 WATCHED_BYTES_MOST = 8 * 1024 * 1024  # of the names of all watched tubes
 WATCHED_BYTES_LEAST = 4096  # of those of one connection, which it may have in any case
 WATCHED_TUBE = 128  # bytes that a watched tube takes beside its name
+CLOSED_EVERY = 1.0  # s between two looks whether a connection that waits and has sent ahead is still there
 WRITE_WITHIN = 5.0  # s for a connection to take a reply
 SOON = 1.0  # s before a reservation lapses in which its holder is told DEADLINE_SOON
 NOT_FOUND, DELETED = b"NOT_FOUND\r\n", b"DELETED\r\n"
@@ -119,6 +121,7 @@
             routed.key,
             member=routed.member,
             size=len(body),
+            gone=connection.has_closed,
         )
         self.open[job.id] = stream, job
         self._keepers.start_soon(self._keep, stream, job, connection.replies)
@@ -173,6 +176,7 @@
         self.decoder = Decoder(BODY_MOST)
         self.over = False
         self.was_host = False
+        self.unconfirmed: Stream | None = None  # of the last INSERTED, until its client has sent on
 
     @property
     def hosts(self) -> list[str]:
@@ -212,6 +216,8 @@
         data = await self.socket.receive_some(RECEIVE)
         self.over = not data
         self.decoder.feed(data)
+        if data and not self.has_closed():
+            self.unconfirmed = None
 
     async def send(self, data: bytes) -> None:
         with trio.move_on_after(WRITE_WITHIN) as writing:
@@ -220,6 +226,10 @@
             self.abort()  # it does not read: what is half written cannot be mended
             raise trio.BrokenResourceError("the connection does not read")
 
+    def has_closed(self) -> bool:
+        """Whether the other side has closed or reset it, also where what it sent before is unread."""
+        return has_closed(self.socket)
+
     def abort(self) -> None:
         self.over = True
         self.socket.socket.close()
@@ -227,6 +237,8 @@
     async def lost(self) -> None:
         """The connection is gone: its jobs may have run, and replies in its hands go back."""
         self.watched_names.give_back(self.watched_names.held)
+        if self.unconfirmed is not None and not self.unconfirmed.over and was_reset(self.socket):
+            await self.tubes.withdraw(self.unconfirmed)  # it had closed before it could read that it is taken
         for reservation in list(self.reservations.values()):
             reservation.end(Status.RESET)
         for reply in self.tubes.replies:
@@ -269,7 +281,17 @@
             return DRAINING
         if len(self.tubes.open) >= self.tubes.streams_most or not self.replies.has_room:
             return OUT_OF_MEMORY  # jobs and answers without bound would fill the memory
-        _, job = await self.tubes.take(self, ttr, body, routed)
+        if self.has_closed():
+            self.over = True
+            return b""
+        stream, job = await self.tubes.take(self, ttr, body, routed)
+        if self.has_closed():
+            # Nobody can be told that it is taken.  No wait stands between this look and that reply.
+            self.over = True
+            await self.tubes.withdraw(stream)
+            return b""
+        stream.outlives_connection()
+        self.unconfirmed = stream
         return line(b"INSERTED", job.id)
 
     def _result(self, body: bytes) -> bytes:
@@ -345,10 +367,12 @@
         """Notice a connection that goes away while it waits; commands sent ahead are kept for their turn."""
         try:
             await self._receive()
+            while not self.over and not self.has_closed():
+                await trio.sleep(CLOSED_EVERY)
         except BROKEN:
-            self.over = True
-        if self.over:
-            waiting.cancel()
+            pass
+        self.over = True
+        waiting.cancel()
 
     async def _end(self, word: str, number: int) -> bytes:
         held, reply = self.reservations.get(number), self.tubes.replies.get(number)
--- a/thistleshore/core/model.py
+++ b/thistleshore/core/model.py
@@ -67,6 +67,10 @@
         """Whether it is answered or withdrawn."""
         return self.withdrawn or self.answer is not None
 
+    def outlives_connection(self) -> None:
+        """Its downstream knows that it is taken: it may go, and come back for the answer."""
+        self.gone = _never
+
     @property
     def wanted(self) -> bool:
         """Whether a downstream still waits for its answer; checked in the step that would start an upstream request."""
