--- a/oxbowarch/brain.py
+++ b/oxbowarch/brain.py
@@ -19,7 +19,7 @@
 from oxbowarch.records import Attempt, DecayedCount, Homes, Job, Jobs, KeyRing, MovingAverage, MovingAverages
 from oxbowarch.records import LargestFree, RateTable, Window, Worker
 from oxbowarch.refusal import reason_of
-from oxbowarch.repeats import is_late_repeat, repeat_until
+from oxbowarch.repeats import is_late_repeat, repeat_allowed_at, repeat_until
 from oxbowarch.shunning import MAX_FAILURES, after_failure, after_rejections
 from oxbowarch.slow_start import capacity, sender_rate, warmth
 
@@ -312,15 +312,12 @@
             return False
         if not job.attempts:
             return True
-        last, ran = job.attempts[-1], job.ran_first()
+        last = job.attempts[-1]
         if last.worker is worker and now - last.sent_at < FULL_AGE or not self._within_budget(now):
             return False  # the worker has just rejected the job: it would use up the attempts
         if any(attempt.outstanding and attempt.worker is worker for attempt in job.attempts):
             return False
-        if ran is None or job.policy.effect is not Effect.KEYED or job.policy.group is Group.ALL:
-            return True
-        same_cell = job.policy.group is Group.ZONE or ran.entry.cell == worker.entry.cell
-        return same_cell and ran.entry.zone == worker.entry.zone
+        return repeat_allowed_at(job, worker.entry)
 
     def _give_up(self, job: Job) -> None:
         """End the job: refused if a repeat by the client is certain to be harmless, else failed."""
--- a/oxbowarch/repeats.py
+++ b/oxbowarch/repeats.py
@@ -4,7 +4,7 @@
 
 from math import inf
 
-from oxbowarch.interface import Effect, JobClass, Request
+from oxbowarch.interface import Effect, Entry, Group, JobClass, Request
 from oxbowarch.records import Job
 
 HOLD_UP = 0.15  # seconds for which a dispatcher may be held up between reading its clock and writing
@@ -27,3 +27,15 @@
     if rule.effect is not Effect.KEYED:
         return -inf
     return ran.sent_at + rule.repeat_window - max(HOLD_UP, margin)
+
+
+def repeat_allowed_at(job: Job, entry: Entry) -> bool:
+    """Return whether a further attempt may go to the worker of this entry, as far as its place matters.
+
+    Once an attempt of a keyed job may have run, only workers of the same group drop its repeats.
+    """
+    ran, rule = job.ran_first(), job.policy
+    if ran is None or rule.effect is not Effect.KEYED or rule.group is Group.ALL:
+        return True
+    same_cell = rule.group is Group.ZONE or ran.entry.cell == entry.cell
+    return same_cell and ran.entry.zone == entry.zone
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -9,7 +9,7 @@
 
 from tests.standins import Beanstalkd, Http, Platform
 from tests.support import Lines, free_port, play, read_all, socket_pair
-from thistleshore import gate
+from thistleshore import draining, gate
 from thistleshore.core import model
 from thistleshore.platform.downstream import Downstream
 from thistleshore.platform.messages import Peer, Routes
@@ -84,7 +84,9 @@
         return found, took, await at.say(silent, b"use default")
 
     found, took, said = play(Beanstalkd().run, scenario)
-    assert (found, said) == (b"BAD_FORMAT\r\n", b"USING default") and took == pytest.approx(gate.READ_WITHIN, abs=0.1)
+    assert (found, said) == (b"BAD_FORMAT\r\n", b"USING default") and took == pytest.approx(
+        draining.READ_WITHIN, abs=0.1
+    )
 
 
 def test_a_silent_crowd_takes_no_usual_client_s_place_and_all_of_it_is_closed() -> None:
@@ -123,12 +125,12 @@
             found = await at.ask_until_closed()
         return found, trio.current_time() - begun
 
-    at, served = Platform(), min(gate.SERVE_FOR, longest)
+    at, served = Platform(), min(draining.SERVE_FOR, longest)
     for lane in at.lanes:
         lane["giveUp"] = longest
     found, ended = play(at.run, scenario)
     assert all(b"200" in first for _, first in found)
-    assert found[-1][0] == pytest.approx(served, abs=0.3) and ended < served + gate.ANSWER_MORE
+    assert found[-1][0] == pytest.approx(served, abs=0.3) and ended < served + draining.ANSWER_MORE
 
 
 def test_what_comes_late_in_a_drain_is_answered_before_sigkill() -> None:
@@ -143,7 +145,7 @@
         return trio.current_time() - begun
 
     at = Http(["hang"])
-    assert 3.4 < play(at.run, scenario) < gate.SERVE_FOR + gate.ANSWER_MORE and at.runs[b"x"]
+    assert 3.4 < play(at.run, scenario) < draining.SERVE_FOR + draining.ANSWER_MORE and at.runs[b"x"]
 
 
 @pytest.mark.parametrize("longest", [1.0, 9.0])
@@ -164,11 +166,11 @@
         await kept.stream.send_all(b"rest.")  # its client need not have seen the answer yet
         return took, first, headers[b"connection"]
 
-    at, served = Platform(), min(gate.SERVE_FOR, longest)
+    at, served = Platform(), min(draining.SERVE_FOR, longest)
     for lane in at.lanes:
         lane["giveUp"] = longest
     took, first, connection = play(at.run, scenario)
-    assert b" 503 " in first and connection == b"close" and served < took < served + gate.ANSWER_MORE - 0.15
+    assert b" 503 " in first and connection == b"close" and served < took < served + draining.ANSWER_MORE - 0.15
 
 
 def test_a_put_that_is_half_read_late_in_a_drain_is_told_of_it_before_sigkill() -> None:
@@ -191,7 +193,7 @@
 
     at = Late(["hang"])
     took, said = play(at.run, scenario)
-    assert said == b"DRAINING\r\n" and took < gate.SERVE_FOR + gate.ANSWER_MORE - 0.15
+    assert said == b"DRAINING\r\n" and took < draining.SERVE_FOR + draining.ANSWER_MORE - 0.15
 
 
 def test_a_drain_keeps_connections_free_for_answers() -> None:
--- a/tests/test_settings_in_force.py
+++ b/tests/test_settings_in_force.py
@@ -13,7 +13,7 @@
 
 from tests.standins import Platform, Told
 from tests.support import play
-from thistleshore import config, gate
+from thistleshore import config, draining
 from thistleshore.config import ConfigError
 from thistleshore.limits import longest_deadline
 from thistleshore.platform.messages import read_terms
@@ -53,7 +53,7 @@
 
 
 def assert_serves_a_second(answered: list[tuple[float, bytes]]) -> None:
-    assert 0.7 < answered[-1][0] < 1.0 + gate.ANSWER_MORE
+    assert 0.7 < answered[-1][0] < 1.0 + draining.ANSWER_MORE
 
 
 def test_a_class_that_new_settings_dropped_does_not_lengthen_a_drain() -> None:
@@ -98,7 +98,7 @@
 
     at = Platform(["slow"])
     told, took = play(at.run, scenario)
-    assert told == Told("served", b"Rlong") and took > 0.2 + gate.ANSWER_MORE + 0.2
+    assert told == Told("served", b"Rlong") and took > 0.2 + draining.ANSWER_MORE + 0.2
 
 
 def test_a_class_that_is_back_counts_for_the_longest_deadline_again() -> None:
--- a/thistleshore/beanstalkd/downstream.py
+++ b/thistleshore/beanstalkd/downstream.py
@@ -204,12 +204,12 @@
         """Wait for more; silence between commands is usual here, half a command is not."""
         gate = self.tubes.gate
         room = nullcontext() if arrived is None else gate.waiting(self.socket, arrived)
-        with trio.CancelScope() if begun is None else gate.reading(begun) as reading, room:
+        with trio.CancelScope() if begun is None else gate.drain.reading(begun) as reading, room:
             await self._receive()
             return
         self.over = True  # a newcomer that gives way, or a command without an end
         if reading.cancelled_caught:
-            await self.send(DRAINING if gate.reads_are_over else b"BAD_FORMAT\r\n")
+            await self.send(DRAINING if gate.drain.reads_are_over else b"BAD_FORMAT\r\n")
             await gate.linger(self.socket)
 
     async def _receive(self) -> None:
--- a/thistleshore/dispatcher.py
+++ b/thistleshore/dispatcher.py
@@ -94,7 +94,7 @@
 
         beanstalkd.start_front(components)
     for bound in components.fronts:
-        bound.front.gate.set_longest_deadline(longest_deadline(plan))
+        bound.front.gate.drain.set_longest_deadline(longest_deadline(plan))
 
 
 def _start_follower(components: Components, rereads: Rereads | None) -> None:
--- a/thistleshore/follower.py
+++ b/thistleshore/follower.py
@@ -103,7 +103,7 @@
         if (downstream := self.downstream) is not None:
             # What was in force a moment ago is known for a while; each class by its newest rules.
             downstream.routes = routes._replace(classes={**downstream.routes.classes, **routes.classes})
-            downstream.gate.set_longest_deadline(longest_deadline(found))
+            downstream.gate.drain.set_longest_deadline(longest_deadline(found))
         nursery.start_soon(self._drop_old_classes, routes)
         if self.discovery is not None:
             self.discovery.on_settings(found.settings, found.http.names)
--- a/thistleshore/gate.py
+++ b/thistleshore/gate.py
@@ -4,28 +4,23 @@
 
 import logging
 import socket as stdlib
-from collections.abc import Awaitable, Callable, Iterator
-from contextlib import AbstractContextManager, contextmanager, suppress
-from math import inf
+from collections.abc import Awaitable, Callable
+from contextlib import AbstractContextManager, suppress
 
 import trio
 
 from thistleshore.addresses import ip_number
+from thistleshore.draining import DrainClock
 from thistleshore.waiting import NEWCOMER_GRACE, WaitingConnections
 
 log = logging.getLogger("thistleshore")
 
 ACCEPT_FOR = 0.55  # s after SIGTERM in which connections still come
-# SIGKILL comes after the longest deadline, counted as 3 s where it is longer, and 0.7 s more.
-SERVE_FOR = 3.0  # s after SIGTERM, or that deadline, in which what comes by connections that were kept is still taken
-READ_MORE = 0.25  # s after that in which a request that has begun to come is still read
-ANSWER_MORE = 0.5  # s after that time in which all is answered: a hold-up of the process may follow, then SIGKILL
 BACKLOG = 512
 NO_SOCKET_PAUSE = 0.05  # s before accepting is tried again
 LINGER = 1.0  # s in which what a downstream still sends is discarded, so that it gets to read its last answer
 DISCARD = bytearray(64 * 1024)  # what is discarded, of all connections; nobody reads it
 BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError)
-READ_WITHIN = 2.0  # s from a connection's start, or a later request's first byte, to a request's last byte
 KEPT_SPARE = 8  # connections that a drain should leave free, or a third: who finds none takes us for dead
 ROOM_TRIES = 4  # waits of that grace for room, after which a connection is closed unheard
 
@@ -50,9 +45,7 @@
         self.draining = trio.Event()
         self.listening = False
         self.connections = 0
-        self.answer_by = inf  # when the last answer must be out: SIGKILL follows
-        self._read_by = inf  # when requests that are half read are given up, so that none is whole and unanswered then
-        self._reads = set[trio.CancelScope]()  # reads of requests that have begun to come
+        self.drain = DrainClock()
         self.shared = False  # another process may listen beside this one
         self.inherited: stdlib.socket | None = None  # the socket that another process accepted from
         self.listener: trio.SocketListener | None = None  # while it is open
@@ -60,29 +53,6 @@
         self._accepting, self._resumed, self._stopped_listening = trio.CancelScope(), trio.Event(), trio.Event()
         self._waits = WaitingConnections()
         self._room = trio.Event()
-        self._longest_deadline = inf  # s, of any class
-        self._drain_started_at: float | None = None
-        self._serving_kept = trio.CancelScope()  # the time in a drain in which kept connections are served
-
-    def set_longest_deadline(self, seconds: float) -> None:
-        """Set the longest deadline of any class, by which a drain goes.
-
-        New settings in a drain can only shorten it: SIGKILL may come by the settings before them or by the new ones.
-        """
-        if self._drain_started_at is None:
-            self._longest_deadline = seconds
-        elif seconds < self._longest_deadline:
-            self._longest_deadline = seconds
-            self._schedule_drain(self._drain_started_at)
-
-    def _schedule_drain(self, started_at: float) -> None:
-        serve_for = min(SERVE_FOR, self._longest_deadline)
-        self._serving_kept.deadline = started_at + serve_for
-        self.answer_by = self._serving_kept.deadline + ANSWER_MORE
-        self._read_by = self._serving_kept.deadline + READ_MORE
-        for read in self._reads:
-            read.deadline = min(read.deadline, self._read_by)
-        log.info("drain: kept connections served for %.3g s, answers due %.3g s later", serve_for, ANSWER_MORE)
 
     @property
     def spare(self) -> float:
@@ -142,21 +112,20 @@
             log.info("listening on %s:%d", *address)
             task_status.started()
             with trio.CancelScope() as accepting:
-                nursery.start_soon(self._drain, accepting)
+                nursery.start_soon(self._end_serving, accepting)
                 await self._accept(listener, nursery, handler)
             await self._accept_waiting(listener, nursery, handler)
         self.listening, self.listener = False, None
         self._stopped_listening.set()
 
-    async def _drain(self, accepting: trio.CancelScope) -> None:
+    async def _end_serving(self, accepting: trio.CancelScope) -> None:
         await self.draining.wait()
-        self._drain_started_at = trio.current_time()
-        self._schedule_drain(self._drain_started_at)
+        self.drain.start()
         await trio.sleep(ACCEPT_FOR)  # the front before us goes on dealing connections out for a while
         accepting.cancel()
         await self._stopped_listening.wait()
         # Clients go on by the connections that they have, and nobody else may be there to serve them.
-        with self._serving_kept:
+        with self.drain.serving_kept:
             while self.connections:
                 self._room = trio.Event()
                 await self._room.wait()
@@ -234,25 +203,6 @@
         """
         return self._waits.waiting(socket, arrived, idle)
 
-    @contextmanager
-    def reading(self, since: float) -> Iterator[trio.CancelScope]:
-        """The time for a request that has begun to come, at `since` on trio's clock, to come whole.
-
-        A request that withholds its end would hold a socket for good.  In a drain the time ends early enough for an
-        answer: what has been written whole on an open connection has been taken, whether or not it was read.
-        """
-        with trio.CancelScope(deadline=min(since + READ_WITHIN, self._read_by)) as scope:
-            self._reads.add(scope)
-            try:
-                yield scope
-            finally:
-                self._reads.discard(scope)
-
-    @property
-    def reads_are_over(self) -> bool:
-        """Whether the drain has come so far that requests that are half read are refused."""
-        return trio.current_time() >= self._read_by
-
     async def linger(self, socket: trio.SocketStream) -> None:
         """End our side of a connection that has had its last answer, and discard for a while what still comes.
 
--- a/thistleshore/platform/downstream.py
+++ b/thistleshore/platform/downstream.py
@@ -12,7 +12,8 @@
 
 from thistleshore.core.model import Event, Failed, FinalAnswer, LocalReply, Served, Stream, StreamOpened
 from thistleshore.core.model import StreamWithdrawn
-from thistleshore.gate import BROKEN, READ_WITHIN, Gate, peer_address
+from thistleshore.draining import READ_WITHIN
+from thistleshore.gate import BROKEN, Gate, peer_address
 from thistleshore.invariants import invariant
 from thistleshore.platform.messages import PASSED, RECEIVE, Ask, Peer, Rejected, Routes, Terms, read_terms
 from thistleshore.platform.reading import WholeRequest, read_request
@@ -85,9 +86,9 @@
     async def _receive(self, peer: Peer, arrived: float | None) -> WholeRequest | None:
         """Read a request that has begun to come; None where the downstream went away or gives way."""
         room = nullcontext() if arrived is None else self.gate.waiting(peer.socket, arrived)
-        with self.gate.reading(arrived or trio.current_time()) as reading, room:
+        with self.gate.drain.reading(arrived or trio.current_time()) as reading, room:
             return await read_request(peer)
-        if reading.cancelled_caught and self.gate.reads_are_over:
+        if reading.cancelled_caught and self.gate.drain.reads_are_over:
             raise Rejected(503, "refused")
         if reading.cancelled_caught:
             raise Rejected(408, "the request took too long")
@@ -124,7 +125,7 @@
             terms.name,
             terms.job_class,
             # What comes late in a drain is answered before SIGKILL can end it.
-            min(began + terms.remaining, self.gate.answer_by),
+            min(began + terms.remaining, self.gate.drain.answer_by),
             Ask(whole.head.target, passed, whole.body),
             terms.tenant,
             terms.key,
--- a/thistleshore/platform/upstream.py
+++ b/thistleshore/platform/upstream.py
@@ -20,6 +20,7 @@
 # s for which a connection rests after an answer that names no stream: a second copy of that answer may come some
 # milliseconds late, and as a 503 it would pass for a proof that the next request never ran.
 QUIET = 0.05
+SETTLING_MOST = 256  # connections whose answers are still ending; further ones are closed
 SETTLE_WITHIN = 1.0  # s for the end of an answer whose last line has come
 NO_SOCKET = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 
@@ -40,6 +41,23 @@
     since: float
 
 
+class Answered(NamedTuple):
+    """The outcome of an upstream request, and what may become of its connection."""
+
+    outcome: UpstreamOutcome
+    reusable: bool = False  # the answer is whole, or ends soon
+    names_stream: bool = False  # the answer says which stream it is about
+
+
+class Settling(NamedTuple):
+    """A connection whose answer is still ending."""
+
+    host: UpstreamHost
+    generation: int
+    peer: Peer
+    quiet_for: float  # seconds for which it rests after that
+
+
 class NoSocket(Exception):
     """This process has no socket left: no fault of the host."""
 
@@ -52,14 +70,14 @@
         self.held_elsewhere = 0  # of these connections, by another process that serves the same clients
         self.open = 0
         self._idle: dict[bytes, deque[Kept]] = {}
-        self._settling = trio.open_memory_channel[tuple[UpstreamHost, int, Peer, float]](256)
+        self._settling = trio.open_memory_channel[Settling](SETTLING_MOST)
 
     async def run(self) -> None:
         """Retire idle connections in time, and settle those whose answer is still ending."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._retire)
-            async for answered in self._settling[1]:
-                nursery.start_soon(self._settle, *answered)
+            async for settling in self._settling[1]:
+                nursery.start_soon(self._settle, settling)
 
     async def _retire(self) -> None:
         while True:
@@ -128,7 +146,7 @@
             return UpstreamOutcome(Status.NOT_SENT)
         except (OSError, trio.TooSlowError):
             return UpstreamOutcome(Status.CONNECT_FAILED)
-        done, rest = False, 0.0
+        answered: Answered | None = None
         try:
             # Connecting took time, and the list may have changed: connections to an earlier process are stale.
             if host.generation != generation:
@@ -137,9 +155,8 @@
             if unsent is not None:
                 return UpstreamOutcome(unsent)
             request.mark_written()
-            outcome, done, named = await self._answer(peer, request, events)
-            rest = 0.0 if named else QUIET
-            return outcome
+            answered = await self._answer(peer, request, events)
+            return answered.outcome
         except (trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError):
             # Broken before its last byte was written, it never ran.
             return UpstreamOutcome(Status.RESET if request.sent else Status.CONNECT_FAILED)
@@ -147,24 +164,21 @@
             log.warning("bad answer from %s: %s", host.id.decode(errors="replace"), problem)
             return UpstreamOutcome(Status.ERROR)
         finally:
-            if done:
-                self._keep_soon(host, generation, peer, rest)
+            if answered is not None and answered.reusable:
+                self._keep_soon(Settling(host, generation, peer, 0.0 if answered.names_stream else QUIET))
             else:  # also when called off: closing is how the protocol gives up an attempt
                 self._close(peer)
 
-    async def _answer(
-        self, peer: Peer, request: UpstreamRequest, events: trio.MemorySendChannel[Event]
-    ) -> tuple[UpstreamOutcome, bool, bool]:
-        """The outcome, whether the connection may serve again, and whether the answer named the stream."""
+    async def _answer(self, peer: Peer, request: UpstreamRequest, events: trio.MemorySendChannel[Event]) -> Answered:
         response = await peer.event()
         while isinstance(response, h11.InformationalResponse):
             response = await peer.event()
         if not isinstance(response, h11.Response):
-            return UpstreamOutcome(Status.RESET), False, False
+            return Answered(UpstreamOutcome(Status.RESET))
         if response.status_code != 200:
             report = read_pressure(header(response.headers, b"x-pressure"))
             turned = response.status_code in (503, 504) and header(response.headers, b"x-turned-away") == "1"
-            return UpstreamOutcome(Status.FULL if turned else Status.ERROR, report=report), True, False
+            return Answered(UpstreamOutcome(Status.FULL if turned else Status.ERROR, report=report), reusable=True)
         rest = b""
         while isinstance(event := await peer.event(), h11.Data):
             *lines, rest = (rest + event.data).split(b"\n")
@@ -176,19 +190,20 @@
                     await events.send(UpstreamStarted(request))
                 if line.status is not None:
                     report = line.report or read_pressure(header(response.headers, b"x-pressure"))
-                    return UpstreamOutcome(line.status, line.result, report), True, True
+                    return Answered(UpstreamOutcome(line.status, line.result, report), reusable=True, names_stream=True)
             if len(rest) > LINE_MOST:
                 raise Malformed("a line has no end")  # it would fill the memory
-        return UpstreamOutcome(Status.RESET), False, False  # it ended before the last line
+        return Answered(UpstreamOutcome(Status.RESET))  # it ended before the last line
 
-    def _keep_soon(self, host: UpstreamHost, generation: int, peer: Peer, rest: float) -> None:
+    def _keep_soon(self, settling: Settling) -> None:
         try:
-            self._settling[0].send_nowait((host, generation, peer, rest))
+            self._settling[0].send_nowait(settling)
         except trio.WouldBlock:
-            self._close(peer)  # a pile of half-ended answers must not grow without bound
+            self._close(settling.peer)  # a pile of half-ended answers must not grow without bound
 
-    async def _settle(self, host: UpstreamHost, generation: int, peer: Peer, rest: float) -> None:
+    async def _settle(self, settling: Settling) -> None:
         """Read an answer to its end, then keep the connection."""
+        host, generation, peer, quiet_for = settling
         whole = False
         try:
             with trio.move_on_after(SETTLE_WITHIN):
@@ -196,8 +211,8 @@
                     pass
                 if peer.reusable:
                     peer.http.start_next_cycle()
-                    if rest:
-                        await trio.sleep(rest)
+                    if quiet_for:
+                        await trio.sleep(quiet_for)
                     whole = not peer.http.trailing_data[0] and host.ready and host.generation == generation
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError):
             whole = False
