A hand-over has room for as many ids as there may be

Cause: the latest names for a process of an older version may hold characters that take six bytes each in the frame, beside 100,000 digests.

Change: only names in ASCII are told so; all have their digest.

Measured: the new test fails without the change.

--- a/tests/test_stream_names.py
+++ b/tests/test_stream_names.py
@@ -17,6 +17,7 @@
 from thistleshore.platform.downstream import Downstream
 from thistleshore.platform.messages import Routes
 from thistleshore.platform.stream_names import KEPT, StreamNames
+from thistleshore.restart import frame
 from thistleshore.restart.link import Link
 
 HEAD = b"POST /render HTTP/1.1\r\nHost: s\r\nX-Lane: render\r\nContent-Length: 0\r\n"
@@ -129,6 +130,15 @@
             second.take_over(malformed, 0.0)
 
 
+def test_a_hand_over_with_as_many_names_as_there_may_be_fits_its_frame() -> None:
+    names = StreamNames()
+    for n in range(stream_names.MOST):
+        names.open(f"{n:\xff>128}", 30.0)
+    values = {"names": list(names.latest), "streams": names.export(0.0)}
+    rest = 2 * 1024 * 1024  # bytes, twice what 3,200 hosts take
+    assert names.full(0.0) and len(frame.framed(values)) + rest < frame.BODY_MOST
+
+
 def test_a_name_that_is_heard_twice_is_known_for_the_longer_time() -> None:
     names = StreamNames()
     assert names.learn("a", 5.0) and not names.learn("a", 9.0) and not names.learn("a", 7.0)
--- a/thistleshore/platform/stream_names.py
+++ b/thistleshore/platform/stream_names.py
@@ -47,7 +47,7 @@
     def open(self, name: str, until: float) -> None:
         """A stream of that name is opened; its client may come again with it until then."""
         self._open[_digest(name)] = until
-        self.latest.append(name)
+        self._note(name)
 
     def end(self, name: str, now: float, answered: bool) -> None:
         """The stream has ended; a client that has its answer does not come again."""
@@ -68,7 +68,7 @@
         news = digest not in self._open and digest not in self._ended
         self._keep(digest, until)
         if news:
-            self.latest.append(name)
+            self._note(name)
         return news
 
     def export(self, now: float) -> str:
@@ -86,6 +86,10 @@
         for digest, left in ENTRY.iter_unpack(data):
             self._keep(digest, now + left)
 
+    def _note(self, name: str) -> None:
+        if name.isascii():  # others take six times the bytes in a hand-over, which has a limit
+            self.latest.append(name)
+
     def _keep(self, digest: bytes, until: float) -> None:
         if until > self._ended.get(digest, 0.0):
             self._ended[digest] = until
