Heads of very many fields are turned down wherever one is read: hosts' answers, scrapers

Change: a host's answer with too many lines counts as malformed (it may have run); a scraper's ends its connection.

--- a/tests/test_reading.py
+++ b/tests/test_reading.py
@@ -10,9 +10,14 @@
 import pytest
 import trio
 
-from tests.support import pieces, play, socket_pair
+from oxbowarch.interface import Status
+from tests.support import free_port, pieces, play, read_all, socket_pair
+from tests.test_edges import ANSWER, carried, request_to, with_host
+from thistleshore.core.model import UpstreamHost
+from thistleshore.metrics import Page
 from thistleshore.platform.messages import FIELDS_MOST, Peer, Rejected
 from thistleshore.platform.reading import WholeRequest, read_request
+from thistleshore.platform.upstream import Upstreams
 
 LINE = b"POST /render HTTP/1.1\r\nHost: s\r\n"
 PATIENCE = 30.0  # s of mock time
@@ -63,6 +68,18 @@
     assert play(read, pieces(data, cuts)) == 431
 
 
+@pytest.mark.parametrize(("fields", "status"), [(3900, Status.ERROR), (60, Status.OK)])
+def test_a_host_s_answer_of_very_many_short_fields_is_turned_down_before_it_is_parsed(
+    fields: int, status: Status
+) -> None:
+    # related to picture (b): each of hundreds of attempts would hold some 800 KB
+    async def scenario(pool: Upstreams, host: UpstreamHost) -> list[Status]:
+        return [(await carried(pool, request_to(host))).status for _ in range(2)]
+
+    head = b"HTTP/1.1 200 OK\r\n" + b"a:\r\n" * fields + b"Content-Length: %d\r\n\r\n" % len(ANSWER)
+    assert play(with_host, scenario, [head + ANSWER])[0] == [status, status]
+
+
 @pytest.mark.parametrize("cuts", [[], list(range(0, 3000, 7))])
 @pytest.mark.parametrize(
     ("data", "body"),
@@ -91,3 +108,20 @@
     found = play(read, [CHUNKED + b"1\r\nx\r\n" * 20_000 + b"0\r\n\r\n"], count)
     assert isinstance(found, WholeRequest) and len(found.body) == 20_000
     assert turns > 20_000 / 64
+
+
+def test_a_scraper_with_very_many_fields_ends_its_own_connection_alone() -> None:
+    # the head that is turned down was nobody's to answer there, and would have ended the process
+    async def scenario() -> tuple[bytes, bytes]:
+        port, found = free_port(), list[bytes]()
+        async with trio.open_nursery() as nursery:
+            await nursery.start(Page().run, ("127.0.0.1", port))
+            await trio.sleep(0.1)
+            for more in (b"a:\r\n" * 3900, b""):
+                scraper = await trio.open_tcp_stream("127.0.0.1", port)
+                await scraper.send_all(b"GET /metrics HTTP/1.1\r\nHost: s\r\n" + more + b"\r\n")
+                found.append(await read_all(scraper))
+            nursery.cancel_scope.cancel()
+        return found[0], found[1][:12]
+
+    assert play(scenario) == (b"", b"HTTP/1.1 200")
--- a/thistleshore/metrics.py
+++ b/thistleshore/metrics.py
@@ -17,7 +17,7 @@
 from oxbowarch.interface import RefusalReason, Status
 from thistleshore.contracts.model import ShareFigures
 from thistleshore.listening import patiently
-from thistleshore.platform.messages import Peer
+from thistleshore.platform.messages import Peer, Rejected
 
 if TYPE_CHECKING:
     from thistleshore.core.broker import Broker
@@ -172,7 +172,7 @@
             try:
                 async with self._room:
                     await self._answer(peer)
-            except (h11.ProtocolError, trio.BrokenResourceError, trio.ClosedResourceError):
+            except (Rejected, h11.ProtocolError, trio.BrokenResourceError, trio.ClosedResourceError):
                 pass  # a scraper's fault is no event of ours
         peer.close()
 
--- a/thistleshore/platform/messages.py
+++ b/thistleshore/platform/messages.py
@@ -22,7 +22,8 @@
 BODY_MOST = 64 * 1024  # bytes of any body
 LINE_MOST = 6 * BODY_MOST + 1024  # a result of that size, every byte of it escaped, in its JSON object
 HEAD_MOST = 16 * 1024
-FIELDS_MOST = 128  # lines of a request's head, or of the trailers of its body: parsed, each takes some 200 bytes
+FIELDS_MOST = 128  # lines of a head, or of the trailers of a request's body: parsed, each takes some 200 bytes
+TOO_MANY_FIELDS = "too many header fields"
 RECEIVE = 16 * 1024  # bytes read at a time: many connections must fit the memory
 STATES = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
 FREE, QUEUED, HELD = ("x0",), ("q", "queue"), ("rif", "inflight")  # names of a load report's values
@@ -48,12 +49,14 @@
         # A head without end would fill the memory: h11 gives up on it at this size.
         self.http = h11.Connection(role, max_incomplete_event_size=HEAD_MOST)
         self.address = 0  # of a client, where an operator's rules may ask for it
-        self.head = b""  # what has come while a request's head was awaited: h11 does not show how it was framed
+        self.head = b""  # what has come while a head was awaited: h11 does not show how it was framed
 
     async def event(self) -> Any:
         """h11's next event; at the end of input ConnectionClosed or h11.RemoteProtocolError."""
         while (event := self.http.next_event()) is h11.NEED_DATA:
             await self.receive()
+        if isinstance(event, h11.InformationalResponse | h11.Response):
+            self.head = b""
         return event
 
     async def receive(self) -> None:
@@ -61,10 +64,12 @@
         self.feed(await self.socket.receive_some(RECEIVE))
 
     def feed(self, data: bytes) -> None:
-        """Hand received bytes to h11; Rejected where they are a head of too many lines."""
-        if self.http.our_role is h11.SERVER and self.http.their_state is h11.IDLE:
+        """Hand received bytes to h11; Rejected or Malformed where they are a head of too many lines."""
+        serves = self.http.our_role is h11.SERVER
+        if self.http.their_state is (h11.IDLE if serves else h11.SEND_RESPONSE):
             self.head += data
-            check_fields(self.head)
+            if has_too_many_fields(self.head):
+                raise Rejected(431, TOO_MANY_FIELDS) if serves else Malformed(TOO_MANY_FIELDS)
         self.http.receive_data(data)
 
     def encode(self, *events: h11.Event) -> bytes:
@@ -129,12 +134,12 @@
         raise Rejected(400, "the length of the body is said twice")
 
 
-def check_fields(text: bytes) -> None:
-    """Rejected where a head, or trailers, have too many lines up to the empty one: parsed, they fill the memory."""
-    if text.count(b"\n") > FIELDS_MOST:
-        end = END_OF_HEAD.search(text)
-        if text.count(b"\n", 0, end.start() if end else len(text)) > FIELDS_MOST:
-            raise Rejected(431, "too many header fields")
+def has_too_many_fields(text: bytes) -> bool:
+    """Whether a head, or trailers, have too many lines up to the empty one: parsed, they would fill the memory."""
+    if text.count(b"\n") <= FIELDS_MOST:
+        return False
+    end = END_OF_HEAD.search(text)
+    return text.count(b"\n", 0, end.start() if end else len(text)) > FIELDS_MOST
 
 
 def header(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> str | None:
--- a/thistleshore/platform/reading.py
+++ b/thistleshore/platform/reading.py
@@ -8,7 +8,15 @@
 import h11
 import trio
 
-from thistleshore.platform.messages import BODY_MOST, Peer, Rejected, check_fields, check_framing, header
+from thistleshore.platform.messages import (
+    BODY_MOST,
+    TOO_MANY_FIELDS,
+    Peer,
+    Rejected,
+    check_framing,
+    has_too_many_fields,
+    header,
+)
 
 CHUNKS_AT_ONCE = 32  # parts of a body that are taken before other connections have their turn
 LAST_CHUNK = re.compile(rb"(?:\r?\n)?0+[ \t]*(?:;[^\n]*)?\r?\n")
@@ -58,8 +66,8 @@
         if boundary:
             rest = peer.http.trailing_data[0]
             trailers = trailers or LAST_CHUNK.match(rest) is not None
-            if trailers:
-                check_fields(rest)
+            if trailers and has_too_many_fields(rest):
+                raise Rejected(431, TOO_MANY_FIELDS)
         event = peer.http.next_event()
         if event is h11.NEED_DATA:
             await peer.receive()
