--- a/thistleshore/restart/carrier.py
+++ b/thistleshore/restart/carrier.py
@@ -1,4 +1,4 @@
-"""The Unix socket between the two processes of a hot restart: state and sockets go over it, then news of bans."""
+"""The Unix socket between the two processes of a hot restart: state and sockets go over it, then what is news."""
 
 from __future__ import annotations
 
@@ -14,9 +14,9 @@
 import trio
 
 from thistleshore.gate import NO_SOCKET_PAUSE
+from thistleshore.platform.stream_names import pieces
 from thistleshore.restart import frame
 from thistleshore.restart.link import RECEIVE, Link
-from thistleshore.platform.stream_names import pieces
 
 log = logging.getLogger("thistleshore")
 
