--- a/tests/test_stream_names.py
+++ b/tests/test_stream_names.py
@@ -47,9 +47,10 @@
         return Lines(await trio.open_tcp_stream("127.0.0.1", self.port))
 
     async def ask(self, lines: Lines, name: bytes) -> bytes:
-        await lines.stream.send_all(POST % (30_000, name))
-        first, headers = await lines.head()
-        await lines.exactly(int(headers[b"content-length"]))
+        with trio.fail_after(GIVE_UP):
+            await lines.stream.send_all(POST % (30_000, name))
+            first, headers = await lines.head()
+            await lines.exactly(int(headers[b"content-length"]))
         return first.split()[1]
 
     async def leave(self, name: bytes, remaining: float) -> None:
