The bounds on heads, trailers and parts stand at the connection, for clients and hosts alike

Read once more: the turn for others after 32 parts, and the look at trailers, stood where a client's body is read; a host's answer, and a list of discovery, came by the same code without them. An answer line in parts of one byte was copied with each, up to 394 KB.

Change: Peer, in a module of its own, bounds every head and all trailers and gives others their turn after 32 events, whoever reads; lines of an answer are cut only where a part ends one.

--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -29,7 +29,8 @@
 from thistleshore.core.broker import Broker
 from thistleshore.gate import Gate
 from thistleshore.platform import upstream
-from thistleshore.platform.messages import Ask, Peer
+from thistleshore.platform.messages import Ask
+from thistleshore.platform.peer import Peer
 from thistleshore.platform.peers import Peers
 
 ANSWER = b'{"id":"t","state":"done","result":"ok"}\n'
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -12,7 +12,8 @@
 from thistleshore import draining, gate
 from thistleshore.core import model
 from thistleshore.platform.downstream import Downstream
-from thistleshore.platform.messages import Peer, Routes
+from thistleshore.platform.messages import Routes
+from thistleshore.platform.peer import Peer
 
 HEAD = b"POST /render HTTP/1.1\r\nHost: s\r\nX-Lane: render\r\nX-Remaining-Ms: 9000\r\n"
 POST = HEAD + b"X-Txn: %x\r\nContent-Length: 0\r\n\r\n"
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -24,6 +24,7 @@
 from thistleshore.core import model
 from thistleshore.platform import messages
 from thistleshore.platform.downstream import Downstream
+from thistleshore.platform.peer import Peer
 from thistleshore.platform.start_times import at_epoch
 from thistleshore.platform.upstream import Upstreams, ConnectionLimits
 from tests.support import CUTS, GARBAGE, PAUSE, commands, pieces, play, socket_pair, steady, talk
@@ -260,7 +261,7 @@
 
 async def answered(parts: list[bytes]) -> model.UpstreamOutcome:
     ours, theirs = socket_pair()
-    peer = messages.Peer(ours, h11.CLIENT)
+    peer = Peer(ours, h11.CLIENT)
     request = model.UpstreamRequest(model.Stream("9b1f", 0, 99.0), 0, model.UpstreamHost(b"h", None, None), 99.0)  # type: ignore[arg-type]
     inbox, _keep = trio.open_memory_channel[model.Event](9)
     await peer.send(h11.Request(method="POST", target="/", headers=[("host", "h")]), h11.EndOfMessage())
--- a/tests/test_reading.py
+++ b/tests/test_reading.py
@@ -15,7 +15,8 @@
 from tests.test_edges import ANSWER, carried, request_to, with_host
 from thistleshore.core.model import UpstreamHost
 from thistleshore.metrics import Page
-from thistleshore.platform.messages import FIELDS_MOST, Peer, Rejected
+from thistleshore.platform.messages import FIELDS_MOST, Rejected
+from thistleshore.platform.peer import Peer
 from thistleshore.platform.reading import WholeRequest, read_request
 from thistleshore.platform.upstream import Upstreams
 
@@ -80,6 +81,30 @@
     assert play(with_host, scenario, [head + ANSWER])[0] == [status, status]
 
 
+def test_a_host_s_answer_in_very_many_parts_leaves_other_connections_their_turns() -> None:
+    # picture (c) at the other side: what stands in one step there keeps all clients waiting
+    turns = 0
+
+    async def scenario(pool: Upstreams, host: UpstreamHost) -> Status:
+        async def count() -> None:
+            nonlocal turns
+            while True:
+                turns += 1
+                await trio.lowlevel.checkpoint()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(count)
+            status = (await carried(pool, request_to(host))).status
+            nursery.cancel_scope.cancel()
+        return status
+
+    text = b'{"id":"t","state":"done","result":"%s"}\n' % (b"x" * 20_000)
+    body = b"".join(b"1\r\n%c\r\n" % byte for byte in text) + b"0\r\n\r\n"
+    answer = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + body
+    assert play(with_host, scenario, [answer])[0] is Status.OK
+    assert turns > 20_000 / 64
+
+
 @pytest.mark.parametrize("cuts", [[], list(range(0, 3000, 7))])
 @pytest.mark.parametrize(
     ("data", "body"),
--- a/thistleshore/metrics.py
+++ b/thistleshore/metrics.py
@@ -17,7 +17,8 @@
 from oxbowarch.interface import RefusalReason, Status
 from thistleshore.contracts.model import ShareFigures
 from thistleshore.listening import patiently
-from thistleshore.platform.messages import Peer, Rejected
+from thistleshore.platform.messages import Rejected
+from thistleshore.platform.peer import Peer
 
 if TYPE_CHECKING:
     from thistleshore.core.broker import Broker
--- a/thistleshore/platform/discovery.py
+++ b/thistleshore/platform/discovery.py
@@ -11,7 +11,8 @@
 
 from oxbowarch.interface import Settings
 from thistleshore.core.model import HostListReceived
-from thistleshore.platform.messages import ListNames, Malformed, Peer, read_hosts
+from thistleshore.platform.messages import ListNames, Malformed, read_hosts
+from thistleshore.platform.peer import Peer
 from thistleshore.platform.start_times import StartTimes
 from thistleshore.platform.watching import Call, Refused, Watch
 
--- a/thistleshore/platform/downstream.py
+++ b/thistleshore/platform/downstream.py
@@ -15,7 +15,8 @@
 from thistleshore.draining import READ_WITHIN
 from thistleshore.gate import BROKEN, Gate, peer_address
 from thistleshore.invariants import invariant
-from thistleshore.platform.messages import PASSED, RECEIVE, Ask, Peer, Rejected, Routes, Terms, read_terms
+from thistleshore.platform.messages import PASSED, Ask, Rejected, Routes, Terms, read_terms
+from thistleshore.platform.peer import RECEIVE, Peer
 from thistleshore.platform.reading import WholeRequest, read_request
 from thistleshore.platform.stream_names import KEPT, StreamNames
 
--- a/thistleshore/platform/messages.py
+++ b/thistleshore/platform/messages.py
@@ -10,7 +10,6 @@
 from typing import TYPE_CHECKING, Any, NamedTuple, Protocol
 
 import h11
-import trio
 
 from oxbowarch.interface import UNNAMED_TENANT, Entry, ListKind, Report, State, Status
 from thistleshore.core.model import HostLine
@@ -22,9 +21,7 @@
 BODY_MOST = 64 * 1024  # bytes of any body
 LINE_MOST = 6 * BODY_MOST + 1024  # a result of that size, every byte of it escaped, in its JSON object
 HEAD_MOST = 16 * 1024
-FIELDS_MOST = 128  # lines of a head, or of the trailers of a request's body: parsed, each takes some 200 bytes
-TOO_MANY_FIELDS = "too many header fields"
-RECEIVE = 16 * 1024  # bytes read at a time: many connections must fit the memory
+FIELDS_MOST = 128  # lines of a head, or of the trailers of a body: parsed, each takes some 200 bytes
 STATES = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
 FREE, QUEUED, HELD = ("x0",), ("q", "queue"), ("rif", "inflight")  # names of a load report's values
 
@@ -41,62 +38,6 @@
     """An upstream host or discovery sent what the protocol does not know."""
 
 
-class Peer:
-    """One HTTP connection: h11's state and the socket under it."""
-
-    def __init__(self, socket: trio.SocketStream, role: type[h11.CLIENT] | type[h11.SERVER]) -> None:
-        self.socket = socket
-        # A head without end would fill the memory: h11 gives up on it at this size.
-        self.http = h11.Connection(role, max_incomplete_event_size=HEAD_MOST)
-        self.address = 0  # of a client, where an operator's rules may ask for it
-        self.head = b""  # what has come while a head was awaited: h11 does not show how it was framed
-
-    async def event(self) -> Any:
-        """h11's next event; at the end of input ConnectionClosed or h11.RemoteProtocolError."""
-        while (event := self.http.next_event()) is h11.NEED_DATA:
-            await self.receive()
-        if isinstance(event, h11.InformationalResponse | h11.Response):
-            self.head = b""
-        return event
-
-    async def receive(self) -> None:
-        """Wait for more bytes, or the end of input, and feed them to h11."""
-        self.feed(await self.socket.receive_some(RECEIVE))
-
-    def feed(self, data: bytes) -> None:
-        """Hand received bytes to h11; Rejected or Malformed where they are a head of too many lines."""
-        serves = self.http.our_role is h11.SERVER
-        if self.http.their_state is (h11.IDLE if serves else h11.SEND_RESPONSE):
-            self.head += data
-            if has_too_many_fields(self.head):
-                raise Rejected(431, TOO_MANY_FIELDS) if serves else Malformed(TOO_MANY_FIELDS)
-        self.http.receive_data(data)
-
-    def encode(self, *events: h11.Event) -> bytes:
-        """The bytes of these events, which count as sent from now on."""
-        return b"".join(self.http.send(event) or b"" for event in events)
-
-    async def send(self, *events: h11.Event) -> None:
-        await self.socket.send_all(self.encode(*events))
-
-    @property
-    def answerable(self) -> bool:
-        return self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE)
-
-    @property
-    def reusable(self) -> bool:
-        """Both sides have said all of one message, and neither has asked for an end."""
-        return self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
-
-    def stirs(self) -> bool:
-        """Is there anything to be read: bytes, an end or a reset?  Nothing is read, and nothing waits."""
-        return self.socket.socket.fileno() < 0 or self.socket.socket.is_readable()
-
-    def close(self) -> None:
-        """Close at once, without a wait: the other side may be silent."""
-        self.socket.socket.close()
-
-
 @dataclass(frozen=True, slots=True)
 class Ask:
     """A stream's payload: what passes on unchanged."""
@@ -252,6 +193,25 @@
     report: Report | None = None
 
 
+class AnswerLines:
+    """Cuts the body of a host's answer into its lines, however many parts it comes in."""
+
+    def __init__(self) -> None:
+        self._unended = bytearray()
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """The lines that end with this part, but for empty ones; Malformed where one has no end."""
+        self._unended += data
+        found = list[bytes]()
+        if b"\n" in data:  # else a line in very many parts would be copied with each
+            *lines, rest = bytes(self._unended).split(b"\n")
+            found = [line for line in lines if line.strip()]
+            self._unended = bytearray(rest)
+        if len(self._unended) > LINE_MOST:
+            raise Malformed("a line has no end")  # it would fill the memory
+        return found
+
+
 ENDS = {"done": Status.OK, "failed": Status.ERROR, "returned": Status.FULL, "lost": Status.RESET}
 
 
--- a/thistleshore/platform/upstream.py
+++ b/thistleshore/platform/upstream.py
@@ -13,7 +13,8 @@
 from oxbowarch.interface import Status
 from thistleshore.core.model import Event, UpstreamHost, UpstreamOutcome, UpstreamRequest, UpstreamStarted
 from thistleshore.invariants import invariant
-from thistleshore.platform.messages import LINE_MOST, Ask, Malformed, Peer, header, read_line, read_pressure
+from thistleshore.platform.messages import AnswerLines, Ask, Malformed, header, read_line, read_pressure
+from thistleshore.platform.peer import Peer
 
 log = logging.getLogger("thistleshore")
 
@@ -179,20 +180,15 @@
             report = read_pressure(header(response.headers, b"x-pressure"))
             turned = response.status_code in (503, 504) and header(response.headers, b"x-turned-away") == "1"
             return Answered(UpstreamOutcome(Status.FULL if turned else Status.ERROR, report=report), reusable=True)
-        rest = b""
+        lines = AnswerLines()
         while isinstance(event := await peer.event(), h11.Data):
-            *lines, rest = (rest + event.data).split(b"\n")
-            for text in lines:
-                line = read_line(text, request.stream.name) if text.strip() else None
-                if line is None:
-                    continue
+            for text in lines.feed(event.data):
+                line = read_line(text, request.stream.name)
                 if line.started:
                     await events.send(UpstreamStarted(request))
                 if line.status is not None:
                     report = line.report or read_pressure(header(response.headers, b"x-pressure"))
                     return Answered(UpstreamOutcome(line.status, line.result, report), reusable=True, names_stream=True)
-            if len(rest) > LINE_MOST:
-                raise Malformed("a line has no end")  # it would fill the memory
         return Answered(UpstreamOutcome(Status.RESET))  # it ended before the last line
 
     def _keep_soon(self, settling: Settling) -> None:
