A client that left before its request went to a host is served when it comes again

Cause: an id counted as used from the moment its stream was opened.

Change: a stream knows whether an upstream request for it has begun to be written; once it is over none begins. Where none has, its id is free again, and the other process of an upgrade is told so. Ids of other processes are kept apart from those that ran here.

--- a/benchmarks/hostile/behaviours.py
+++ b/benchmarks/hostile/behaviours.py
@@ -11,14 +11,16 @@
 
 from benchmarks.hostile.connections import Connections, close, unread
 from benchmarks.hostile.usual import PUT, http_answer, http_request
-from benchmarks.hostile.workers import BROKEN, HELD
+from benchmarks.hostile.workers import BROKEN, HELD, Arrivals
 
 CLOSED_SLACK = 0.1  # s after a client's close in which an attempt may still begin
 LARGE = 64 * 1024  # bytes of the largest body
+WAVE_PAUSE = 0.1  # s between two waves of clients that leave
 CROWD = 620  # connections at once
 FIELDS = 3900  # of a head of 16 KB
 
 Behaviour = Callable[[Connections, float], Awaitable[str]]
+Write = Callable[[Any, list[str]], Awaitable[list[str]]]  # what is written by these names; those not to be sent on
 
 
 class Known(NamedTuple):
@@ -32,71 +34,61 @@
 # -- (a) clients that leave, and ids that come again ----------------------------------------------------------------
 
 
-def leave_unread(request: Callable[[str], bytes], reset: bool, number: int = 40) -> Behaviour:
-    """Clients that write so many requests at once, and close before an answer has come."""
+async def _sent_on(arrivals: Arrivals, closed: dict[str, float]) -> str:
+    """Which of these requests went to a worker later after their client's close than they may."""
+    await trio.sleep(2.0)
+    late = [at - closed[name] for name, times in arrivals.items() if name in closed for at in times]
+    late = [after for after in late if after > CLOSED_SLACK]
+    return f"{len(late)} of {len(closed)} sent on after the close, up to {max(late):.2f} s" if late else ""
+
+
+def leave_unread(write: Write, number: int, at_once: int, reset: bool) -> Behaviour:
+    """Clients that write so many requests at once, so many clients at a time, and close with most of them unread."""
 
     async def run(connections: Connections, seconds: float) -> str:
-        arrivals, closed = connections.site.workers.arrivals, dict[str, float]()
+        closed = dict[str, float]()
         limit = trio.current_time() + seconds
         numbers = count()
 
         async def leave() -> None:
             reader = await connections.open()
-            names = [f"left-{next(numbers)}" for _ in range(number)]
-            with trio.move_on_after(0.3), suppress(*BROKEN):
-                await reader.stream.send_all(b"".join(request(name) for name in names))
-            at = close(reader, reset)
-            closed.update(dict.fromkeys(names, at))
+            names = await write(reader, [f"left-{next(numbers)}" for _ in range(number)])
+            closed.update(dict.fromkeys(names, close(reader, reset)))
 
         while trio.current_time() < limit:
             async with trio.open_nursery() as nursery:
-                for _ in range(60):
+                for _ in range(at_once):
                     nursery.start_soon(leave)
-        await trio.sleep(2.0)
-        late = [at - closed[name] for name, times in arrivals.items() if name in closed for at in times]
-        late = [after for after in late if after > CLOSED_SLACK]
-        return f"{len(late)} sent on after the close, up to {max(late):.2f} s" if late else ""
+            await trio.sleep(WAVE_PAUSE)
+        return await _sent_on(connections.site.workers.arrivals, closed)
 
     return run
 
 
-def leave_unread_puts(reset: bool) -> Behaviour:
-    """Clients that write many jobs at once, and close while most of them are not acknowledged."""
+def requests(body: bytes) -> Write:
+    """Requests over HTTP; none of them may be sent on after the close."""
 
-    async def run(connections: Connections, seconds: float) -> str:
-        arrivals, closed = connections.site.workers.arrivals, dict[str, float]()
-        limit = trio.current_time() + seconds
-        numbers = count()
+    async def write(reader: Any, names: list[str]) -> list[str]:
+        with trio.move_on_after(0.3), suppress(*BROKEN):
+            await reader.stream.send_all(b"".join(http_request(name, "search", body) for name in names))
+        return names
 
-        async def leave() -> None:
-            reader = await connections.open()
-            names = [f"left-{next(numbers)}" for _ in range(200)]
-            replies = list[bytes]()
-            with trio.move_on_after(0.1), suppress(*BROKEN):
-                async with trio.open_nursery() as nursery:
-                    said = b"use seat-search\r\n" + b"".join(_put(name, b"x" * 2000) for name in names)
-                    nursery.start_soon(reader.stream.send_all, said)
-                    while True:
-                        replies.append(await reader.line())
-            with suppress(*BROKEN):
-                replies += (reader.take_held() + unread(reader)).split(b"\r\n")[:-1]
-            at = close(reader, reset)
-            taken = {name for name, reply in zip(names, replies[1:], strict=False) if reply.startswith(b"INSERTED")}
-            closed.update((name, at) for name in names if name not in taken)
+    return write
 
-        while trio.current_time() < limit:
-            async with trio.open_nursery() as nursery:
-                for _ in range(10):
-                    nursery.start_soon(leave)
-            await trio.sleep(0.3)
-        await trio.sleep(2.0)
-        late = [at - closed[name] for name, times in arrivals.items() if name in closed for at in times]
-        late = [after for after in late if after > CLOSED_SLACK]
-        if not late:
-            return ""
-        return f"{len(late)} of {len(closed)} unacknowledged jobs sent on after the close, up to {max(late):.2f} s"
 
-    return run
+async def jobs(reader: Any, names: list[str]) -> list[str]:
+    """Jobs of the beanstalkd front; those that are acknowledged before the close may be sent on."""
+    replies = list[bytes]()
+    with trio.move_on_after(0.1), suppress(*BROKEN):
+        async with trio.open_nursery() as nursery:
+            said = b"use seat-search\r\n" + b"".join(_put(name, b"x" * 2000) for name in names)
+            nursery.start_soon(reader.stream.send_all, said)
+            while True:
+                replies.append(await reader.line())
+    with suppress(*BROKEN):
+        replies += (reader.take_held() + unread(reader)).split(b"\r\n")[:-1]
+    taken = {name for name, reply in zip(names, replies[1:], strict=False) if reply.startswith(b"INSERTED")}
+    return [name for name in names if name not in taken]
 
 
 def come_again(flood: int, leave_at_new: bool = False, come_to_new: bool = False) -> Behaviour:
@@ -247,12 +239,12 @@
 
 
 BEHAVIOURS: dict[str, Known] = {
-    "leave-large-fin": Known("a", "http", leave_unread(lambda n: http_request(n, "search", b"x" * 60_000), False)),
-    "leave-large-rst": Known("a", "http", leave_unread(lambda n: http_request(n, "search", b"x" * 60_000), True)),
-    "leave-one-fin": Known("a", "http", leave_unread(lambda n: http_request(n, "search", b"x" * 60_000), False, 1)),
-    "leave-one-rst": Known("a", "http", leave_unread(lambda n: http_request(n, "search", b"x" * 60_000), True, 1)),
-    "leave-small-fin": Known("a", "http", leave_unread(lambda n: http_request(n, "search"), False)),
-    "leave-small-rst": Known("a", "http", leave_unread(lambda n: http_request(n, "search"), True)),
+    "leave-large-fin": Known("a", "http", leave_unread(requests(b"x" * 60_000), 40, 60, False)),
+    "leave-large-rst": Known("a", "http", leave_unread(requests(b"x" * 60_000), 40, 60, True)),
+    "leave-one-fin": Known("a", "http", leave_unread(requests(b"x" * 60_000), 1, 60, False)),
+    "leave-one-rst": Known("a", "http", leave_unread(requests(b"x" * 60_000), 1, 60, True)),
+    "leave-small-fin": Known("a", "http", leave_unread(requests(b"{}"), 40, 60, False)),
+    "leave-small-rst": Known("a", "http", leave_unread(requests(b"{}"), 40, 60, True)),
     "come-again": Known("a", "http", come_again(0)),
     "come-again-after-3000": Known("a", "http", come_again(3000)),
     "come-again-old-to-new": Known("a", "http", come_again(0, come_to_new=True)),
@@ -283,8 +275,8 @@
         + _fields(FIELDS) + b"\r\n", True)),
     "flood-long-wait": Known("c", "http", flood(
         lambda n: http_request(f"w-{n}", "search").replace(b"Ms: 5000", b"Ms: 3600000"), True)),
-    "puts-left-fin": Known("a", "beanstalkd", leave_unread_puts(False)),
-    "puts-left-rst": Known("a", "beanstalkd", leave_unread_puts(True)),
+    "puts-left-fin": Known("a", "beanstalkd", leave_unread(jobs, 200, 10, False)),
+    "puts-left-rst": Known("a", "beanstalkd", leave_unread(jobs, 200, 10, True)),
     "slow-commands": Known("b", "beanstalkd", crowd(b"u", b"s")),
     "half-puts": Known("b", "beanstalkd", crowd(b"use seat-search\r\nput 0 0 60 %d\r\n" % LARGE + b"x" * (LARGE - 1))),
     "many-watches": Known("b", "beanstalkd", crowd(
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -215,6 +215,20 @@
         except OSError:
             return b""
 
+    @contextmanager
+    def kept_connection(self) -> Iterator[socket.socket]:
+        """A client's connection at the process that accepts now, kept with one small request behind it."""
+        with socket.create_connection(("127.0.0.1", self.port)) as kept:
+            kept.sendall(b"GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n")
+            assert kept.recv(4096).startswith(b"HTTP/1.1 200")
+            yield kept
+
+    @contextmanager
+    def upgrade(self) -> Iterator[tuple[socket.socket, socket.socket]]:
+        """Both processes of an upgrade, and a client's connection at each, the one before first."""
+        with self.process(), self.kept_connection() as kept, self.process(), self.kept_connection() as other:
+            yield kept, other
+
     def log(self, number: int) -> str:
         return (self.folder / f"{self.controls[number]}.log").read_text()
 
@@ -340,9 +354,7 @@
 
 def test_a_third_process_while_the_first_still_drains_knows_its_bans_and_is_heard_there(tmp_path: Path) -> None:
     site = Site(tmp_path)
-    with site.process() as first, socket.create_connection(("127.0.0.1", site.port)) as kept:
-        kept.sendall(b"GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n")
-        assert kept.recv(4096).startswith(b"HTTP/1.1 200")
+    with site.process() as first, site.kept_connection() as kept:
         assert site.call(b"DETACH h0") == b"OK\n"
         with site.process():
             first.send_signal(signal.SIGTERM)
@@ -364,9 +376,7 @@
     site = Site(tmp_path)
     ask = b"POST /pay HTTP/1.1\r\nHost: s\r\nX-Txn: a\r\nX-Lane: pay\r\nContent-Length: 1\r\n\r\na"
     with site.process() as first, site.process() as second:
-        with socket.create_connection(("127.0.0.1", site.port)) as kept:
-            kept.sendall(b"GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n")
-            assert kept.recv(4096).startswith(b"HTTP/1.1 200")
+        with site.kept_connection():
             second.send_signal(signal.SIGTERM)
             time.sleep(0.3)
             with socket.create_connection(("127.0.0.1", site.port)) as other:
@@ -381,15 +391,12 @@
 def test_a_stream_that_the_first_opens_after_the_hand_over_is_known_at_the_second(tmp_path: Path) -> None:
     site = Site(tmp_path)
     ask = b"POST /pay HTTP/1.1\r\nHost: s\r\nX-Txn: again\r\nX-Lane: pay\r\nContent-Length: 1\r\n\r\na"
-    with site.process(), socket.create_connection(("127.0.0.1", site.port)) as kept:
-        kept.sendall(b"GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n")
+    with site.upgrade() as (kept, other):
+        kept.sendall(ask)
         assert kept.recv(4096).startswith(b"HTTP/1.1 200")
-        with site.process(), socket.create_connection(("127.0.0.1", site.port)) as other:
-            kept.sendall(ask)
-            assert kept.recv(4096).startswith(b"HTTP/1.1 200")
-            time.sleep(0.2)
-            other.sendall(ask)
-            assert other.recv(4096).startswith(b"HTTP/1.1 409")
+        time.sleep(0.2)
+        other.sendall(ask)
+        assert other.recv(4096).startswith(b"HTTP/1.1 409")
     assert sum(len(host.runs) for host in site.hosts) == 1
 
 
--- a/tests/test_stream_names.py
+++ b/tests/test_stream_names.py
@@ -4,12 +4,14 @@
 
 import socket
 import time
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
 import pytest
 import trio
 
+from tests.standins import HOSTS, Http, Told
 from tests.support import Lines, end, free_port, play
 from tests.test_restart import Site
 from thistleshore.core import model
@@ -26,7 +28,10 @@
 
 
 class Front:
-    """A downstream side that serves all but what is called `held`, and refuses what is called `refused`."""
+    """A downstream side that serves all but what is called `held` or `queued`, and refuses what is called `refused`.
+
+    What is called `queued` goes to no host, and what is called `held` is not answered by one.
+    """
 
     def __init__(self) -> None:
         self.inbox, self.events = trio.open_memory_channel[model.Event](99)
@@ -38,7 +43,9 @@
             if isinstance(event, model.StreamWithdrawn):
                 event.stream.withdrawn = True
                 event.stream.answered.set()
-            if isinstance(event, model.StreamOpened) and event.stream.name != "held":
+            if isinstance(event, model.StreamOpened):
+                event.stream.attempted = event.stream.name not in ("refused", "queued")
+            if isinstance(event, model.StreamOpened) and event.stream.name not in ("held", "queued"):
                 refused = event.stream.name == "refused"
                 event.stream.answer = model.LocalReply(0.0) if refused else model.Served(b"ok")
                 event.stream.answered.set()
@@ -109,6 +116,63 @@
     assert play(with_front, scenario) == [b"200", b"200", b"200", b"503", b"409", b"200"]
 
 
+@pytest.mark.parametrize("how", ["FIN", "RST"])
+def test_a_client_that_left_before_its_job_went_to_a_host_is_served_when_it_comes_again(how: str) -> None:
+    # its connection broke while the job waited: it got an error for an id that had never run
+    async def scenario(at: Http) -> list[Told]:
+        for host in HOSTS:
+            at.tell(host, "leaving")
+        await trio.sleep(0.1)
+        client = await trio.open_tcp_stream("127.0.0.1", at.port)
+        head = b"POST /seat-search HTTP/1.1\r\nHost: s\r\nX-Txn: 5\r\nX-Remaining-Ms: 5000\r\nContent-Length: 3\r\n\r\n"
+        await client.send_all(head + b"job")
+        await trio.sleep(0.1)
+        end(client, how)
+        await trio.sleep(0.1)
+        for host in HOSTS:
+            at.tell(host, "active")
+        await trio.sleep(0.1)
+        return [await at.submit("seat-search", b"job") for _ in range(2)]
+
+    at = Http()
+    at.numbers = iter([5, 5])
+    found = play(at.run, scenario)
+    assert [told.kind for told in found] == ["served", "failed"] and len(at.runs[b"job"]) == 1
+
+
+def test_names_of_streams_that_never_ran_are_free_at_the_other_process_too() -> None:
+    told = list[tuple[str, tuple[str, ...]]]()
+
+    class Others:
+        def tell_streams(self, names: Sequence[str], left: float) -> None:
+            told.append(("opened", tuple(names)))
+
+        def tell_unused(self, names: Sequence[str]) -> None:
+            told.append(("unused", tuple(names)))
+
+        def hear_streams(self) -> None:
+            pass
+
+    async def scenario(front: Front) -> None:
+        front.downstream.others = Others()
+        await front.leave(b"queued", 5.0)
+        await front.leave(b"held", 5.0)
+        assert await front.ask(await front.connect(), b"refused") == b"503"
+
+    play(with_front, scenario)
+    assert told == [
+        ("opened", ("queued",)), ("unused", ("queued",)), ("opened", ("held",)), ("opened", ("refused",)),
+        ("unused", ("refused",)),
+    ]  # fmt: skip
+    names = StreamNames()
+    names.open("ran here", 5.0)
+    names.end("ran here", 1.0, answered=True)
+    for name in ("queued", "ran here"):
+        names.learn(name, 9.0)
+    assert [names.unlearn(name) for name in ("queued", "ran here", "other")] == [True, True, False]
+    assert [names.knows(name, 2.0) for name in ("queued", "ran here")] == [False, True]
+
+
 def test_an_id_that_was_refused_and_never_ran_fills_no_memory() -> None:
     async def scenario(front: Front) -> tuple[list[bytes], int]:
         found = [await front.ask(await front.connect(), b"refused") for _ in range(2)]
@@ -191,15 +255,11 @@
     # the process before was not told of the streams that the new one opened
     site = Site(tmp_path)
     ask = b"POST /pay HTTP/1.1\r\nHost: s\r\nX-Txn: again\r\nX-Lane: pay\r\nContent-Length: 1\r\n\r\na"
-    with site.process(), socket.create_connection(("127.0.0.1", site.port)) as kept:
-        kept.sendall(b"GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n")
-        assert kept.recv(4096).startswith(b"HTTP/1.1 200")
-        with site.process(), socket.create_connection(("127.0.0.1", site.port)) as other:
-            time.sleep(0.2)
-            left, back = (other, kept) if again_at == "the one before" else (kept, other)
-            left.sendall(ask)
-            time.sleep(0.02)  # its worker has it, and has not answered
-            left.close()
-            back.sendall(ask)
-            assert back.recv(4096).startswith(b"HTTP/1.1 409")
+    with site.upgrade() as (kept, other):
+        left, back = (other, kept) if again_at == "the one before" else (kept, other)
+        left.sendall(ask)
+        time.sleep(0.02)  # its worker has it, and has not answered
+        left.close()
+        back.sendall(ask)
+        assert back.recv(4096).startswith(b"HTTP/1.1 409")
     assert sum(len(host.runs) for host in site.hosts) == 1
--- a/thistleshore/beanstalkd/upstream.py
+++ b/thistleshore/beanstalkd/upstream.py
@@ -157,7 +157,7 @@
         try:
             # The wait for a slot took time: a host that drains by now gets nothing new, and a job that its client has
             # deleted goes to nobody.
-            if not request.may_begin():
+            if not request.begin():
                 slot.taken = False
                 crew.slots.appendleft(slot)
                 return UpstreamOutcome(Status.NOT_SENT)
--- a/thistleshore/core/model.py
+++ b/thistleshore/core/model.py
@@ -60,6 +60,7 @@
     left: bool = False  # the downstream disconnected or withdrew it; the broker may not know yet
     gone: Callable[[], bool] = _never  # asks the front whether the connection has just closed, with nothing read yet
     counts: ClassFigures = field(default_factory=ClassFigures)  # counters of its class, set by the broker
+    attempted: bool = False  # an upstream request has begun to be written, so that it may have run
     forwards: int = 0  # its upstream requests that were written completely
 
     @property
@@ -71,6 +72,11 @@
         """Its downstream knows that it is taken: it may go, and come back for the answer."""
         self.gone = _never
 
+    @property
+    def never_ran(self) -> bool:
+        """Whether it is over, and certainly never ran: once it is over no upstream request begins."""
+        return self.over and not self.attempted and not isinstance(self.answer, Served)
+
     @property
     def wanted(self) -> bool:
         """Whether a downstream still waits for its answer; checked in the step that would start an upstream request."""
@@ -114,14 +120,16 @@
     cancelled: bool = False
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
-    def may_begin(self) -> bool:
-        """Whether it may still be written.  To be asked in the step that writes the first byte.
+    def begin(self) -> bool:
+        """Begin to write it, if it still may be; to be called in the step that writes the first byte.
 
         Since it was decided on, its host may have begun to drain, its downstream may have gone and its time may have
         ended: connecting takes time, and so does a hold-up of the whole process.
         """
         in_time = trio.current_time() < min(self.deadline, self.send_by)
-        return in_time and self.host.ready and self.stream.wanted
+        begins = in_time and self.host.ready and self.stream.wanted
+        self.stream.attempted = self.stream.attempted or begins
+        return begins
 
     def mark_written(self) -> None:
         """Record that the last byte is written: from now on the job may run."""
--- a/thistleshore/platform/downstream.py
+++ b/thistleshore/platform/downstream.py
@@ -31,6 +31,10 @@
         """Tell them of streams that are opened here, which they know by name for `left` seconds."""
         ...
 
+    def tell_unused(self, names: Sequence[str]) -> None:
+        """Tell them of streams that have ended here and never ran: their names may be used again."""
+        ...
+
     def hear_streams(self) -> None:
         """Take in what they have told of theirs by now."""
         ...
@@ -143,8 +147,10 @@
         return stream
 
     def _end_name(self, stream: Stream) -> None:
-        if isinstance(stream.answer, LocalReply) and not stream.forwards:
-            self.names.forget(stream.name)  # it never ran
+        if stream.never_ran:
+            self.names.forget(stream.name)  # its client may come again with it
+            if self.others is not None:
+                self.others.tell_unused([stream.name])
         else:
             self.names.end(stream.name, trio.current_time(), answered=stream.answer is not None)
 
--- a/thistleshore/platform/stream_names.py
+++ b/thistleshore/platform/stream_names.py
@@ -28,10 +28,11 @@
         self.latest: deque[str] = deque(maxlen=LATEST_MOST)
         self._open: dict[bytes, float] = {}  # by digest: until when the client may come again
         self._ended: dict[bytes, float] = {}  # by digest: until when it is known
-        self._due: list[tuple[float, bytes]] = []  # heap of the times in `_ended`, the outdated ones among them
+        self._elsewhere: dict[bytes, float] = {}  # the same, of streams of other processes
+        self._due: list[tuple[float, bytes]] = []  # heap of the times in both, the outdated ones among them
 
     def __len__(self) -> int:
-        return len(self._open) + len(self._ended)
+        return len(self._open) + len(self._ended) + len(self._elsewhere)
 
     def full(self, now: float) -> bool:
         """Whether no further name can be known for as long as it has to be."""
@@ -41,8 +42,10 @@
     def knows(self, name: str, now: float) -> bool:
         """Whether a stream of that name is open or was so lately."""
         self._drop_due(now)
-        digest = _digest(name)
-        return digest in self._open or digest in self._ended
+        return self._has(_digest(name))
+
+    def _has(self, digest: bytes) -> bool:
+        return digest in self._open or digest in self._ended or digest in self._elsewhere
 
     def open(self, name: str, until: float) -> None:
         """A stream of that name is opened; its client may come again with it until then."""
@@ -53,7 +56,7 @@
         """The stream has ended; a client that has its answer does not come again."""
         digest = _digest(name)
         until = self._open.pop(digest)
-        self._keep(digest, now + KEPT if answered else max(until, now + KEPT))
+        self._keep(self._ended, digest, now + KEPT if answered else max(until, now + KEPT))
 
     def forget(self, name: str) -> None:
         """The stream has ended and certainly never ran: its name may be used again."""
@@ -65,16 +68,20 @@
         Returns whether that is news.
         """
         digest = _digest(name)
-        news = digest not in self._open and digest not in self._ended
-        self._keep(digest, until)
+        news = not self._has(digest)
+        self._keep(self._elsewhere, digest, until)
         if news:
             self._note(name)
         return news
 
+    def unlearn(self, name: str) -> bool:
+        """The stream of that name has ended at that other process and never ran.  Returns whether that is news."""
+        return self._elsewhere.pop(_digest(name), None) is not None
+
     def export(self, now: float) -> str:
         """All names for another process; see `ENTRY`, in base 64."""
         self._drop_due(now)
-        known = {**{digest: until + KEPT for digest, until in self._open.items()}, **self._ended}
+        known = {**{digest: until + KEPT for digest, until in self._open.items()}, **self._elsewhere, **self._ended}
         entries = (ENTRY.pack(digest, min(LEFT_MOST, ceil(until - now))) for digest, until in known.items())
         return b64encode(b"".join(entries)).decode()
 
@@ -84,22 +91,23 @@
         if len(data) % ENTRY.size:
             raise ValueError("the names of streams are cut off")
         for digest, left in ENTRY.iter_unpack(data):
-            self._keep(digest, now + left)
+            self._keep(self._elsewhere, digest, now + left)
 
     def _note(self, name: str) -> None:
         if name.isascii():  # others take six times the bytes in a hand-over, which has a limit
             self.latest.append(name)
 
-    def _keep(self, digest: bytes, until: float) -> None:
-        if until > self._ended.get(digest, 0.0):
-            self._ended[digest] = until
+    def _keep(self, names: dict[bytes, float], digest: bytes, until: float) -> None:
+        if until > names.get(digest, 0.0):
+            names[digest] = until
             heappush(self._due, (until, digest))
 
     def _drop_due(self, now: float) -> None:
         while self._due and self._due[0][0] <= now:
             until, digest = heappop(self._due)
-            if self._ended.get(digest) == until:
-                del self._ended[digest]
+            for names in (self._ended, self._elsewhere):
+                if names.get(digest) == until:
+                    del names[digest]
 
 
 def _digest(name: str) -> bytes:
--- a/thistleshore/platform/upstream.py
+++ b/thistleshore/platform/upstream.py
@@ -237,7 +237,7 @@
     """Write a whole request; None, or what its end is where that was not to be done or not done in time."""
     data = peer.encode(*_request(request))
     # No wait stands between this look and the first byte.
-    if not request.may_begin():
+    if not request.begin():
         return Status.NOT_SENT
     with trio.CancelScope(deadline=request.send_by) as writing:
         await peer.socket.send_all(data)
--- a/thistleshore/restart/carrier.py
+++ b/thistleshore/restart/carrier.py
@@ -96,6 +96,10 @@
         """Another process has told of streams that were opened there."""
         ...
 
+    def on_unused_names(self, names: Any, source: Link) -> None:
+        """Another process has told of streams that have ended there and never ran."""
+        ...
+
 
 class HandoverLinks:
     """One process's links to the process before it and to those that come after."""
@@ -122,12 +126,24 @@
                 if link is not source:
                     link.tell(names=part, left=round(left, 3))
 
+    def tell_unused(self, names: Sequence[str], source: Link | None = None) -> None:
+        """Tell all others of streams that have ended and never ran: their names may be used again."""
+        for part in pieces(list(names), PIECE_MOST):
+            for link in self.streams:
+                if link is not source:
+                    link.tell(unused=part)
+
     def hear_streams(self) -> None:
         """Take in what others have told of their streams by now, before one is opened here."""
         for link in self.links:
             for values in link.look_ahead():
-                if "names" in values:
-                    self.handler.on_stream_names(values, link)
+                self._hear_of_streams(values, link)
+
+    def _hear_of_streams(self, values: Mapping[str, Any], link: Link) -> None:
+        if "names" in values:
+            self.handler.on_stream_names(values, link)
+        if "unused" in values:
+            self.handler.on_unused_names(values["unused"], link)
 
     async def on_drain(self) -> None:
         """This process ends: if the one before it still could serve it does so again, from now on and not only once
@@ -170,8 +186,7 @@
                 self.handler.step_aside(False)
             if values.get("drains") is True and link is self.before:
                 self.before = None
-            if "names" in values:
-                self.handler.on_stream_names(values, link)
+            self._hear_of_streams(values, link)
             if isinstance(values.get("ban"), str):
                 await self.handler.on_ban(values["ban"], values.get("out") is True, link)
         return serves
--- a/thistleshore/restart/handover_state.py
+++ b/thistleshore/restart/handover_state.py
@@ -181,6 +181,12 @@
         fresh = [name for name in names if isinstance(name, str) and self.downstream.names.learn(name, until)]
         self.links.tell_streams(fresh, left, source)
 
+    def on_unused_names(self, names: Any, source: Link) -> None:
+        """Streams of another process have ended and never ran: their clients may come again here."""
+        if isinstance(names, list):
+            free = [name for name in names if isinstance(name, str) and self.downstream.names.unlearn(name)]
+            self.links.tell_unused(free, source)
+
     async def on_ban(self, host: str, out: bool, source: Link) -> None:
         """An operator has called it at another process."""
         await self.broker.inbox.send(BanRequested(host.encode(), out, known=True))
