beanstalkd: who has only ended its sending is still served, and a job is withdrawn only where its client was never told

Change: each INSERTED is a place among the bytes written to its connection; where that is reset, the system says how many of them have arrived. Jobs whose INSERTED never did are withdrawn, all others run. Where a client's end has come before its job is taken, INSERTED is written first and the job taken 0.05 s later, unless a reset answers: a client that has gone answers with one.

The test of an unread acknowledgement goes: its client's machine had the INSERTED, and such a job runs on, as one that was read. In its place: jobs whose close stands behind 6 MB of unread bytes, and clients that end their sending.

--- a/tests/test_tube_memory.py
+++ b/tests/test_tube_memory.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 import trio
 
 from tests.standins import HOSTS, Beanstalkd
-from tests.support import Lines, end, play
+from tests.support import Lines, end, play, read_all
 from thistleshore.beanstalkd import downstream, replies
 from thistleshore.beanstalkd.quotas import Share, SharedQuota
 from thistleshore.beanstalkd.replies import Replies
@@ -35,32 +37,61 @@
 # -- (a) clients that leave
 
 
+async def write_and_close(at: Beanstalkd, how: str, size: int) -> None:
+    """Put 100 jobs of this size at once, called 5000 and so on, and close before one of them is read."""
+    client = await at.connect()
+    await at.say(client, SEARCH.strip())
+    puts = [b"put 0 0 60 %d\r\n%s\r\n" % (size, b"%04d" % (5000 + n) * (size // 4)) for n in range(100)]
+    client.stream.socket._sock.send(b"".join(puts))  # type: ignore[attr-defined]
+    end(client.stream, how)
+
+
 @pytest.mark.parametrize("how", ["FIN", "RST"])
-def test_jobs_of_a_client_that_closed_before_they_were_read_go_to_no_host(how: str) -> None:
+def test_jobs_of_a_client_that_closed_before_they_were_read_go_to_no_host(
+    monkeypatch: pytest.MonkeyPatch, how: str
+) -> None:
     # picture (a) of issue 58: up to two of them were taken and sent on
+    take = downstream.Tubes.take
+
+    async def held_up(*given: Any) -> None:
+        await take(*given)
+        await trio.sleep(0.01)  # its host has a job that is taken before its client is told
+
+    monkeypatch.setattr(downstream.Tubes, "take", held_up)
+
     async def scenario(at: Beanstalkd) -> int:
-        client = await trio.open_tcp_stream("127.0.0.1", at.port)
-        client.socket._sock.send(SEARCH + b"".join(PUT % n for n in range(100)))  # type: ignore[attr-defined]
-        end(client, how)
+        await write_and_close(at, how, 4)
         await trio.sleep(3)
         return len(at.runs)
 
     assert play(Beanstalkd().run, scenario) == 0
 
 
-def test_a_job_whose_client_closed_over_its_unread_acknowledgement_goes_to_no_host() -> None:
-    # picture (a): the job waits for a host, and its client never knew that it was taken
-    async def scenario(at: Beanstalkd) -> int:
-        await put_all(at, await at.connect(), len(HOSTS) * at.SESSIONS + 6)  # for 0.1 s each
+@pytest.mark.parametrize("how", ["FIN", "RST"])
+def test_a_job_whose_client_had_closed_before_it_was_told_is_not_sent_on_later(how: str) -> None:
+    # picture (a): the close stands behind so many bytes that nothing shows of it before the job is taken
+    async def scenario(at: Beanstalkd) -> list[float]:
+        await put_all(at, await at.connect(), 2 * len(HOSTS) * at.SESSIONS + 6)  # for 0.1 s each: the next ones wait
+        closed = trio.current_time()
+        await write_and_close(at, how, 60_000)
+        await trio.sleep(3)
+        return [when - closed for job, runs in at.runs.items() if job[:1] == b"5" for _, when in runs]
+
+    assert [after for after in play(Beanstalkd().run, scenario) if after > 0.1] == []
+
+
+def test_jobs_of_a_client_that_has_ended_its_sending_and_reads_are_taken() -> None:
+    # as by `nc -N`: its end alone does not say that it has gone
+    async def scenario(at: Beanstalkd) -> tuple[bytes, int]:
         client = await trio.open_tcp_stream("127.0.0.1", at.port)
-        await client.send_all(SEARCH + b"put 0 0 60 4\r\nlate\r\n")
-        await trio.sleep(0.01)
-        assert b"late" not in at.runs
-        end(client, "FIN")  # what it has not read makes this a reset
-        await trio.sleep(4)
-        return len(at.runs[b"late"])
+        await client.send_all(SEARCH + b"".join(PUT % n for n in range(20)))
+        await client.send_eof()
+        said = await read_all(client)
+        await trio.sleep(3)
+        return said, len(at.runs)
 
-    assert play(Beanstalkd().run, scenario) == 0
+    said, runs = play(Beanstalkd().run, scenario)
+    assert said.count(b"INSERTED") == 20 and runs == 20
 
 
 def test_a_job_that_its_client_knows_to_be_taken_is_run_though_the_client_has_gone() -> None:
--- a/thistleshore/beanstalkd/downstream.py
+++ b/thistleshore/beanstalkd/downstream.py
@@ -18,6 +18,7 @@
 from thistleshore.beanstalkd.codec import Command, Decoder, Fault, line, with_body
 from thistleshore.beanstalkd.model import HOST_PREFIX, REPLY_PREFIX
 from thistleshore.beanstalkd.quotas import Share, SharedQuota
+from thistleshore.beanstalkd.receipts import Receipt, Receipts
 from thistleshore.beanstalkd.replies import KEPT as REPLY_KEPT, Replies, Reply
 from thistleshore.beanstalkd.routed import TubeRouter
 from thistleshore.beanstalkd.upstream import Hosts, Reservation, Slot, TubeJob
@@ -25,7 +26,7 @@
 from thistleshore.core.model import StreamWithdrawn
 from thistleshore.gate import BROKEN, Gate, peer_address
 from thistleshore.routing import RouteDecision
-from thistleshore.sockets import has_closed, was_reset
+from thistleshore.sockets import has_closed
 
 log = logging.getLogger("thistleshore")
 
@@ -36,6 +37,7 @@
 WATCHED_BYTES_MOST = 8 * 1024 * 1024  # of the names of all watched tubes
 WATCHED_BYTES_LEAST = 4096  # of those of one connection, which it may have in any case
 WATCHED_TUBE = 128  # bytes that a watched tube takes beside its name
+RESET_WITHIN = 0.05  # s in which the machine of a client that has gone answers a reply
 CLOSED_EVERY = 1.0  # s between two looks whether a connection that waits and has sent ahead is still there
 WRITE_WITHIN = 5.0  # s for a connection to take a reply
 SOON = 1.0  # s before a reservation lapses in which its holder is told DEADLINE_SOON
@@ -107,10 +109,10 @@
             with trio.CancelScope(shield=True), trio.move_on_after(1.0):
                 await connection.lost()
 
-    async def take(
-        self, connection: Connection, ttr: int, body: bytes, routed: RouteDecision
+    def make_job(
+        self, connection: Connection, ttr: int, body: bytes, routed: RouteDecision, receipt: Receipt
     ) -> tuple[Stream, TubeJob]:
-        """Open a stream for a complete put of this connection."""
+        """The stream of a complete put of this connection; it is not open yet."""
         job = TubeJob(next(self.numbers), connection.used, body, float(max(1, ttr)))
         stream = Stream(
             str(job.id),
@@ -121,12 +123,15 @@
             routed.key,
             member=routed.member,
             size=len(body),
-            gone=connection.has_closed,
+            gone=lambda: receipt.lost,
         )
+        return stream, job
+
+    async def take(self, connection: Connection, stream: Stream, job: TubeJob) -> None:
+        """Open the stream of a job."""
         self.open[job.id] = stream, job
         self._keepers.start_soon(self._keep, stream, job, connection.replies)
         await self.inbox.send(StreamOpened(stream))
-        return stream, job
 
     async def withdraw(self, stream: Stream) -> None:
         """Its client wants it no more: nothing begins for it, however long the inbox is."""
@@ -176,7 +181,8 @@
         self.decoder = Decoder(BODY_MOST)
         self.over = False
         self.was_host = False
-        self.unconfirmed: Stream | None = None  # of the last INSERTED, until its client has sent on
+        self.half_closed = False  # it has ended its sending, and reads
+        self.receipts = Receipts(socket)
 
     @property
     def hosts(self) -> list[str]:
@@ -216,8 +222,6 @@
         data = await self.socket.receive_some(RECEIVE)
         self.over = not data
         self.decoder.feed(data)
-        if data and not self.has_closed():
-            self.unconfirmed = None
 
     async def send(self, data: bytes) -> None:
         with trio.move_on_after(WRITE_WITHIN) as writing:
@@ -225,6 +229,7 @@
         if writing.cancelled_caught:
             self.abort()  # it does not read: what is half written cannot be mended
             raise trio.BrokenResourceError("the connection does not read")
+        self.receipts.written += len(data)
 
     def has_closed(self) -> bool:
         """Whether the other side has closed or reset it, also where what it sent before is unread."""
@@ -237,8 +242,8 @@
     async def lost(self) -> None:
         """The connection is gone: its jobs may have run, and replies in its hands go back."""
         self.watched_names.give_back(self.watched_names.held)
-        if self.unconfirmed is not None and not self.unconfirmed.over and was_reset(self.socket):
-            await self.tubes.withdraw(self.unconfirmed)  # it had closed before it could read that it is taken
+        for stream in self.receipts.lost_streams():
+            await self.tubes.withdraw(stream)
         for reservation in list(self.reservations.values()):
             reservation.end(Status.RESET)
         for reply in self.tubes.replies:
@@ -281,18 +286,23 @@
             return DRAINING
         if len(self.tubes.open) >= self.tubes.streams_most or not self.replies.has_room:
             return OUT_OF_MEMORY  # jobs and answers without bound would fill the memory
-        if self.has_closed():
-            self.over = True
-            return b""
-        stream, job = await self.tubes.take(self, ttr, body, routed)
-        if self.has_closed():
-            # Nobody can be told that it is taken.  No wait stands between this look and that reply.
-            self.over = True
-            await self.tubes.withdraw(stream)
+        receipt = Receipt(self.receipts)
+        stream, job = self.tubes.make_job(self, ttr, body, routed, receipt)
+        inserted = line(b"INSERTED", job.id)
+        if self.has_closed() and not self.half_closed:
+            # It has gone, or has ended its sending and still reads: the reply tells, before anything is sent on.
+            self.receipts.expect(stream, receipt, inserted)
+            await self.send(inserted)
+            await trio.sleep(RESET_WITHIN)
+            if receipt.lost:
+                self.over = True
+                return b""
+            self.half_closed = True
+            await self.tubes.take(self, stream, job)
             return b""
-        stream.outlives_connection()
-        self.unconfirmed = stream
-        return line(b"INSERTED", job.id)
+        await self.tubes.take(self, stream, job)
+        self.receipts.expect(stream, receipt, inserted)
+        return inserted
 
     def _result(self, body: bytes) -> bytes:
         """A host's result for a job in its hands; one that comes late is discarded."""
--- a/thistleshore/core/model.py
+++ b/thistleshore/core/model.py
@@ -68,10 +68,6 @@
         """Whether it is answered or withdrawn."""
         return self.withdrawn or self.answer is not None
 
-    def outlives_connection(self) -> None:
-        """Its downstream knows that it is taken: it may go, and come back for the answer."""
-        self.gone = _never
-
     @property
     def never_ran(self) -> bool:
         """Whether it is over, and certainly never ran: once it is over no upstream request begins."""
