--- a/tests/test_stream_names.py
+++ b/tests/test_stream_names.py
@@ -263,3 +263,21 @@
         back.sendall(ask)
         assert back.recv(4096).startswith(b"HTTP/1.1 409")
     assert sum(len(host.runs) for host in site.hosts) == 1
+
+
+def test_an_id_that_never_ran_may_come_again_at_either_process_of_an_upgrade(tmp_path: Path) -> None:
+    site = Site(tmp_path)
+    ask = b"POST /pay HTTP/1.1\r\nHost: s\r\nX-Txn: again\r\nX-Lane: pay\r\nContent-Length: 1\r\n\r\na"
+    with site.upgrade() as (kept, other):
+        for host in site.hosts:
+            assert site.call(b"DETACH " + host.name.encode()) == b"OK\n"
+        time.sleep(0.1)
+        for connection in (kept, other, kept):
+            connection.sendall(ask)
+            assert connection.recv(4096).startswith(b"HTTP/1.1 503")
+        for host in site.hosts:
+            assert site.call(b"ATTACH " + host.name.encode()) == b"OK\n"
+        time.sleep(0.1)
+        other.sendall(ask)
+        assert other.recv(4096).startswith(b"HTTP/1.1 200")
+    assert sum(len(host.runs) for host in site.hosts) == 1
